Lay out the workspace: wire formats, decision core, configuration objects

The packet and relay headers are fixed and borrowed (zerocopy), control messages are CBOR, the core takes events and returns actions, and a set of named objects is checked as one, bundled by content hash and compiled.

--- /dev/null
+++ b/crates/pomelorun-config/src/lib.rs
@@ -0,0 +1,28 @@
+//! The named objects that operators write, their check as one set, and the bundle that is
+//! published.
+//!
+//! [`load_dir`] reads a directory of JSON files, [`check`] lists every fault of the set,
+//! [`Bundle`] is what goes to the configuration service, and [`compile`] turns a checked set into
+//! the [`Snapshot`](pomelorun_core::Snapshot) that hosts route by.
+
+mod bundle;
+mod check;
+mod compile;
+mod diff;
+mod fault;
+mod load;
+mod object;
+mod strict;
+
+pub use crate::{
+    bundle::{Bundle, BundleError, ChunkRef, MAX_VALUE_BYTES, Manifest, chunk_hash, join_chunks},
+    check::check,
+    compile::compile,
+    diff::{Change, ChangeKind, diff},
+    fault::{Fault, Faults},
+    load::{MAX_FILE_BYTES, load_dir, load_files, parse_objects},
+    object::{
+        AvailabilityZone, Endpoint, Named, Object, ObjectSet, Objectives, Service, UpstreamPool,
+    },
+    strict::{StrictError, from_json_strict},
+};
--- /dev/null
+++ b/crates/pomelorun-config/src/load.rs
@@ -0,0 +1,99 @@
+//! Reading objects from files.
+
+use std::{fs, path::Path};
+
+use pomelorun_wire::Code;
+use serde_json::Value;
+
+use crate::{
+    fault::{Fault, Faults},
+    object::{Object, ObjectSet},
+    strict::from_json_strict,
+};
+
+/// Largest file of objects, bytes.
+pub const MAX_FILE_BYTES: u64 = 4 << 20;
+
+/// Reads every `.json` file of a directory, in order of name.
+///
+/// # Errors
+/// Every fault found: files that cannot be read, are too large or are not JSON of the expected
+/// shape, and a directory without objects.
+pub fn load_dir(dir: &Path) -> Result<ObjectSet, Faults> {
+    let shown = dir.display().to_string();
+    let entries = match fs::read_dir(dir) {
+        Ok(it) => it,
+        Err(e) => {
+            return Err(Faults(vec![Fault::new(Code::CONFIG_READ, &shown, "", e.to_string())]));
+        }
+    };
+    let mut paths: Vec<_> = entries
+        .filter_map(Result::ok)
+        .map(|it| it.path())
+        .filter(|it| it.extension().is_some_and(|ext| ext == "json"))
+        .collect();
+    paths.sort();
+    let set = load_files(&paths)?;
+    if set.is_empty() {
+        let message = "no object in any `.json` file".to_owned();
+        return Err(Faults(vec![Fault::new(Code::CONFIG_EMPTY, &shown, "", message)]));
+    }
+    Ok(set)
+}
+
+/// Reads the files named.
+///
+/// # Errors
+/// As [`load_dir`], but an empty set is no fault.
+pub fn load_files(paths: &[impl AsRef<Path>]) -> Result<ObjectSet, Faults> {
+    let mut set = ObjectSet::default();
+    let mut faults = Faults::default();
+    for path in paths {
+        let path = path.as_ref();
+        let shown = path.display().to_string();
+        match read(path, &shown) {
+            Ok(text) => parse_objects(&shown, &text, &mut set, &mut faults),
+            Err(fault) => faults.push(fault),
+        }
+    }
+    faults.or(set)
+}
+
+fn read(path: &Path, shown: &str) -> Result<String, Fault> {
+    let unreadable = |e: std::io::Error| Fault::new(Code::CONFIG_READ, shown, "", e.to_string());
+    let len = fs::metadata(path).map_err(unreadable)?.len();
+    if len > MAX_FILE_BYTES {
+        let message = format!("{len} bytes, more than {MAX_FILE_BYTES}");
+        return Err(Fault::new(Code::CONFIG_TOO_LARGE, shown, "", message));
+    }
+    fs::read_to_string(path).map_err(unreadable)
+}
+
+/// Reads one object or an array of objects from JSON text.
+pub fn parse_objects(file: &str, text: &str, set: &mut ObjectSet, faults: &mut Faults) {
+    let value: Value = match serde_json::from_str(text) {
+        Ok(it) => it,
+        Err(e) => {
+            faults.push(Fault::new(Code::CONFIG_JSON, file, "", e.to_string()));
+            return;
+        }
+    };
+    let Value::Array(items) = value else {
+        parse_object(file, "", &value, set, faults);
+        return;
+    };
+    for (at, item) in items.iter().enumerate() {
+        parse_object(file, &format!("[{at}]"), item, set, faults);
+    }
+}
+
+fn parse_object(file: &str, prefix: &str, value: &Value, set: &mut ObjectSet, faults: &mut Faults) {
+    match from_json_strict::<Object>(&value.to_string()) {
+        Ok(object) => set.add(object),
+        Err(e) => {
+            let path =
+                if e.path == "." { prefix.to_owned() } else { format!("{prefix}.{}", e.path) };
+            faults.push(Fault::new(e.code, file, path.trim_start_matches('.'), e.message));
+        }
+    }
+}
--- /dev/null
+++ b/crates/pomelorun-core/src/lib.rs
@@ -0,0 +1,35 @@
+//! Decisions of a pomelorun host.
+//!
+//! [`HostCore`] takes one [`Event`] at a time together with the current time and returns the
+//! [`Action`]s to carry out. It does no I/O, reads no clock and starts no thread, so the daemon,
+//! the tests and a foreign driver run the same code.
+
+mod action;
+mod choice;
+mod flow_table;
+mod host;
+mod limit;
+mod members;
+mod record;
+mod settings;
+mod snapshot;
+mod stats;
+mod steward;
+mod time;
+mod view;
+
+pub use crate::{
+    action::{Action, Actions, Event, ListedHost},
+    choice::{Candidates, Chooser, rendezvous_score},
+    flow_table::FlowTable,
+    host::HostCore,
+    limit::{Limit, LimitReason},
+    members::{Member, Members},
+    record::{Record, Records},
+    settings::CoreSettings,
+    snapshot::{PoolView, ServiceView, Snapshot, UpstreamView, ZoneView},
+    stats::Stats,
+    steward::{Steward, StewardPhase, UpstreamStatus},
+    time::Millis,
+    view::View,
+};
--- /dev/null
+++ b/crates/pomelorun-core/src/record.rs
@@ -0,0 +1,80 @@
+//! Records of non-idempotent requests, so that none is forwarded twice.
+
+use pomelorun_wire::{RecordEntry, RecordKey, RecordState};
+
+use crate::time::Millis;
+
+/// One recorded request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Record {
+    /// Which request.
+    pub key: RecordKey,
+    /// How far it has come.
+    pub state: RecordState,
+    /// When it may be forgotten.
+    pub keep_until: Millis,
+}
+
+/// The recorded requests of one upstream, sorted by key.
+#[derive(Debug, Clone, Default)]
+pub struct Records {
+    entries: Vec<Record>,
+}
+
+impl Records {
+    /// Finds a record.
+    pub fn get(&self, key: &RecordKey) -> Option<&Record> {
+        let at = self.entries.binary_search_by_key(key, |it| it.key).ok()?;
+        Some(&self.entries[at])
+    }
+
+    /// Adds or replaces a record.
+    pub fn put(&mut self, record: Record) {
+        match self.entries.binary_search_by_key(&record.key, |it| it.key) {
+            Ok(at) => self.entries[at] = record,
+            Err(at) => self.entries.insert(at, record),
+        }
+    }
+
+    /// Removes a record, once the request is known not to have run.
+    pub fn remove(&mut self, key: &RecordKey) {
+        if let Ok(at) = self.entries.binary_search_by_key(key, |it| it.key) {
+            self.entries.remove(at);
+        }
+    }
+
+    /// Forgets what is past its time.
+    pub fn expire(&mut self, now: Millis) {
+        self.entries.retain(|it| it.keep_until > now);
+    }
+
+    /// Number of records.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Tells whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Lists the records as a hand-over carries them.
+    pub fn export(&self, now: Millis) -> Vec<RecordEntry> {
+        self.entries
+            .iter()
+            .map(|it| RecordEntry {
+                key: it.key,
+                state: it.state,
+                keep_ms: u32::try_from(it.keep_until.since(now).0).unwrap_or(u32::MAX),
+            })
+            .collect()
+    }
+
+    /// Adds the records of a hand-over.
+    pub fn import(&mut self, now: Millis, entries: &[RecordEntry]) {
+        for it in entries {
+            let keep_until = now + Millis(u64::from(it.keep_ms));
+            self.put(Record { key: it.key, state: it.state, keep_until });
+        }
+    }
+}
--- /dev/null
+++ b/crates/pomelorun-core/src/stats.rs
@@ -0,0 +1,33 @@
+//! Counters of one host.
+
+use pomelorun_wire::Code;
+
+/// Counters of one host since its start.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Stats {
+    /// Packets received from the fabric.
+    pub fabric_packets: u64,
+    /// Packets handed to other hosts.
+    pub relayed: u64,
+    /// Packets sent to upstreams.
+    pub to_upstream: u64,
+    /// Packets sent to callers.
+    pub to_caller: u64,
+    /// Occurrences by code, sorted by code.
+    pub codes: Vec<(Code, u64)>,
+}
+
+impl Stats {
+    /// Counts one occurrence.
+    pub fn count(&mut self, code: Code) {
+        match self.codes.binary_search_by_key(&code, |it| it.0) {
+            Ok(at) => self.codes[at].1 += 1,
+            Err(at) => self.codes.insert(at, (code, 1)),
+        }
+    }
+
+    /// Occurrences of a code.
+    pub fn of(&self, code: Code) -> u64 {
+        self.codes.binary_search_by_key(&code, |it| it.0).map_or(0, |at| self.codes[at].1)
+    }
+}
--- /dev/null
+++ b/crates/pomelorun-core/src/steward.rs
@@ -0,0 +1,687 @@
+//! The steward of one upstream: the single place that counts its requests, runs its limit and
+//! remembers its non-idempotent requests.
+
+use std::{collections::VecDeque, net::SocketAddrV4};
+
+use pomelorun_wire::{
+    Code, Header, HostId, Kind, Packet, PeerMsg, RecordEntry, RecordKey, RecordState, StewardState,
+    UpstreamId, Verdict,
+};
+
+use crate::{
+    action::{Action, Actions},
+    limit::{Limit, LimitReason},
+    record::{Record, Records},
+    settings::CoreSettings,
+    snapshot::{PoolView, UpstreamView},
+    time::Millis,
+    view::{Ranked, steward_score},
+};
+
+/// Whether this host acts as the steward.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum StewardPhase {
+    /// It does not; it may hold a replica of the steward's state.
+    Standby,
+    /// It waits for the steward before it to hand over.
+    Asking {
+        /// The hosts that have not answered.
+        waiting_for: Ranked,
+        /// When it asked.
+        since: Millis,
+    },
+    /// It acts.
+    Active,
+}
+
+/// State of an upstream, for reports.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct UpstreamStatus {
+    /// Which upstream.
+    pub upstream: UpstreamId,
+    /// Requests that it may run now.
+    pub limit: u16,
+    /// Requests in progress.
+    pub in_flight: usize,
+    /// Requests that wait.
+    pub queued: usize,
+    /// Why the limit is what it is.
+    pub reason: LimitReason,
+    /// Whether this host acts as its steward.
+    pub active: bool,
+}
+
+/// What the steward's decisions depend on besides its own state.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct StewardCx<'a> {
+    pub(crate) now: Millis,
+    pub(crate) me: HostId,
+    pub(crate) cfg: &'a CoreSettings,
+    pub(crate) upstream: &'a UpstreamView,
+    pub(crate) pool: &'a PoolView,
+}
+
+impl StewardCx<'_> {
+    fn addr(&self) -> SocketAddrV4 {
+        self.upstream.addr
+    }
+
+    /// Time after which nothing that another steward started can still run or arrive.
+    fn settle(&self) -> Millis {
+        self.pool.max_deadline + self.cfg.packet_life_ms
+    }
+}
+
+/// What to do with a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Next {
+    Start,
+    Queue,
+    Refuse(Code),
+    Unknown(Code),
+    Ignore(Code),
+}
+
+#[derive(Debug, Clone)]
+struct InFlight {
+    key: RecordKey,
+    header: Header,
+    started: Millis,
+    deadline: Millis,
+    idempotent: bool,
+    parts_seen: Vec<u64>,
+    parts_left: Option<u16>,
+}
+
+impl InFlight {
+    /// Notes a part; tells whether it is a new one.
+    fn note_part(&mut self, packet: &Packet<'_>) -> bool {
+        let parts = packet.parts().max(1);
+        if packet.part() >= parts {
+            return false;
+        }
+        let left = self.parts_left.get_or_insert(parts);
+        let (word, bit) = (usize::from(packet.part() / 64), packet.part() % 64);
+        if self.parts_seen.len() <= word {
+            self.parts_seen.resize(word + 1, 0);
+        }
+        if self.parts_seen[word] & (1 << bit) != 0 {
+            return false;
+        }
+        self.parts_seen[word] |= 1 << bit;
+        *left = left.saturating_sub(1);
+        true
+    }
+}
+
+/// A request that waits, for a slot or for the replica of its record.
+#[derive(Debug, Clone)]
+struct Held {
+    key: RecordKey,
+    bytes: Box<[u8]>,
+    since: Millis,
+    deadline: Millis,
+    idempotent: bool,
+}
+
+impl Held {
+    fn header(&self) -> Header {
+        Packet::parse(&self.bytes).expect("held bytes were parsed on arrival").header()
+    }
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Backup {
+    host: HostId,
+    synced: bool,
+    asked: Millis,
+}
+
+/// What one host knows of one upstream in its zone.
+#[derive(Debug)]
+pub struct Steward {
+    id: UpstreamId,
+    phase: StewardPhase,
+    limit: Limit,
+    in_flight: Vec<InFlight>,
+    /// When requests that another steward started are over at the latest.
+    foreign: Vec<Millis>,
+    queue: VecDeque<Held>,
+    /// Requests whose record is being replicated.
+    recording: Vec<Held>,
+    records: Records,
+    backup: Option<Backup>,
+    /// The steward whose whole state is replicated here.
+    replica_of: Option<HostId>,
+    /// Until then a request may have run at the word of another steward.
+    uncertain_until: Millis,
+}
+
+impl Steward {
+    pub(crate) fn new(cx: &StewardCx<'_>) -> Steward {
+        Steward {
+            id: cx.upstream.id,
+            phase: StewardPhase::Standby,
+            limit: Limit::new(cx.upstream.cold_slots, cx.upstream.slots),
+            in_flight: Vec::new(),
+            foreign: Vec::new(),
+            queue: VecDeque::new(),
+            recording: Vec::new(),
+            records: Records::default(),
+            backup: None,
+            replica_of: None,
+            uncertain_until: cx.now + cx.settle(),
+        }
+    }
+
+    /// Which upstream.
+    pub fn id(&self) -> UpstreamId {
+        self.id
+    }
+
+    /// Whether this host acts as the steward.
+    pub fn phase(&self) -> &StewardPhase {
+        &self.phase
+    }
+
+    /// State for reports.
+    pub fn status(&self) -> UpstreamStatus {
+        UpstreamStatus {
+            upstream: self.id,
+            limit: self.limit.current(),
+            in_flight: self.busy(),
+            queued: self.queue.len(),
+            reason: self.limit.reason(),
+            active: self.phase == StewardPhase::Active,
+        }
+    }
+
+    /// Tells whether nothing is in progress here.
+    pub fn is_idle(&self) -> bool {
+        self.in_flight.is_empty() && self.recording.is_empty() && self.queue.is_empty()
+    }
+
+    fn busy(&self) -> usize {
+        self.in_flight.len() + self.recording.len() + self.foreign.len()
+    }
+
+    pub(crate) fn resize(&mut self, upstream: &UpstreamView) {
+        self.limit.resize(upstream.cold_slots, upstream.slots);
+    }
+
+    // Requests.
+
+    /// Takes a request in.
+    pub(crate) fn request(&mut self, cx: &StewardCx<'_>, packet: &Packet<'_>, out: &mut Actions) {
+        let key = RecordKey { flow: packet.flow(), req: packet.req() };
+        match self.admit(cx, packet, &key) {
+            Next::Start if packet.is_idempotent() => {
+                let left = deadline_of(cx, packet);
+                self.note_started(cx, key, packet.header(), left, true);
+                out.push(Action::ToUpstream(cx.addr()));
+            }
+            Next::Start => {
+                let held = hold(cx, packet, key);
+                self.record(cx, held, out);
+            }
+            Next::Queue => self.queue.push_back(hold(cx, packet, key)),
+            Next::Refuse(code) => self.refuse(cx, &key, packet.header(), code, out),
+            Next::Unknown(code) => out.push(unknown(cx, packet.header(), code)),
+            Next::Ignore(code) => out.push(Action::Count(code)),
+        }
+    }
+
+    fn admit(&mut self, cx: &StewardCx<'_>, packet: &Packet<'_>, key: &RecordKey) -> Next {
+        if self.is_in_progress(key) {
+            return Next::Ignore(Code::IN_PROGRESS);
+        }
+        if !packet.is_idempotent()
+            && (self.records.get(key).is_some() || cx.now < self.uncertain_until)
+        {
+            return Next::Unknown(Code::OUTCOME_UNKNOWN);
+        }
+        let free = self.phase == StewardPhase::Active
+            && self.queue.is_empty()
+            && self.limit.admits(cx.now, self.busy());
+        if free {
+            return Next::Start;
+        }
+        if self.queue.len() < cx.cfg.queue_len { Next::Queue } else { Next::Refuse(Code::BUSY) }
+    }
+
+    fn is_in_progress(&self, key: &RecordKey) -> bool {
+        self.in_flight.iter().any(|it| it.key == *key)
+            || self.recording.iter().any(|it| it.key == *key)
+            || self.queue.iter().any(|it| it.key == *key)
+    }
+
+    /// Records a non-idempotent request, here and at the backup, before it is forwarded.
+    fn record(&mut self, cx: &StewardCx<'_>, held: Held, out: &mut Actions) {
+        let keep_until = held.deadline + cx.cfg.record_keep_ms;
+        self.records.put(Record { key: held.key, state: RecordState::Started, keep_until });
+        let Some(backup) = self.backup else {
+            self.forward(cx, held, out);
+            return;
+        };
+        if backup.synced {
+            out.push(self.record_msg(cx, backup.host, &held));
+        }
+        self.recording.push(held);
+    }
+
+    fn record_msg(&self, cx: &StewardCx<'_>, to: HostId, held: &Held) -> Action {
+        let keep = (held.deadline + cx.cfg.record_keep_ms).since(cx.now);
+        let entry = RecordEntry {
+            key: held.key,
+            state: RecordState::Started,
+            keep_ms: u32::try_from(keep.0).unwrap_or(u32::MAX),
+        };
+        Action::Peer { to, msg: PeerMsg::Record { upstream: self.id, entry } }
+    }
+
+    fn forward(&mut self, cx: &StewardCx<'_>, held: Held, out: &mut Actions) {
+        self.note_started(cx, held.key, held.header(), held.deadline, held.idempotent);
+        out.push(Action::HeldToUpstream(cx.addr(), held.bytes));
+    }
+
+    fn note_started(
+        &mut self,
+        cx: &StewardCx<'_>,
+        key: RecordKey,
+        header: Header,
+        deadline: Millis,
+        idempotent: bool,
+    ) {
+        self.in_flight.push(InFlight {
+            key,
+            header,
+            started: cx.now,
+            deadline,
+            idempotent,
+            parts_seen: Vec::new(),
+            parts_left: None,
+        });
+    }
+
+    /// Gives a request up that this steward has not forwarded.
+    fn refuse(
+        &self,
+        cx: &StewardCx<'_>,
+        key: &RecordKey,
+        header: Header,
+        code: Code,
+        out: &mut Actions,
+    ) {
+        let certain = cx.now >= self.uncertain_until && self.records.get(key).is_none();
+        out.push(if certain { not_run(cx, header, code) } else { unknown(cx, header, code) });
+    }
+
+    /// The caller gave a request up.
+    pub(crate) fn cancel(&mut self, cx: &StewardCx<'_>, packet: &Packet<'_>, out: &mut Actions) {
+        let key = RecordKey { flow: packet.flow(), req: packet.req() };
+        if let Some(at) = self.queue.iter().position(|it| it.key == key) {
+            self.queue.remove(at);
+            self.refuse(cx, &key, packet.header(), Code::CANCELLED, out);
+        } else if self.in_flight.iter().any(|it| it.key == key) {
+            out.push(Action::ToUpstream(cx.addr()));
+        }
+    }
+
+    /// The upstream answered a request.
+    pub(crate) fn answer(&mut self, cx: &StewardCx<'_>, packet: &Packet<'_>, out: &mut Actions) {
+        let key = RecordKey { flow: packet.flow(), req: packet.req() };
+        let Some(at) = self.in_flight.iter().position(|it| it.key == key) else {
+            out.push(Action::Count(Code::ANSWER_UNEXPECTED));
+            return;
+        };
+        if packet.kind() == Kind::Shed {
+            let it = self.in_flight.swap_remove(at);
+            self.limit.shed(cx.now);
+            self.records.remove(&key);
+            out.push(not_run(cx, it.header, Code::UPSTREAM_SHED));
+            self.pump(cx, out);
+            return;
+        }
+        if !self.in_flight[at].note_part(packet) {
+            out.push(Action::Count(Code::ANSWER_UNEXPECTED));
+            return;
+        }
+        out.push(Action::ToCaller);
+        if self.in_flight[at].parts_left == Some(0) {
+            let it = self.in_flight.swap_remove(at);
+            self.limit.answered(cx.now, cx.now.since(it.started), cx.pool.slow_after);
+            self.note_ran(cx, &it);
+            self.pump(cx, out);
+        }
+    }
+
+    /// Remembers that a request ran, so that no later refusal claims that it did not.
+    fn note_ran(&mut self, cx: &StewardCx<'_>, it: &InFlight) {
+        let keep = if it.idempotent { cx.settle() } else { cx.cfg.record_keep_ms };
+        let keep_until = cx.now + keep;
+        self.records.put(Record { key: it.key, state: RecordState::Answered, keep_until });
+    }
+
+    /// Starts what waits, as far as the limit admits.
+    fn pump(&mut self, cx: &StewardCx<'_>, out: &mut Actions) {
+        while self.phase == StewardPhase::Active && self.limit.admits(cx.now, self.busy()) {
+            let Some(held) = self.queue.pop_front() else { return };
+            if held.idempotent {
+                self.forward(cx, held, out);
+            } else {
+                self.record(cx, held, out);
+            }
+        }
+    }
+
+    /// Lets time pass.
+    pub(crate) fn tick(&mut self, cx: &StewardCx<'_>, out: &mut Actions) {
+        self.foreign.retain(|it| *it > cx.now);
+        self.records.expire(cx.now);
+        self.time_out(cx, out);
+        self.drop_late(cx, out);
+        self.stop_asking(cx);
+        self.pump(cx, out);
+    }
+
+    fn time_out(&mut self, cx: &StewardCx<'_>, out: &mut Actions) {
+        while let Some(at) = self.in_flight.iter().position(|it| it.deadline <= cx.now) {
+            let it = self.in_flight.swap_remove(at);
+            self.limit.timed_out();
+            self.note_ran(cx, &it);
+            out.push(unknown(cx, it.header, Code::TIMED_OUT));
+        }
+    }
+
+    fn drop_late(&mut self, cx: &StewardCx<'_>, out: &mut Actions) {
+        while let Some(at) = self.queue.iter().position(|it| it.deadline <= cx.now) {
+            let held = self.queue.remove(at).expect("position is in range");
+            self.refuse(cx, &held.key, held.header(), Code::BUSY, out);
+        }
+        let late = |it: &Held| cx.now.since(it.since) >= cx.cfg.record_ack_ms;
+        while let Some(at) = self.recording.iter().position(late) {
+            let held = self.recording.swap_remove(at);
+            out.push(unknown(cx, held.header(), Code::NOT_RECORDED));
+        }
+    }
+
+    // Taking over and handing over.
+
+    /// Takes the role; `others` are the hosts of the zone by rank that may have held it.
+    pub(crate) fn take_role(
+        &mut self,
+        cx: &StewardCx<'_>,
+        others: Ranked,
+        is_dead: &dyn Fn(HostId) -> bool,
+        out: &mut Actions,
+    ) {
+        if self.phase != StewardPhase::Standby {
+            return;
+        }
+        if self.replica_of.is_some_and(is_dead) {
+            self.act_on_replica(cx, out);
+            return;
+        }
+        self.ask(cx, others, out);
+    }
+
+    /// The steward before is dead and every record it acted on is here.
+    fn act_on_replica(&mut self, cx: &StewardCx<'_>, out: &mut Actions) {
+        self.replica_of = None;
+        self.phase = StewardPhase::Active;
+        self.uncertain_until = cx.now;
+        let over = cx.now + cx.pool.max_deadline;
+        self.foreign = vec![over; usize::from(cx.upstream.slots)];
+        self.pump(cx, out);
+    }
+
+    fn ask(&mut self, cx: &StewardCx<'_>, others: Ranked, out: &mut Actions) {
+        self.replica_of = None;
+        if others.is_empty() {
+            self.act_uncertain(cx);
+            return;
+        }
+        for &to in &others {
+            out.push(Action::Peer { to, msg: PeerMsg::TakeOver { upstream: self.id } });
+        }
+        self.phase = StewardPhase::Asking { waiting_for: others, since: cx.now };
+    }
+
+    /// Acts without knowing what another steward may have started.
+    fn act_uncertain(&mut self, cx: &StewardCx<'_>) {
+        self.phase = StewardPhase::Active;
+        self.uncertain_until = cx.now + cx.settle();
+        let over = cx.now + cx.pool.max_deadline;
+        self.foreign = vec![over; usize::from(cx.upstream.slots)];
+    }
+
+    fn stop_asking(&mut self, cx: &StewardCx<'_>) {
+        if let StewardPhase::Asking { since, .. } = &self.phase
+            && cx.now.since(*since) >= cx.cfg.take_over_ms
+        {
+            self.act_uncertain(cx);
+        }
+    }
+
+    /// Checks its place again after the process has slept.
+    pub(crate) fn woke(&mut self, cx: &StewardCx<'_>, others: Ranked, out: &mut Actions) {
+        self.backup = None;
+        for held in std::mem::take(&mut self.recording) {
+            out.push(unknown(cx, held.header(), Code::OUTCOME_UNKNOWN));
+        }
+        if self.phase != StewardPhase::Standby {
+            self.ask(cx, others, out);
+        }
+        self.replica_of = None;
+    }
+
+    /// Another host asks to become the steward.
+    pub(crate) fn asked(
+        &mut self,
+        cx: &StewardCx<'_>,
+        from: HostId,
+        leaving: bool,
+        out: &mut Actions,
+    ) {
+        let outranked = leaving || steward_score(from, self.id) > steward_score(cx.me, self.id);
+        let verdict = match self.phase {
+            StewardPhase::Standby => Verdict::Nothing,
+            _ if !outranked => Verdict::Mine,
+            StewardPhase::Asking { .. } => {
+                self.step_down(cx, out);
+                Verdict::Nothing
+            }
+            StewardPhase::Active => {
+                let state = self.export(cx);
+                self.step_down(cx, out);
+                Verdict::Yours(state)
+            }
+        };
+        out.push(Action::Peer { to: from, msg: PeerMsg::HandOver { upstream: self.id, verdict } });
+    }
+
+    /// A host that was asked has answered.
+    pub(crate) fn answered(
+        &mut self,
+        cx: &StewardCx<'_>,
+        from: HostId,
+        verdict: &Verdict,
+        out: &mut Actions,
+    ) {
+        let StewardPhase::Asking { waiting_for, .. } = &mut self.phase else { return };
+        match verdict {
+            Verdict::Mine => self.step_down(cx, out),
+            Verdict::Yours(state) => {
+                self.import(cx, state);
+                self.uncertain_until = cx.now;
+                self.phase = StewardPhase::Active;
+                self.pump(cx, out);
+            }
+            Verdict::Nothing => {
+                waiting_for.retain(|it| *it != from);
+                if waiting_for.is_empty() {
+                    self.act_uncertain(cx);
+                }
+            }
+        }
+    }
+
+    /// Stops acting; what waits is refused, what is in progress is still answered.
+    pub(crate) fn step_down(&mut self, cx: &StewardCx<'_>, out: &mut Actions) {
+        self.phase = StewardPhase::Standby;
+        self.backup = None;
+        for held in std::mem::take(&mut self.recording) {
+            out.push(unknown(cx, held.header(), Code::STEWARD_CHANGING));
+        }
+        for held in std::mem::take(&mut self.queue) {
+            self.refuse(cx, &held.key, held.header(), Code::STEWARD_CHANGING, out);
+        }
+        self.uncertain_until = cx.now + cx.settle();
+    }
+
+    fn export(&self, cx: &StewardCx<'_>) -> StewardState {
+        let ends = self.in_flight.iter().map(|it| it.deadline);
+        let ends = ends.chain(self.foreign.iter().copied());
+        StewardState {
+            upstream: self.id,
+            limit: self.limit.current(),
+            in_flight_ms: ends
+                .map(|it| u32::try_from(it.since(cx.now).0).unwrap_or(u32::MAX))
+                .collect(),
+            records: self.records.export(cx.now),
+        }
+    }
+
+    fn import(&mut self, cx: &StewardCx<'_>, state: &StewardState) {
+        self.limit.inherit(cx.now, state.limit);
+        self.foreign =
+            state.in_flight_ms.iter().map(|it| cx.now + Millis(u64::from(*it))).collect();
+        self.records.import(cx.now, &state.records);
+    }
+
+    // Replication.
+
+    /// Names the host that is next in rank; the whole state goes there first.
+    pub(crate) fn set_backup(
+        &mut self,
+        cx: &StewardCx<'_>,
+        host: Option<HostId>,
+        out: &mut Actions,
+    ) {
+        if self.phase != StewardPhase::Active {
+            return;
+        }
+        let Some(host) = host else {
+            self.backup = None;
+            for held in std::mem::take(&mut self.recording) {
+                self.forward(cx, held, out);
+            }
+            return;
+        };
+        let resend = |it: Backup| !it.synced && cx.now.since(it.asked) >= cx.cfg.record_ack_ms;
+        if self.backup.is_some_and(|it| it.host == host && !resend(it)) {
+            return;
+        }
+        self.backup = Some(Backup { host, synced: false, asked: cx.now });
+        let msg = PeerMsg::Replica { state: self.export(cx) };
+        out.push(Action::Peer { to: host, msg });
+    }
+
+    /// The backup has answered that it holds the whole state, or that it is the steward itself.
+    pub(crate) fn replica_acked(
+        &mut self,
+        cx: &StewardCx<'_>,
+        from: HostId,
+        accepted: bool,
+        out: &mut Actions,
+    ) {
+        let Some(backup) = self.backup.as_mut().filter(|it| it.host == from) else { return };
+        if !accepted {
+            self.step_down(cx, out);
+            return;
+        }
+        backup.synced = true;
+        for held in &self.recording {
+            out.push(self.record_msg(cx, from, held));
+        }
+    }
+
+    /// The backup has answered that it holds a record.
+    pub(crate) fn record_acked(
+        &mut self,
+        cx: &StewardCx<'_>,
+        from: HostId,
+        key: &RecordKey,
+        accepted: bool,
+        out: &mut Actions,
+    ) {
+        if self.backup.is_none_or(|it| it.host != from) {
+            return;
+        }
+        if !accepted {
+            self.step_down(cx, out);
+            return;
+        }
+        if let Some(at) = self.recording.iter().position(|it| it.key == *key) {
+            let held = self.recording.swap_remove(at);
+            self.forward(cx, held, out);
+        }
+    }
+
+    /// The steward sends its whole state.
+    pub(crate) fn replica(
+        &mut self,
+        cx: &StewardCx<'_>,
+        from: HostId,
+        state: &StewardState,
+    ) -> PeerMsg {
+        let accepted = self.phase == StewardPhase::Standby;
+        if accepted {
+            self.import(cx, state);
+            self.replica_of = Some(from);
+        }
+        PeerMsg::ReplicaAck { upstream: self.id, accepted }
+    }
+
+    /// The steward sends one record.
+    pub(crate) fn replica_record(
+        &mut self,
+        cx: &StewardCx<'_>,
+        from: HostId,
+        entry: &RecordEntry,
+    ) -> PeerMsg {
+        let accepted = self.phase == StewardPhase::Standby && self.replica_of == Some(from);
+        if accepted {
+            self.records.import(cx.now, std::slice::from_ref(entry));
+        }
+        PeerMsg::RecordAck { upstream: self.id, key: entry.key, accepted }
+    }
+}
+
+fn deadline_of(cx: &StewardCx<'_>, packet: &Packet<'_>) -> Millis {
+    let asked = Millis(u64::from(packet.deadline_ms()));
+    let max = cx.pool.max_deadline;
+    cx.now + if asked == Millis(0) { max } else { asked.min(max) }
+}
+
+fn hold(cx: &StewardCx<'_>, packet: &Packet<'_>, key: RecordKey) -> Held {
+    Held {
+        key,
+        bytes: packet.bytes().into(),
+        since: cx.now,
+        deadline: deadline_of(cx, packet),
+        idempotent: packet.is_idempotent(),
+    }
+}
+
+fn not_run(cx: &StewardCx<'_>, header: Header, code: Code) -> Action {
+    Action::Reply(reply(cx, header, Kind::NotRun, code))
+}
+
+fn unknown(cx: &StewardCx<'_>, header: Header, code: Code) -> Action {
+    Action::Reply(reply(cx, header, Kind::OutcomeUnknown, code))
+}
+
+fn reply(cx: &StewardCx<'_>, header: Header, kind: Kind, code: Code) -> Header {
+    header.kind(kind).code(code.0).retry_after_ms(cx.cfg.come_back_ms.as_u16())
+}
--- /dev/null
+++ b/crates/pomelorun-wire/src/lib.rs
@@ -0,0 +1,24 @@
+//! Packets and messages that travel between callers, hosts and upstreams.
+//!
+//! [`Packet`] is the datagram of callers and upstreams with its fixed header, [`Relay`] the short
+//! header that a host puts before a packet it hands to another host, and [`PeerMsg`] the control
+//! messages between hosts. `docs/FORMATS.md` describes each byte.
+
+mod code;
+mod codec;
+mod id;
+mod message;
+mod packet;
+mod relay;
+
+pub use crate::{
+    code::{Code, CodeRow},
+    codec::{CodecError, decode, encode},
+    id::{FlowKey, HostId, ServiceAddr, UpstreamId, ZoneId, stable_hash},
+    message::{
+        Envelope, FlowEntry, MemberInfo, MemberState, PeerMsg, RecordEntry, RecordKey, RecordState,
+        StewardState, Verdict,
+    },
+    packet::{HEADER_LEN, Header, Kind, MAX_DATAGRAM, Packet, PacketError},
+    relay::{RELAY_LEN, Relay, RelayHeader, Stage},
+};
