--- a/crates/pomelorun-config/src/bundle.rs
+++ b/crates/pomelorun-config/src/bundle.rs
@@ -9,10 +9,7 @@
 use sha2::{Digest, Sha256};
 use thiserror::Error;
 
-use crate::{
-    object::{Object, ObjectSet, UpstreamPool},
-    strict::from_json_strict,
-};
+use crate::object::{Object, ObjectSet, UpstreamPool};
 
 /// Largest value that the configuration service holds, bytes.
 pub const MAX_VALUE_BYTES: usize = 1 << 20;
@@ -138,9 +135,8 @@
         if chunk_hash(text) != chunk.sha256 {
             return Err(BundleError::Corrupt { sha256: chunk.sha256.clone() });
         }
-        let objects: Vec<Object> = from_json_strict(text).map_err(|e| BundleError::Malformed {
-            sha256: chunk.sha256.clone(),
-            detail: e.to_string(),
+        let objects: Vec<Object> = serde_json::from_str(text).map_err(|e| {
+            BundleError::Malformed { sha256: chunk.sha256.clone(), detail: e.to_string() }
         })?;
         for object in objects {
             join(&mut set, object);
--- a/crates/pomelorun-config/src/lib.rs
+++ b/crates/pomelorun-config/src/lib.rs
@@ -24,5 +24,5 @@
     object::{
         AvailabilityZone, Endpoint, Named, Object, ObjectSet, Objectives, Service, UpstreamPool,
     },
-    strict::{StrictError, from_json_strict},
+    strict::{StrictError, from_json_strict, from_value_strict},
 };
--- a/crates/pomelorun-config/src/load.rs
+++ b/crates/pomelorun-config/src/load.rs
@@ -7,8 +7,8 @@
 
 use crate::{
     fault::{Fault, Faults},
-    object::{Object, ObjectSet},
-    strict::from_json_strict,
+    object::{AvailabilityZone, Named, Object, ObjectSet, Service, UpstreamPool},
+    strict::{StrictError, from_value_strict},
 };
 
 /// Largest file of objects, bytes.
@@ -88,12 +88,35 @@
 }
 
 fn parse_object(file: &str, prefix: &str, value: &Value, set: &mut ObjectSet, faults: &mut Faults) {
-    match from_json_strict::<Object>(&value.to_string()) {
+    match read_object(value) {
         Ok(object) => set.add(object),
-        Err(e) => {
-            let path =
-                if e.path == "." { prefix.to_owned() } else { format!("{prefix}.{}", e.path) };
-            faults.push(Fault::new(e.code, file, path.trim_start_matches('.'), e.message));
+        Err(errors) => {
+            for e in errors {
+                let path =
+                    if e.path == "." { prefix.to_owned() } else { format!("{prefix}.{}", e.path) };
+                faults.push(Fault::new(e.code, file, path.trim_start_matches('.'), e.message));
+            }
         }
     }
 }
+
+/// Reads the object by its `kind`, so that each fault keeps its path.
+fn read_object(value: &Value) -> Result<Object, Vec<StrictError>> {
+    let mut value = value.clone();
+    let kind = value.as_object_mut().and_then(|it| it.remove("kind"));
+    match kind.as_ref().and_then(Value::as_str) {
+        Some(Service::KIND) => from_value_strict(value).map(Object::Service),
+        Some(AvailabilityZone::KIND) => from_value_strict(value).map(Object::AvailabilityZone),
+        Some(UpstreamPool::KIND) => from_value_strict(value).map(Object::UpstreamPool),
+        _ => Err(vec![StrictError {
+            path: "kind".to_owned(),
+            message: format!(
+                "expected one of `{}`, `{}`, `{}`",
+                Service::KIND,
+                AvailabilityZone::KIND,
+                UpstreamPool::KIND
+            ),
+            code: Code::CONFIG_JSON,
+        }]),
+    }
+}
--- a/crates/pomelorun-core/src/host.rs
+++ b/crates/pomelorun-core/src/host.rs
@@ -59,6 +59,8 @@
     stewards: Vec<Steward>,
     give_up: Vec<FlowKey>,
     stats: Stats,
+    /// When the last packet left for upstreams of a zone, sorted by zone.
+    last_packets: Vec<(ZoneId, Millis)>,
     last_tick: Option<Millis>,
     leaving: bool,
 }
@@ -88,6 +90,7 @@
             stewards: Vec::new(),
             give_up: Vec::new(),
             stats: Stats::default(),
+            last_packets: Vec::new(),
             last_tick: None,
             leaving: false,
         }
@@ -110,7 +113,7 @@
             }
             Event::Leave => self.leave(now, &mut out),
         }
-        self.tally(&out);
+        self.tally(now, &out);
         out
     }
 
@@ -144,6 +147,12 @@
         &self.flows
     }
 
+    /// When this host last sent a packet to an upstream of a zone.
+    pub fn last_packet_to(&self, zone: ZoneId) -> Option<Millis> {
+        let at = self.last_packets.binary_search_by_key(&zone, |it| it.0).ok()?;
+        Some(self.last_packets[at].1)
+    }
+
     /// State of the upstreams whose state is held here.
     pub fn upstreams(&self) -> Vec<UpstreamStatus> {
         self.stewards.iter().map(Steward::status).collect()
@@ -654,11 +663,14 @@
         f(&mut self.stewards[at], &cx);
     }
 
-    fn tally(&mut self, out: &Actions) {
+    fn tally(&mut self, now: Millis, out: &Actions) {
         for action in out {
             match action {
                 Action::Relay { .. } => self.stats.relayed += 1,
-                Action::ToUpstream(_) | Action::HeldToUpstream(..) => self.stats.to_upstream += 1,
+                Action::ToUpstream(_) | Action::HeldToUpstream(..) => {
+                    self.stats.to_upstream += 1;
+                    self.note_packet_to_zone(now);
+                }
                 Action::ToCaller | Action::HeldToCaller(_) => self.stats.to_caller += 1,
                 Action::Reply(header) => {
                     self.stats.to_caller += 1;
@@ -669,4 +681,13 @@
             }
         }
     }
+
+    /// Stewards serve their own zone only, so every packet to an upstream goes there.
+    fn note_packet_to_zone(&mut self, now: Millis) {
+        let zone = self.zone;
+        match self.last_packets.binary_search_by_key(&zone, |it| it.0) {
+            Ok(at) => self.last_packets[at].1 = now,
+            Err(at) => self.last_packets.insert(at, (zone, now)),
+        }
+    }
 }
--- /dev/null
+++ b/crates/pomelorun/src/control.rs
@@ -0,0 +1,36 @@
+//! Messages between the services of a daemon.
+
+use std::{net::SocketAddrV4, sync::Arc};
+
+use actix::Message;
+use pomelorun_core::{ListedHost, Snapshot};
+
+/// One host of the host list with its address.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct HostEntry {
+    /// The host as the core sees it.
+    pub listed: ListedHost,
+    /// Address of its packet socket.
+    pub packets: SocketAddrV4,
+}
+
+/// A message from one service to another.
+#[derive(Debug, Clone, Message)]
+#[rtype(result = "()")]
+pub enum Control {
+    /// A revision is complete and checked.
+    Snapshot {
+        /// The compiled set.
+        snapshot: Arc<Snapshot>,
+        /// Hash of its content.
+        content: String,
+        /// Bytes read from the configuration service for it.
+        bytes: u64,
+    },
+    /// The configuration service has answered, or not, since this long, milliseconds.
+    ConfigAge(u64),
+    /// The host list was read.
+    HostList(Vec<HostEntry>),
+    /// The process shuts down.
+    Leave,
+}
--- /dev/null
+++ b/crates/pomelorun/src/kernel.rs
@@ -0,0 +1,91 @@
+//! Starting, finding and stopping services.
+
+use std::{future::Future, pin::Pin};
+
+use actix::Recipient;
+use thiserror::Error;
+
+use crate::control::Control;
+
+/// What a service returns when it is asked to stop.
+pub(crate) type Stopped = Pin<Box<dyn Future<Output = ()>>>;
+
+/// Why a service did not start.
+#[derive(Debug, Error)]
+#[error("service {service}: {detail}")]
+pub(crate) struct StartError {
+    pub(crate) service: &'static str,
+    pub(crate) detail: String,
+}
+
+/// A part of the daemon with a name of its own.
+pub(crate) trait Service {
+    /// Name by which others find it.
+    fn name(&self) -> &'static str;
+
+    /// Starts it; services started before it can be found in `registry`.
+    fn start(&mut self, registry: &Registry) -> Result<Option<Recipient<Control>>, StartError>;
+
+    /// Stops it and joins all that it has spawned.
+    fn stop(&mut self) -> Stopped;
+}
+
+/// The services that take messages, sorted by name.
+#[derive(Default)]
+pub(crate) struct Registry {
+    entries: Vec<(&'static str, Recipient<Control>)>,
+}
+
+impl Registry {
+    /// Finds a service by name.
+    pub(crate) fn find(&self, name: &str) -> Option<Recipient<Control>> {
+        let at = self.entries.binary_search_by(|it| it.0.cmp(name)).ok()?;
+        Some(self.entries[at].1.clone())
+    }
+
+    /// Finds a service that another one cannot do without.
+    pub(crate) fn need(
+        &self,
+        name: &'static str,
+        by: &'static str,
+    ) -> Result<Recipient<Control>, StartError> {
+        let missing = || StartError { service: by, detail: format!("needs service {name}") };
+        self.find(name).ok_or_else(missing)
+    }
+
+    fn add(&mut self, name: &'static str, recipient: Recipient<Control>) {
+        let at = self.entries.partition_point(|it| it.0 < name);
+        self.entries.insert(at, (name, recipient));
+    }
+}
+
+/// Runs services.
+#[derive(Default)]
+pub(crate) struct Kernel {
+    registry: Registry,
+    running: Vec<Box<dyn Service>>,
+}
+
+impl Kernel {
+    /// Starts a service.
+    pub(crate) fn start(&mut self, mut service: Box<dyn Service>) -> Result<(), StartError> {
+        let recipient = service.start(&self.registry)?;
+        if let Some(it) = recipient {
+            self.registry.add(service.name(), it);
+        }
+        self.running.push(service);
+        Ok(())
+    }
+
+    /// The services that take messages.
+    pub(crate) fn registry(&self) -> &Registry {
+        &self.registry
+    }
+
+    /// Stops all services, the last one started first.
+    pub(crate) async fn stop(&mut self) {
+        while let Some(mut service) = self.running.pop() {
+            service.stop().await;
+        }
+    }
+}
--- a/crates/pomelorun/src/lib.rs
+++ b/crates/pomelorun/src/lib.rs
@@ -1,1 +1,25 @@
-//! .
+//! The daemon of a pomelorun host as a library.
+//!
+//! A small kernel starts named services on one thread: `packets` owns the decision core and the
+//! socket, `config` and `host_list` read the platform, `admin` answers operators. Services find
+//! each other by name and talk through [`Control`] messages; packets never pass a mailbox.
+
+mod admin;
+mod config;
+mod control;
+mod daemon;
+mod engine;
+mod host_list;
+mod kernel;
+mod log;
+mod metrics;
+mod packets;
+mod report;
+mod settings;
+
+pub use crate::{
+    control::Control,
+    daemon::{DaemonError, Finished, run},
+    report::{HostReport, MemberReport, UpstreamReport, ZoneReport},
+    settings::{LogFormat, LogSettings, Settings, SettingsError},
+};
--- /dev/null
+++ b/crates/pomelorun/src/metrics.rs
@@ -0,0 +1,107 @@
+//! Metrics by opentelemetry, read as Prometheus text.
+
+use opentelemetry::{
+    KeyValue,
+    metrics::{Meter, MeterProvider},
+};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+use thiserror::Error;
+
+use crate::report::{HostReport, SharedReport};
+
+/// Why metrics cannot be set up or read.
+#[derive(Debug, Error)]
+#[error("metrics: {0}")]
+pub(crate) struct MetricsError(String);
+
+/// The instruments of a host.
+pub(crate) struct Metrics {
+    registry: Registry,
+    /// Holds the instruments' callbacks.
+    _provider: SdkMeterProvider,
+}
+
+impl Metrics {
+    /// Makes instruments that read the newest report.
+    pub(crate) fn new(report: &SharedReport) -> Result<Metrics, MetricsError> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .map_err(|e| MetricsError(e.to_string()))?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("pomelorun");
+        add_counters(&meter, report);
+        add_gauges(&meter, report);
+        add_codes(&meter, report);
+        Ok(Metrics { registry, _provider: provider })
+    }
+
+    /// All metrics as Prometheus text.
+    pub(crate) fn text(&self) -> Result<String, MetricsError> {
+        let mut buf = Vec::new();
+        TextEncoder::new()
+            .encode(&self.registry.gather(), &mut buf)
+            .map_err(|e| MetricsError(e.to_string()))?;
+        String::from_utf8(buf).map_err(|e| MetricsError(e.to_string()))
+    }
+}
+
+type Read = fn(&HostReport) -> u64;
+
+fn add_counters(meter: &Meter, report: &SharedReport) {
+    const COUNTERS: [(&str, &str, Read); 6] = [
+        ("pomelorun_fabric_packets", "Packets received from the fabric", |it| it.fabric_packets),
+        ("pomelorun_relayed_packets", "Packets handed to other hosts", |it| it.relayed_packets),
+        ("pomelorun_upstream_packets", "Packets sent to upstreams", |it| it.upstream_packets),
+        ("pomelorun_caller_packets", "Packets sent to callers", |it| it.caller_packets),
+        ("pomelorun_control_bytes", "Control messages sent to other hosts", |it| it.control_bytes),
+        ("pomelorun_config_bytes", "Bytes read from the config service", |it| it.config_bytes),
+    ];
+    for (name, description, read) in COUNTERS {
+        let report = report.clone();
+        meter
+            .u64_observable_counter(name)
+            .with_description(description)
+            .with_callback(move |out| out.observe(read(&report.lock()), &[]))
+            .build();
+    }
+}
+
+fn add_gauges(meter: &Meter, report: &SharedReport) {
+    const GAUGES: [(&str, &str, Read); 5] = [
+        ("pomelorun_flows", "Flows known here", |it| it.flows as u64),
+        ("pomelorun_flow_bytes", "Bytes held by the flow table", |it| it.flow_bytes as u64),
+        ("pomelorun_revision", "Revision in force", |it| it.revision),
+        ("pomelorun_config_age_ms", "Time since the config service answered", |it| {
+            it.config_age_ms
+        }),
+        ("pomelorun_leaving", "One while the host shuts down", |it| u64::from(it.leaving)),
+    ];
+    for (name, description, read) in GAUGES {
+        let report = report.clone();
+        meter
+            .u64_observable_gauge(name)
+            .with_description(description)
+            .with_callback(move |out| out.observe(read(&report.lock()), &[]))
+            .build();
+    }
+}
+
+fn add_codes(meter: &Meter, report: &SharedReport) {
+    let report = report.clone();
+    meter
+        .u64_observable_counter("pomelorun_results")
+        .with_description("Occurrences of numbered codes")
+        .with_callback(move |out| {
+            for it in &report.lock().codes {
+                let labels = [
+                    KeyValue::new("code", it.code.clone()),
+                    KeyValue::new("name", it.name.clone()),
+                ];
+                out.observe(it.count, &labels);
+            }
+        })
+        .build();
+}
--- /dev/null
+++ b/crates/pomelorun/src/packets.rs
@@ -0,0 +1,160 @@
+//! The service `packets`: the socket loop, the timer, and the core behind them.
+
+use std::{cell::RefCell, rc::Rc, time::Duration};
+
+use actix::{Actor, Context, Handler, Recipient};
+use pomelorun_core::{Event, HostCore};
+use pomelorun_wire::{HostId, MAX_DATAGRAM, ZoneId};
+use spdlog::prelude::*;
+use tokio::{net::UdpSocket, task::JoinHandle, time::MissedTickBehavior};
+
+use crate::{
+    control::Control,
+    engine::{Engine, SharedEngine},
+    kernel::{Registry, Service, StartError, Stopped},
+    report::SharedReport,
+    settings::Settings,
+};
+
+/// Name of the service.
+pub(crate) const PACKETS: &str = "packets";
+
+/// Time between two timer events of the core.
+const TICK: Duration = Duration::from_millis(20);
+/// Timer events between two renewals of the report.
+const TICKS_PER_REPORT: u32 = 10;
+/// Datagrams that are handled before other tasks get their turn.
+const BATCH: usize = 64;
+/// Size that the socket's buffers are asked to have, bytes.
+const SOCKET_BUFFER: usize = 4 << 20;
+/// Datagrams of control messages may be larger than packets.
+const RECEIVE_BUFFER: usize = 64 << 10;
+
+const _: () = assert!(RECEIVE_BUFFER >= MAX_DATAGRAM);
+
+/// The service.
+pub(crate) struct Packets {
+    settings: Settings,
+    incarnation: u64,
+    report: SharedReport,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Packets {
+    pub(crate) fn new(settings: &Settings, incarnation: u64, report: SharedReport) -> Packets {
+        let settings = settings.clone();
+        Packets { settings, incarnation, report, tasks: Vec::new() }
+    }
+
+    fn bind(&self) -> std::io::Result<UdpSocket> {
+        let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::DGRAM, None)?;
+        socket.set_recv_buffer_size(SOCKET_BUFFER)?;
+        socket.set_send_buffer_size(SOCKET_BUFFER)?;
+        socket.set_nonblocking(true)?;
+        socket.bind(&std::net::SocketAddr::from(self.settings.packets).into())?;
+        UdpSocket::from_std(socket.into())
+    }
+}
+
+impl Service for Packets {
+    fn name(&self) -> &'static str {
+        PACKETS
+    }
+
+    fn start(&mut self, _: &Registry) -> Result<Option<Recipient<Control>>, StartError> {
+        let unbound = |e: std::io::Error| StartError {
+            service: PACKETS,
+            detail: format!("cannot bind {}: {e}", self.settings.packets),
+        };
+        let socket = Rc::new(self.bind().map_err(unbound)?);
+        let host = HostId::from_name(&self.settings.host);
+        let zone = ZoneId::from_name(&self.settings.zone);
+        let seed = host.0 ^ self.incarnation;
+        let core = HostCore::new(host, zone, self.incarnation, seed, self.settings.bounds.clone());
+        let engine = Engine::new(core, Rc::clone(&socket), self.settings.fabric, self.incarnation);
+        let engine = Rc::new(RefCell::new(engine));
+        self.tasks.push(actix_rt::spawn(receive(Rc::clone(&engine), socket)));
+        self.tasks.push(actix_rt::spawn(tick(Rc::clone(&engine), self.report.clone())));
+        let actor = PacketsActor { engine, report: self.report.clone() }.start();
+        Ok(Some(actor.recipient()))
+    }
+
+    fn stop(&mut self) -> Stopped {
+        let tasks = std::mem::take(&mut self.tasks);
+        Box::pin(async move {
+            for task in tasks {
+                task.abort();
+                // An aborted task ends with an error that says just that.
+                let _ = task.await;
+            }
+        })
+    }
+}
+
+async fn receive(engine: SharedEngine, socket: Rc<UdpSocket>) {
+    let mut buf = vec![0; RECEIVE_BUFFER];
+    loop {
+        if let Err(e) = socket.readable().await {
+            error!("packet socket failed", kv: { error = e.to_string() });
+            return;
+        }
+        for _ in 0..BATCH {
+            match socket.try_recv_from(&mut buf) {
+                Ok((len, from)) => engine.borrow_mut().datagram(from, &buf[..len]),
+                Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => break,
+                // A peer's closed port shows as an error on this socket; go on reading.
+                Err(e) => debug!("receive failed", kv: { error = e.to_string() }),
+            }
+        }
+        tokio::task::yield_now().await;
+    }
+}
+
+async fn tick(engine: SharedEngine, report: SharedReport) {
+    let mut timer = tokio::time::interval(TICK);
+    timer.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut count = 0u32;
+    loop {
+        timer.tick().await;
+        let mut engine = engine.borrow_mut();
+        engine.handle(Event::Tick, &[]);
+        count = count.wrapping_add(1);
+        if count.is_multiple_of(TICKS_PER_REPORT) {
+            engine.report(&report);
+        }
+    }
+}
+
+/// Takes the messages of other services.
+struct PacketsActor {
+    engine: SharedEngine,
+    report: SharedReport,
+}
+
+impl Actor for PacketsActor {
+    type Context = Context<PacketsActor>;
+}
+
+impl Handler<Control> for PacketsActor {
+    type Result = ();
+
+    fn handle(&mut self, msg: Control, _: &mut Context<PacketsActor>) {
+        let mut engine = self.engine.borrow_mut();
+        match msg {
+            Control::Snapshot { snapshot, content, bytes } => {
+                info!("revision in force", kv: { revision = snapshot.revision });
+                engine.handle(Event::Snapshot(snapshot), &[]);
+                let mut report = self.report.lock();
+                report.content = content;
+                report.config_bytes += bytes;
+            }
+            Control::ConfigAge(age) => self.report.lock().config_age_ms = age,
+            Control::HostList(hosts) => engine.host_list(&hosts),
+            Control::Leave => {
+                engine.handle(Event::Leave, &[]);
+                self.report.lock().leaving = true;
+            }
+        }
+        engine.report(&self.report);
+    }
+}
--- /dev/null
+++ b/crates/pomelorun/src/report.rs
@@ -0,0 +1,175 @@
+//! The state of a host as operators see it.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use pomelorun_core::{HostCore, LimitReason, Millis};
+use pomelorun_wire::MemberState;
+use serde::{Deserialize, Serialize};
+
+/// State of a host.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, rename_all = "snake_case")]
+pub struct HostReport {
+    /// Name of the host.
+    pub host: String,
+    /// Its availability zone.
+    pub zone: String,
+    /// Revision in force, zero for none.
+    pub revision: u64,
+    /// Hash of the content in force.
+    pub content: String,
+    /// Time since the configuration service last answered, milliseconds.
+    pub config_age_ms: u64,
+    /// Is shutting down.
+    pub leaving: bool,
+    /// A leaving host has nothing in progress and every role is taken over.
+    pub drained: bool,
+    /// Flows known here.
+    pub flows: usize,
+    /// Bytes held by the flow table.
+    pub flow_bytes: usize,
+    /// Other hosts.
+    pub members: Vec<MemberReport>,
+    /// Availability zones.
+    pub zones: Vec<ZoneReport>,
+    /// Upstreams whose state is held here.
+    pub upstreams: Vec<UpstreamReport>,
+    /// Packets received from the fabric.
+    pub fabric_packets: u64,
+    /// Packets handed to other hosts.
+    pub relayed_packets: u64,
+    /// Packets sent to upstreams.
+    pub upstream_packets: u64,
+    /// Packets sent to callers.
+    pub caller_packets: u64,
+    /// Control messages sent to other hosts, bytes.
+    pub control_bytes: u64,
+    /// Bytes read from the configuration service.
+    pub config_bytes: u64,
+    /// Occurrences by numbered code, such as `PR0201`.
+    pub codes: Vec<CodeCount>,
+}
+
+/// Occurrences of a code.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, rename_all = "snake_case")]
+pub struct CodeCount {
+    /// The code, such as `PR0201`.
+    pub code: String,
+    /// Its short name.
+    pub name: String,
+    /// How often.
+    pub count: u64,
+}
+
+/// Another host.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct MemberReport {
+    /// Identifier of the host, hexadecimal.
+    pub host: String,
+    /// Its state.
+    pub state: MemberState,
+    /// Still in the host list.
+    pub listed: bool,
+}
+
+/// An availability zone.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct ZoneReport {
+    /// Name.
+    pub name: String,
+    /// Taken out.
+    pub out: bool,
+    /// Time since this host last sent a packet to an upstream there, milliseconds.
+    pub last_packet_ago_ms: Option<u64>,
+}
+
+/// An upstream whose state is held here.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct UpstreamReport {
+    /// Name of pool and endpoint.
+    pub name: String,
+    /// Requests that it may run now.
+    pub limit: u16,
+    /// Requests in progress.
+    pub in_flight: usize,
+    /// Requests that wait.
+    pub queued: usize,
+    /// Why the limit is what it is.
+    pub reason: String,
+    /// Whether this host acts as its steward.
+    pub active: bool,
+}
+
+/// The newest report, shared between the services.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct SharedReport(Arc<Mutex<HostReport>>);
+
+impl SharedReport {
+    pub(crate) fn lock(&self) -> MutexGuard<'_, HostReport> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Fills in what the core knows.
+pub(crate) fn describe_core(core: &HostCore, now: Millis, report: &mut HostReport) {
+    let stats = core.stats();
+    report.revision = core.revision();
+    report.drained = core.is_drained();
+    report.flows = core.flows().len();
+    report.flow_bytes = core.flows().bytes();
+    report.fabric_packets = stats.fabric_packets;
+    report.relayed_packets = stats.relayed;
+    report.upstream_packets = stats.to_upstream;
+    report.caller_packets = stats.to_caller;
+    report.codes = stats
+        .codes
+        .iter()
+        .map(|(code, count)| CodeCount {
+            code: code.to_string(),
+            name: code.row().map_or("", |it| it.name).to_owned(),
+            count: *count,
+        })
+        .collect();
+    report.members = core
+        .members()
+        .others()
+        .iter()
+        .map(|it| MemberReport { host: it.host.to_string(), state: it.state, listed: it.listed })
+        .collect();
+    let Some(snapshot) = core.in_force() else { return };
+    report.zones = snapshot
+        .zones
+        .iter()
+        .map(|it| ZoneReport {
+            name: it.name.clone(),
+            out: it.out,
+            last_packet_ago_ms: core.last_packet_to(it.id).map(|at| now.since(at).0),
+        })
+        .collect();
+    report.upstreams = core
+        .upstreams()
+        .iter()
+        .map(|it| UpstreamReport {
+            name: snapshot.upstream(it.upstream).map_or(String::new(), |up| up.name.clone()),
+            limit: it.limit,
+            in_flight: it.in_flight,
+            queued: it.queued,
+            reason: reason_name(it.reason).to_owned(),
+            active: it.active,
+        })
+        .collect();
+}
+
+fn reason_name(reason: LimitReason) -> &'static str {
+    match reason {
+        LimitReason::New => "new",
+        LimitReason::Warm => "warm",
+        LimitReason::Shed => "shed",
+        LimitReason::TimedOut => "timed_out",
+        LimitReason::Slow => "slow",
+    }
+}
--- /dev/null
+++ b/crates/pomelorun/src/settings.rs
@@ -0,0 +1,199 @@
+//! The daemon's settings file.
+
+use std::{fs, net::SocketAddrV4, path::Path};
+
+use pomelorun_config::{Fault, Faults, from_json_strict};
+use pomelorun_core::CoreSettings;
+use pomelorun_wire::Code;
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+/// Form of the log lines.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LogFormat {
+    /// Text on a terminal, JSON elsewhere.
+    #[default]
+    Auto,
+    /// One JSON object a line.
+    Json,
+    /// Text for people.
+    Text,
+}
+
+/// Settings of the log.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields, rename_all = "snake_case")]
+pub struct LogSettings {
+    /// Least severe level that is written: `trace`, `debug`, `info`, `warn`, `error`, `critical`.
+    pub level: String,
+    /// Form of the lines.
+    pub format: LogFormat,
+}
+
+impl Default for LogSettings {
+    fn default() -> LogSettings {
+        LogSettings { level: "info".to_owned(), format: LogFormat::Auto }
+    }
+}
+
+/// Settings of a daemon, checked.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Settings {
+    /// Name of this host in the host list.
+    pub host: String,
+    /// Name of its availability zone.
+    pub zone: String,
+    /// Address of the packet socket.
+    pub packets: SocketAddrV4,
+    /// Address of the admin service, loopback by default.
+    pub admin: SocketAddrV4,
+    /// Address at which the fabric takes packets for callers.
+    pub fabric: SocketAddrV4,
+    /// URL of the configuration service.
+    pub config_service: String,
+    /// URL of the host list.
+    pub host_list: String,
+    /// Time between two readings of the host list, milliseconds.
+    pub host_list_every_ms: u64,
+    /// Longest time that a graceful shutdown takes, milliseconds.
+    pub shutdown_ms: u64,
+    /// Log.
+    pub log: LogSettings,
+    /// Bounds of the decisions.
+    pub bounds: CoreSettings,
+}
+
+/// The file's fields; required ones are optional here so that all that are missing are reported.
+#[derive(Debug, Default, Deserialize)]
+#[serde(default, deny_unknown_fields, rename_all = "snake_case")]
+struct File {
+    host: Option<String>,
+    zone: Option<String>,
+    packets: Option<SocketAddrV4>,
+    admin: Option<SocketAddrV4>,
+    fabric: Option<SocketAddrV4>,
+    config_service: Option<String>,
+    host_list: Option<String>,
+    host_list_every_ms: Option<u64>,
+    shutdown_ms: Option<u64>,
+    log: LogSettings,
+    bounds: CoreSettings,
+}
+
+const DEFAULT_ADMIN: SocketAddrV4 = SocketAddrV4::new(std::net::Ipv4Addr::LOCALHOST, 9_090);
+const DEFAULT_HOST_LIST_EVERY_MS: u64 = 1_000;
+const DEFAULT_SHUTDOWN_MS: u64 = 10_000;
+
+/// Every fault of a settings file.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[error("{0}")]
+pub struct SettingsError(pub Faults);
+
+impl Settings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    /// Every fault of the file, each with its path and a numbered code.
+    pub fn load(path: &Path) -> Result<Settings, SettingsError> {
+        let shown = path.display().to_string();
+        let text = fs::read_to_string(path).map_err(|e| {
+            SettingsError(Faults(vec![Fault::new(Code::CONFIG_READ, &shown, "", e.to_string())]))
+        })?;
+        Settings::parse(&shown, &text)
+    }
+
+    /// Checks the text of a settings file; `shown` names it in faults.
+    ///
+    /// # Errors
+    /// As [`Settings::load`].
+    pub fn parse(shown: &str, text: &str) -> Result<Settings, SettingsError> {
+        let mut faults = Faults::default();
+        let file = match from_json_strict::<File>(text) {
+            Ok(it) => it,
+            Err(errors) => {
+                for e in errors {
+                    faults.push(Fault::new(e.code, shown, &e.path, e.message));
+                }
+                return Err(SettingsError(faults));
+            }
+        };
+        let mut check = Check { shown, faults: &mut faults };
+        let settings = Settings {
+            host: check.name("host", file.host),
+            zone: check.name("zone", file.zone),
+            packets: check.required("packets", file.packets, DEFAULT_ADMIN),
+            admin: file.admin.unwrap_or(DEFAULT_ADMIN),
+            fabric: check.required("fabric", file.fabric, DEFAULT_ADMIN),
+            config_service: check.url("config_service", file.config_service),
+            host_list: check.url("host_list", file.host_list),
+            host_list_every_ms: file.host_list_every_ms.unwrap_or(DEFAULT_HOST_LIST_EVERY_MS),
+            shutdown_ms: file.shutdown_ms.unwrap_or(DEFAULT_SHUTDOWN_MS),
+            log: file.log,
+            bounds: file.bounds,
+        };
+        check.bounds(&settings);
+        faults.or(settings).map_err(SettingsError)
+    }
+}
+
+struct Check<'a> {
+    shown: &'a str,
+    faults: &'a mut Faults,
+}
+
+impl Check<'_> {
+    fn fault(&mut self, path: &str, message: String) {
+        self.faults.push(Fault::new(Code::SETTINGS, self.shown, path, message));
+    }
+
+    fn required<T>(&mut self, path: &str, value: Option<T>, fallback: T) -> T {
+        if value.is_none() {
+            self.fault(path, "is required".to_owned());
+        }
+        value.unwrap_or(fallback)
+    }
+
+    fn name(&mut self, path: &str, value: Option<String>) -> String {
+        let value = self.required(path, value, "-".to_owned());
+        if value.trim().is_empty() {
+            self.fault(path, "is empty".to_owned());
+        }
+        value
+    }
+
+    fn url(&mut self, path: &str, value: Option<String>) -> String {
+        let value = self.required(path, value, "http://".to_owned());
+        if !value.starts_with("http://") {
+            self.fault(path, format!("`{value}` does not start with `http://`"));
+        }
+        value.trim_end_matches('/').to_owned()
+    }
+
+    fn bounds(&mut self, settings: &Settings) {
+        let bounds = &settings.bounds;
+        let ranges = [
+            ("host_list_every_ms", settings.host_list_every_ms, 100, 600_000),
+            ("shutdown_ms", settings.shutdown_ms, 100, 600_000),
+            ("bounds.probe_period_ms", bounds.probe_period_ms.0, 20, 60_000),
+            ("bounds.suspect_ms", bounds.suspect_ms.0, 20, 60_000),
+            ("bounds.wake_gap_ms", bounds.wake_gap_ms.0, 100, 60_000),
+            ("bounds.record_ack_ms", bounds.record_ack_ms.0, 1, 10_000),
+            ("bounds.take_over_ms", bounds.take_over_ms.0, 10, 60_000),
+            ("bounds.queue_len", bounds.queue_len as u64, 0, 100_000),
+            ("bounds.history", bounds.history as u64, 1, 1_000),
+            ("bounds.probe_candidates", bounds.probe_candidates as u64, 1, 1_000),
+            ("bounds.load_bound_percent", u64::from(bounds.load_bound_percent), 101, 1_000),
+        ];
+        for (path, value, least, most) in ranges {
+            if value < least || value > most {
+                self.fault(path, format!("{value} is not in {least}..={most}"));
+            }
+        }
+        const LEVELS: [&str; 6] = ["trace", "debug", "info", "warn", "error", "critical"];
+        if !LEVELS.contains(&settings.log.level.as_str()) {
+            let message = format!("`{}` is not one of {}", settings.log.level, LEVELS.join(", "));
+            self.fault("log.level", message);
+        }
+    }
+}
