Find flows by asking hosts, hand exceptions over on leaving

Now a keeper asks hosts (likeliest first), then falls back to the flow's home; a leaving host tells new keepers of the flows that do not live at home.

--- a/crates/pomelorun-core/src/host.rs
+++ b/crates/pomelorun-core/src/host.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddrV4, sync::Arc};
 
 use pomelorun_wire::{
-    Code, Envelope, FlowKey, Header, HostId, Kind, MemberState, Packet, PeerMsg, Relay,
+    Code, Envelope, FlowEntry, FlowKey, Header, HostId, Kind, MemberState, Packet, PeerMsg, Relay,
     RelayHeader, Stage, UpstreamId, ZoneId,
 };
 use rand::SeedableRng;
@@ -26,6 +26,8 @@
 const HOPS: u8 = 6;
 /// Buckets before the first configuration arrives.
 const INITIAL_BUCKETS: u32 = 1;
+/// Flows that a leaving host tells new keepers of on one timer event.
+const FLOWS_PER_MESSAGE: usize = 32;
 /// Flows that are given up on one timer event.
 const GIVE_UP_PER_TICK: usize = 2_000;
 
@@ -34,8 +36,8 @@
 enum Next {
     /// The flow lives there.
     Steward(UpstreamId),
-    /// The flow may live there; ask.
-    Probe(UpstreamId, u16),
+    /// Ask this host, after so many others.
+    Probe(HostId, u16),
     /// Tell the caller that the flow is given up.
     GiveUp(Code),
     /// Tell the caller to come back.
@@ -58,6 +60,8 @@
     /// Sorted by upstream.
     stewards: Vec<Steward>,
     give_up: Vec<FlowKey>,
+    /// Flows whose new keepers cannot find them by themselves, to be told on leaving.
+    hand_over: Vec<FlowEntry>,
     stats: Stats,
     /// When the last packet left for upstreams of a zone, sorted by zone.
     last_packets: Vec<(ZoneId, Millis)>,
@@ -89,6 +93,7 @@
             chooser: Chooser::default(),
             stewards: Vec::new(),
             give_up: Vec::new(),
+            hand_over: Vec::new(),
             stats: Stats::default(),
             last_packets: Vec::new(),
             last_tick: None,
@@ -160,7 +165,8 @@
 
     /// Tells whether a leaving host has nothing in progress and every role is taken over.
     pub fn is_drained(&self) -> bool {
-        self.stewards.iter().all(|it| it.is_idle() && *it.phase() == StewardPhase::Standby)
+        let idle = |it: &Steward| it.is_idle() && *it.phase() == StewardPhase::Standby;
+        self.hand_over.is_empty() && self.stewards.iter().all(idle)
     }
 
     // Time.
@@ -194,6 +200,23 @@
             });
         }
         self.give_up_some(out);
+        self.hand_over_some(out);
+    }
+
+    /// Tells new keepers of flows, a bounded number at a time.
+    fn hand_over_some(&mut self, out: &mut Actions) {
+        let count = self.hand_over.len().min(FLOWS_PER_MESSAGE);
+        let mut by_keeper: Vec<(HostId, Vec<FlowEntry>)> = Vec::new();
+        for entry in self.hand_over.drain(..count) {
+            let Some(to) = self.view.keeper(self.flows.bucket_of(&entry.flow)) else { continue };
+            match by_keeper.iter_mut().find(|it| it.0 == to) {
+                Some(it) => it.1.push(entry),
+                None => by_keeper.push((to, vec![entry])),
+            }
+        }
+        for (to, entries) in by_keeper {
+            out.push(Action::Peer { to, msg: PeerMsg::Flows { entries } });
+        }
     }
 
     /// Tells callers that their flows are given up, a bounded number at a time.
@@ -315,22 +338,32 @@
         self.chooser.choose(snapshot, pool, flow, self.cfg.load_bound_percent, &usable)
     }
 
-    /// The next upstream at which a flow of unknown home may live.
-    fn next_probe(&self, flow: &FlowKey, rank: u16) -> Next {
+    /// The next host that may know where a flow lives, or the likeliest home once none does.
+    fn next_probe(&self, flow: &FlowKey, asked: u16) -> Next {
         let history = self.history.iter().map(Arc::as_ref);
         let found = candidates(history, flow, self.cfg.probe_candidates);
-        for (at, &id) in found.iter().enumerate().skip(usize::from(rank)) {
-            if self.view.steward(id).is_some() {
-                return Next::Probe(id, at as u16);
+        let mut hosts: Vec<HostId> = Vec::with_capacity(self.cfg.probe_candidates);
+        let stewards = found.iter().filter_map(|&it| self.view.steward(it));
+        let others = self.view.hosts().iter().map(|it| it.host);
+        for host in stewards.chain(others) {
+            if host != self.me && !hosts.contains(&host) {
+                hosts.push(host);
             }
+            if hosts.len() == self.cfg.probe_candidates {
+                break;
+            }
+        }
+        if let Some(&host) = hosts.get(usize::from(asked)) {
+            return Next::Probe(host, asked);
         }
-        Next::GiveUp(Code::FLOW_UNKNOWN)
+        let reachable = found.iter().find(|&&it| self.view.steward(it).is_some());
+        reachable.map_or(Next::GiveUp(Code::FLOW_UNKNOWN), |&it| Next::Steward(it))
     }
 
     fn probed(&mut self, now: Millis, relay: &Relay<'_>, hops: u8, out: &mut Actions) {
         let packet = &relay.packet;
-        if self.flows.get(&packet.flow()) == Some(relay.upstream()) {
-            self.route_to_steward(now, packet, relay.upstream(), hops, out);
+        if let Some(upstream) = self.flows.get(&packet.flow()) {
+            self.route_to_steward(now, packet, upstream, hops, out);
             return;
         }
         let rank = relay.rank();
@@ -347,7 +380,9 @@
     ) {
         match next {
             Next::Steward(id) => self.route_to_steward(now, packet, id, hops, out),
-            Next::Probe(id, rank) => self.probe(now, packet, id, rank, out),
+            Next::Probe(host, asked) => {
+                self.relay(host, Stage::Probe, HOPS, |it| it.rank(asked), packet, out);
+            }
             Next::GiveUp(code) => {
                 let header = packet.header().kind(Kind::GivenUp).code(code.0);
                 out.push(Action::Reply(header));
@@ -356,28 +391,6 @@
         }
     }
 
-    fn probe(
-        &mut self,
-        now: Millis,
-        packet: &Packet<'_>,
-        id: UpstreamId,
-        rank: u16,
-        out: &mut Actions,
-    ) {
-        let Some(steward) = self.view.steward(id) else { return };
-        if steward != self.me {
-            let tag = |it: RelayHeader| it.upstream(id).rank(rank);
-            self.relay(steward, Stage::Probe, HOPS, tag, packet, out);
-            return;
-        }
-        let next = if self.flows.get(&packet.flow()) == Some(id) {
-            Next::Steward(id)
-        } else {
-            self.next_probe(&packet.flow(), rank + 1)
-        };
-        self.carry_out(now, packet, next, HOPS, out);
-    }
-
     /// Hands the packet to the steward of its upstream, or acts as that steward.
     fn route_to_steward(
         &mut self,
@@ -628,6 +641,7 @@
             return;
         }
         self.leaving = true;
+        self.hand_over = self.exceptions();
         self.members.leave();
         let revision = self.revision();
         let sent = self.members.farewell(revision);
@@ -635,6 +649,21 @@
         self.refresh_view(now, out);
     }
 
+    /// The flows kept here that do not live where their hash alone says.
+    fn exceptions(&self) -> Vec<FlowEntry> {
+        let mut found = Vec::new();
+        for (flow, upstream) in self.flows.iter() {
+            if self.view.keeper(self.flows.bucket_of(&flow)) != Some(self.me) {
+                continue;
+            }
+            let newest = self.history.iter().take(1).map(Arc::as_ref);
+            if candidates(newest, &flow, 1).first() != Some(&upstream) {
+                found.push(FlowEntry { flow, upstream });
+            }
+        }
+        found
+    }
+
     // Stewards.
 
     /// Runs `f` on this host's state of an upstream of its zone, creating it where needed.
--- a/crates/pomelorun-core/src/limit.rs
+++ b/crates/pomelorun-core/src/limit.rs
@@ -1,7 +1,6 @@
 //! How many requests an upstream may run at a time.
 //!
-//! The limit starts at the upstream's cold slots, grows by one on each answer in time that found
-//! the limit in use, and falls back on shedding, timeouts and slowness.
+//! The limit starts at the upstream's cold slots, grows by one after a few answers in time, and falls back on shedding, timeouts and slowness.
 
 use crate::time::Millis;
 
@@ -28,8 +27,12 @@
     slots: u16,
     reason: LimitReason,
     heard: Option<Millis>,
+    /// Answers in time since the limit last changed.
+    in_time: u16,
 }
 
+/// Answers in time before the limit grows by one.
+const IN_TIME_TO_GROW: u16 = 3;
 /// Silence after which an upstream counts as cold again.
 const SILENCE: Millis = Millis(30_000);
 
@@ -37,7 +40,14 @@
     /// Starts at the cold slots.
     pub fn new(cold: u16, slots: u16) -> Limit {
         let cold = cold.clamp(1, slots.max(1));
-        Limit { now: cold, cold, slots: slots.max(1), reason: LimitReason::New, heard: None }
+        Limit {
+            now: cold,
+            cold,
+            slots: slots.max(1),
+            reason: LimitReason::New,
+            heard: None,
+            in_time: 0,
+        }
     }
 
     /// Requests that may run now, given how many do.
@@ -80,8 +90,12 @@
             self.fall(LimitReason::Slow);
             return;
         }
-        self.now = (self.now + 1).min(self.slots);
         self.reason = LimitReason::Warm;
+        self.in_time += 1;
+        if self.in_time >= IN_TIME_TO_GROW {
+            self.in_time = 0;
+            self.now = (self.now + 1).min(self.slots);
+        }
     }
 
     /// Notes that the upstream shed a request.
@@ -97,6 +111,7 @@
 
     fn fall(&mut self, reason: LimitReason) {
         self.now = self.cold;
+        self.in_time = 0;
         self.reason = reason;
     }
 }
--- a/crates/pomelorun-core/src/record.rs
+++ b/crates/pomelorun-core/src/record.rs
@@ -11,6 +11,8 @@
     pub key: RecordKey,
     /// How far it has come.
     pub state: RecordState,
+    /// It may run more than once; kept so that no refusal claims that it has not run.
+    pub idempotent: bool,
     /// When it may be forgotten.
     pub keep_until: Millis,
 }
@@ -58,10 +60,11 @@
         self.entries.is_empty()
     }
 
-    /// Lists the records as a hand-over carries them.
+    /// Lists the non-idempotent requests as a hand-over carries them.
     pub fn export(&self, now: Millis) -> Vec<RecordEntry> {
         self.entries
             .iter()
+            .filter(|it| !it.idempotent)
             .map(|it| RecordEntry {
                 key: it.key,
                 state: it.state,
@@ -74,7 +77,7 @@
     pub fn import(&mut self, now: Millis, entries: &[RecordEntry]) {
         for it in entries {
             let keep_until = now + Millis(u64::from(it.keep_ms));
-            self.put(Record { key: it.key, state: it.state, keep_until });
+            self.put(Record { key: it.key, state: it.state, idempotent: false, keep_until });
         }
     }
 }
--- a/crates/pomelorun-core/src/steward.rs
+++ b/crates/pomelorun-core/src/steward.rs
@@ -155,6 +155,8 @@
     replica_of: Option<HostId>,
     /// Until then a request may have run at the word of another steward.
     uncertain_until: Millis,
+    /// The same for idempotent requests, whose records are not handed over.
+    uncertain_idempotent_until: Millis,
 }
 
 impl Steward {
@@ -171,6 +173,7 @@
             backup: None,
             replica_of: None,
             uncertain_until: cx.now + cx.settle(),
+            uncertain_idempotent_until: cx.now + cx.settle(),
         }
     }
 
@@ -258,7 +261,8 @@
     /// Records a non-idempotent request, here and at the backup, before it is forwarded.
     fn record(&mut self, cx: &StewardCx<'_>, held: Held, out: &mut Actions) {
         let keep_until = held.deadline + cx.cfg.record_keep_ms;
-        self.records.put(Record { key: held.key, state: RecordState::Started, keep_until });
+        let state = RecordState::Started;
+        self.records.put(Record { key: held.key, state, idempotent: false, keep_until });
         let Some(backup) = self.backup else {
             self.forward(cx, held, out);
             return;
@@ -312,7 +316,12 @@
         code: Code,
         out: &mut Actions,
     ) {
-        let certain = cx.now >= self.uncertain_until && self.records.get(key).is_none();
+        let until = if header.is_idempotent() {
+            self.uncertain_idempotent_until
+        } else {
+            self.uncertain_until
+        };
+        let certain = cx.now >= until && self.records.get(key).is_none();
         out.push(if certain { not_run(cx, header, code) } else { unknown(cx, header, code) });
     }
 
@@ -359,7 +368,8 @@
     fn note_ran(&mut self, cx: &StewardCx<'_>, it: &InFlight) {
         let keep = if it.idempotent { cx.settle() } else { cx.cfg.record_keep_ms };
         let keep_until = cx.now + keep;
-        self.records.put(Record { key: it.key, state: RecordState::Answered, keep_until });
+        let state = RecordState::Answered;
+        self.records.put(Record { key: it.key, state, idempotent: it.idempotent, keep_until });
     }
 
     /// Starts what waits, as far as the limit admits.
@@ -429,7 +439,7 @@
     fn act_on_replica(&mut self, cx: &StewardCx<'_>, out: &mut Actions) {
         self.replica_of = None;
         self.phase = StewardPhase::Active;
-        self.uncertain_until = cx.now;
+        self.know_records(cx);
         let over = cx.now + cx.pool.max_deadline;
         self.foreign = vec![over; usize::from(cx.upstream.slots)];
         self.pump(cx, out);
@@ -450,7 +460,7 @@
     /// Acts without knowing what another steward may have started.
     fn act_uncertain(&mut self, cx: &StewardCx<'_>) {
         self.phase = StewardPhase::Active;
-        self.uncertain_until = cx.now + cx.settle();
+        self.know_nothing(cx);
         let over = cx.now + cx.pool.max_deadline;
         self.foreign = vec![over; usize::from(cx.upstream.slots)];
     }
@@ -513,7 +523,7 @@
             Verdict::Mine => self.step_down(cx, out),
             Verdict::Yours(state) => {
                 self.import(cx, state);
-                self.uncertain_until = cx.now;
+                self.know_records(cx);
                 self.phase = StewardPhase::Active;
                 self.pump(cx, out);
             }
@@ -536,7 +546,19 @@
         for held in std::mem::take(&mut self.queue) {
             self.refuse(cx, &held.key, held.header(), Code::STEWARD_CHANGING, out);
         }
+        self.know_nothing(cx);
+    }
+
+    /// Another steward may have started any request.
+    fn know_nothing(&mut self, cx: &StewardCx<'_>) {
         self.uncertain_until = cx.now + cx.settle();
+        self.uncertain_idempotent_until = self.uncertain_until;
+    }
+
+    /// Every non-idempotent request that another steward started is recorded here.
+    fn know_records(&mut self, cx: &StewardCx<'_>) {
+        self.uncertain_until = cx.now;
+        self.uncertain_idempotent_until = cx.now + cx.settle();
     }
 
     fn export(&self, cx: &StewardCx<'_>) -> StewardState {
--- a/crates/pomelorun-wire/src/packet.rs
+++ b/crates/pomelorun-wire/src/packet.rs
@@ -166,6 +166,11 @@
         self
     }
 
+    /// Tells whether the request may run more than once.
+    pub fn is_idempotent(&self) -> bool {
+        self.flags & FLAG_NON_IDEMPOTENT == 0
+    }
+
     /// Returns the numbered result code.
     pub fn result(&self) -> Code {
         Code(self.code.get())
@@ -262,7 +267,7 @@
 
     /// Tells whether the request may run more than once.
     pub fn is_idempotent(&self) -> bool {
-        self.header.flags & FLAG_NON_IDEMPOTENT == 0
+        self.header.is_idempotent()
     }
 
     /// The body after the header.
