Add a mesh of cores under virtual time and the operators' first commands

A handful of cores in one process, with fakes that assert the promises as packets pass: at most one run, no false refusal, the right service. Four tests of the whole path pass. pomelorunctl checks, compares, bundles and shows status.

--- a/crates/pomelorun-core/src/host.rs
+++ b/crates/pomelorun-core/src/host.rs
@@ -26,6 +26,8 @@
 const HOPS: u8 = 6;
 /// Buckets before the first configuration arrives.
 const INITIAL_BUCKETS: u32 = 1;
+/// Time after its announcement during which a leaving host is asked for flows.
+const ASK_LEAVING_FOR: Millis = Millis(300);
 /// Flows that a leaving host tells new keepers of on one timer event.
 const FLOWS_PER_MESSAGE: usize = 32;
 /// Flows that are given up on one timer event.
@@ -165,8 +167,10 @@
 
     /// Tells whether a leaving host has nothing in progress and every role is taken over.
     pub fn is_drained(&self) -> bool {
-        let idle = |it: &Steward| it.is_idle() && *it.phase() == StewardPhase::Standby;
-        self.hand_over.is_empty() && self.stewards.iter().all(idle)
+        let successor = self.view.hosts().iter().any(|it| it.zone == self.zone);
+        let done =
+            |it: &Steward| it.is_idle() && (*it.phase() == StewardPhase::Standby || !successor);
+        self.hand_over.is_empty() && self.stewards.iter().all(done)
     }
 
     // Time.
@@ -267,7 +271,7 @@
             Stage::Steward => self.route_to_steward(now, packet, relay.upstream(), hops, out),
             Stage::Probe => self.probed(now, relay, hops, out),
             Stage::ProbeMissed => {
-                let next = self.next_probe(&packet.flow(), relay.rank() + 1);
+                let next = self.next_probe(now, &packet.flow(), relay.rank() + 1);
                 self.carry_out(now, packet, next, hops, out);
             }
         }
@@ -294,7 +298,11 @@
             }
             return self.known(&flow, upstream);
         }
-        if packet.kind() == Kind::Open { self.open(now, &flow) } else { self.next_probe(&flow, 0) }
+        if packet.kind() == Kind::Open {
+            self.open(now, &flow)
+        } else {
+            self.next_probe(now, &flow, 0)
+        }
     }
 
     fn known(&mut self, flow: &FlowKey, upstream: UpstreamId) -> Next {
@@ -339,13 +347,13 @@
     }
 
     /// The next host that may know where a flow lives, or the likeliest home once none does.
-    fn next_probe(&self, flow: &FlowKey, asked: u16) -> Next {
+    fn next_probe(&self, now: Millis, flow: &FlowKey, asked: u16) -> Next {
         let history = self.history.iter().map(Arc::as_ref);
         let found = candidates(history, flow, self.cfg.probe_candidates);
         let mut hosts: Vec<HostId> = Vec::with_capacity(self.cfg.probe_candidates);
         let stewards = found.iter().filter_map(|&it| self.view.steward(it));
         let others = self.view.hosts().iter().map(|it| it.host);
-        for host in stewards.chain(others) {
+        for host in stewards.chain(self.just_left(now)).chain(others) {
             if host != self.me && !hosts.contains(&host) {
                 hosts.push(host);
             }
@@ -360,6 +368,16 @@
         reachable.map_or(Next::GiveUp(Code::FLOW_UNKNOWN), |&it| Next::Steward(it))
     }
 
+    /// Hosts that announced their leaving so lately that they are still there to be asked.
+    fn just_left(&self, now: Millis) -> impl Iterator<Item = HostId> + '_ {
+        let others = self.members.others().iter();
+        others
+            .filter(move |it| {
+                it.state == MemberState::Leaving && now.since(it.since) < ASK_LEAVING_FOR
+            })
+            .map(|it| it.host)
+    }
+
     fn probed(&mut self, now: Millis, relay: &Relay<'_>, hops: u8, out: &mut Actions) {
         let packet = &relay.packet;
         if let Some(upstream) = self.flows.get(&packet.flow()) {
@@ -586,13 +604,11 @@
 
     fn rebuild_view(&mut self, now: Millis, out: &mut Actions) {
         let Some(snapshot) = self.history.first().cloned() else { return };
-        let takes_work =
-            |state: MemberState| matches!(state, MemberState::Live | MemberState::Suspect);
         let mut hosts: Vec<ViewHost> = self
             .members
             .others()
             .iter()
-            .filter(|it| takes_work(it.state) && !snapshot.is_out(it.zone))
+            .filter(|it| it.takes_work() && !snapshot.is_out(it.zone))
             .map(|it| ViewHost { host: it.host, zone: it.zone })
             .collect();
         if !self.leaving && !snapshot.is_out(self.zone) {
--- a/crates/pomelorun-core/src/members.rs
+++ b/crates/pomelorun-core/src/members.rs
@@ -32,6 +32,15 @@
     pub since: Millis,
     /// Still in the platform's host list.
     pub listed: bool,
+    /// Was in the platform's host list, so its address is known.
+    pub reachable: bool,
+}
+
+impl Member {
+    /// Tells whether the host may be given work.
+    pub fn takes_work(&self) -> bool {
+        self.reachable && matches!(self.state, MemberState::Live | MemberState::Suspect)
+    }
 }
 
 impl Member {
@@ -149,6 +158,8 @@
         let first = !std::mem::replace(&mut self.list_read, true);
         for member in &mut self.members {
             member.listed = hosts.iter().any(|it| it.host == member.host);
+            self.changed |= member.listed && !member.reachable;
+            member.reachable |= member.listed;
         }
         let me = self.me.host;
         for it in hosts.iter().filter(|it| it.host != me) {
@@ -170,6 +181,7 @@
                         state,
                         since: now,
                         listed: true,
+                        reachable: true,
                     };
                     self.members.insert(at, member);
                     self.changed = true;
@@ -305,6 +317,7 @@
                     state: MemberState::Dead,
                     since: now,
                     listed: false,
+                    reachable: false,
                 };
                 self.members.insert(at, member);
                 at
--- a/crates/pomelorun-core/src/steward.rs
+++ b/crates/pomelorun-core/src/steward.rs
@@ -243,6 +243,9 @@
         {
             return Next::Unknown(Code::OUTCOME_UNKNOWN);
         }
+        if self.phase == StewardPhase::Standby {
+            return Next::Refuse(Code::STEWARD_CHANGING);
+        }
         let free = self.phase == StewardPhase::Active
             && self.queue.is_empty()
             && self.limit.admits(cx.now, self.busy());
--- /dev/null
+++ b/crates/pomelorun-core/tests/core/main.rs
@@ -0,0 +1,6 @@
+//! Tests of the decision core.
+
+#![allow(dead_code, missing_docs, reason = "the mesh serves several topics")]
+
+mod mesh;
+mod path;
--- /dev/null
+++ b/crates/pomelorun-core/tests/core/mesh.rs
@@ -0,0 +1,711 @@
+//! A handful of cores wired together in one process under virtual time, with small fakes for
+//! upstreams and callers. Promises are asserted as packets pass.
+
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet, BinaryHeap},
+    net::{Ipv4Addr, SocketAddrV4},
+    sync::Arc,
+};
+
+use pomelorun_core::{
+    Action, CoreSettings, Event, HostCore, ListedHost, Millis, PoolView, ServiceView, Snapshot,
+    UpstreamView, ZoneView,
+};
+use pomelorun_wire::{
+    Envelope, FlowKey, Header, HostId, Kind, Packet, PeerMsg, Relay, ServiceAddr, UpstreamId,
+    ZoneId, decode, encode,
+};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const PEER_MAGIC: &[u8] = b"PM";
+const TICK_MS: u64 = 20;
+/// First incarnation; later processes get higher ones.
+const FIRST_INCARNATION: u64 = 1_000;
+
+/// A name for a host or zone and the number of upstreams, to build a deployment from.
+#[derive(Debug, Clone)]
+pub(crate) struct Shape {
+    pub(crate) zones: Vec<&'static str>,
+    /// Hosts in each zone.
+    pub(crate) hosts: Vec<usize>,
+    /// Upstreams of the one pool, spread over the zones in turn.
+    pub(crate) upstreams: usize,
+    pub(crate) slots: u16,
+    pub(crate) service_ms: u64,
+}
+
+impl Shape {
+    /// The Consorcio's shape: seven hosts in three zones.
+    pub(crate) fn consorcio() -> Shape {
+        Shape {
+            zones: vec!["bog-a", "bog-b", "mde-a"],
+            hosts: vec![3, 2, 2],
+            upstreams: 15,
+            slots: 2,
+            service_ms: 4,
+        }
+    }
+}
+
+pub(crate) const MESA: ServiceAddr = ServiceAddr { ip: 0x0a14_0001, port: 443 };
+
+/// Builds the configuration of a shape; `edit` changes it before it is compiled to positions.
+pub(crate) fn snapshot(
+    revision: u64,
+    shape: &Shape,
+    edit: impl Fn(&mut Vec<UpstreamView>, &mut Vec<ZoneView>),
+) -> Arc<Snapshot> {
+    let mut zones: Vec<ZoneView> = shape
+        .zones
+        .iter()
+        .map(|it| ZoneView { id: ZoneId::from_name(it), name: (*it).to_owned(), out: false })
+        .collect();
+    let mut upstreams: Vec<UpstreamView> = (0..shape.upstreams)
+        .map(|at| UpstreamView {
+            id: UpstreamId::from_names("mesa", &at.to_string()),
+            name: format!("mesa/{at}"),
+            pool: 0,
+            zone: ZoneId::from_name(shape.zones[at % shape.zones.len()]),
+            addr: SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, 1), 6_000 + at as u16),
+            slots: shape.slots,
+            cold_slots: 1,
+            draining: false,
+        })
+        .collect();
+    edit(&mut upstreams, &mut zones);
+    zones.sort_by_key(|it| it.id);
+    upstreams.sort_by_key(|it| it.id);
+    let pool = PoolView {
+        name: "mesa".to_owned(),
+        upstreams: (0..upstreams.len()).collect(),
+        max_deadline: Millis(500),
+        slow_after: Millis(shape.service_ms * 2),
+    };
+    let service = ServiceView { addr: MESA, name: "mesa".to_owned(), pool: 0 };
+    Arc::new(Snapshot {
+        revision,
+        buckets: 256,
+        zones,
+        services: vec![service],
+        pools: vec![pool],
+        upstreams,
+    })
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Place {
+    Host(usize),
+    Upstream(SocketAddrV4),
+    Callers,
+}
+
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Delivery {
+    at: Millis,
+    seq: u64,
+    to: Place,
+    from: Place,
+    bytes: Vec<u8>,
+}
+
+pub(crate) struct MeshHost {
+    pub(crate) name: String,
+    pub(crate) id: HostId,
+    pub(crate) zone: ZoneId,
+    pub(crate) core: HostCore,
+    pub(crate) up: bool,
+    /// Does not run; what arrives waits in its socket.
+    pub(crate) frozen: bool,
+    inbox: Vec<(Place, Vec<u8>)>,
+    /// Control messages sent, bytes.
+    pub(crate) control_bytes: u64,
+}
+
+struct Running {
+    flow: FlowKey,
+    req: u32,
+    header: Header,
+    to: Place,
+    due: Millis,
+    deadline: Millis,
+}
+
+/// A fake upstream; fields may be set at any time.
+pub(crate) struct FakeUpstream {
+    pub(crate) id: UpstreamId,
+    pub(crate) zone: ZoneId,
+    pub(crate) slots: usize,
+    pub(crate) cold_slots: usize,
+    pub(crate) service_ms: u64,
+    /// Requests served since it was last cold.
+    pub(crate) served: u32,
+    pub(crate) sessions: BTreeSet<FlowKey>,
+    running: Vec<Running>,
+    pub(crate) ran: u64,
+    pub(crate) shed: u64,
+    pub(crate) overloads: u64,
+    pub(crate) most_at_once: usize,
+    /// When the last packet arrived.
+    pub(crate) last_packet: Millis,
+}
+
+/// Requests after which a fake upstream is warm.
+pub(crate) const WARM_AFTER: u32 = 20;
+const COLD_FACTOR: u64 = 3;
+
+impl FakeUpstream {
+    pub(crate) fn is_cold(&self) -> bool {
+        self.served < WARM_AFTER
+    }
+}
+
+/// How a request ended for its caller.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Outcome {
+    Pending,
+    Answered,
+    NotRun,
+    Unknown,
+}
+
+#[derive(Debug)]
+pub(crate) struct Asked {
+    pub(crate) sent: Millis,
+    pub(crate) idempotent: bool,
+    pub(crate) outcome: Outcome,
+    /// When the outcome became known.
+    pub(crate) ended: Millis,
+    pub(crate) code: u16,
+    pub(crate) runs: u32,
+    parts: BTreeSet<u16>,
+}
+
+/// What callers saw.
+#[derive(Default)]
+pub(crate) struct Ledger {
+    pub(crate) opened: BTreeSet<FlowKey>,
+    /// Flows ended by a reset or given up, with the code.
+    pub(crate) ended: BTreeMap<FlowKey, u16>,
+    pub(crate) asked: BTreeMap<(FlowKey, u32), Asked>,
+}
+
+impl Ledger {
+    pub(crate) fn count(&self, outcome: Outcome) -> usize {
+        self.asked.values().filter(|it| it.outcome == outcome).count()
+    }
+}
+
+/// Cores, fakes and the network between them.
+pub(crate) struct Mesh {
+    pub(crate) now: Millis,
+    pub(crate) rng: ChaCha8Rng,
+    pub(crate) hosts: Vec<MeshHost>,
+    pub(crate) upstreams: BTreeMap<SocketAddrV4, FakeUpstream>,
+    pub(crate) callers: Ledger,
+    pub(crate) cfg: CoreSettings,
+    /// Zones that are cut off from all others and from callers' packets to other zones.
+    pub(crate) cut: Vec<ZoneId>,
+    /// Datagrams lost, duplicated, percent.
+    pub(crate) loss: u32,
+    pub(crate) duplicates: u32,
+    /// Longest extra delay of a datagram, milliseconds.
+    pub(crate) jitter: u64,
+    pub(crate) relays: u64,
+    pub(crate) caller_packets: u64,
+    /// Hosts that the fabric sprays over; none for all that are up.
+    pub(crate) spray: Option<Vec<usize>>,
+    snapshot: Option<Arc<Snapshot>>,
+    heap: BinaryHeap<Reverse<Delivery>>,
+    seq: u64,
+    incarnation: u64,
+}
+
+impl Mesh {
+    /// Starts all hosts of a shape with the first revision in force, and lets them settle.
+    pub(crate) fn new(shape: &Shape, seed: u64) -> Mesh {
+        Mesh::with_settings(shape, seed, CoreSettings::default())
+    }
+
+    pub(crate) fn with_settings(shape: &Shape, seed: u64, cfg: CoreSettings) -> Mesh {
+        let mut mesh = Mesh {
+            now: Millis(1),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            hosts: Vec::new(),
+            upstreams: BTreeMap::new(),
+            callers: Ledger::default(),
+            cfg,
+            cut: Vec::new(),
+            loss: 0,
+            duplicates: 0,
+            jitter: 0,
+            relays: 0,
+            caller_packets: 0,
+            spray: None,
+            snapshot: None,
+            heap: BinaryHeap::new(),
+            seq: 0,
+            incarnation: FIRST_INCARNATION,
+        };
+        for (zone, count) in shape.zones.iter().zip(&shape.hosts) {
+            for at in 0..*count {
+                mesh.add_host(&format!("{zone}-{at}"), zone);
+            }
+        }
+        mesh.list();
+        mesh.publish(snapshot(1, shape, |_, _| {}));
+        mesh.set_service_ms(shape.service_ms);
+        mesh.run_for(4_000);
+        mesh
+    }
+
+    pub(crate) fn set_service_ms(&mut self, service_ms: u64) {
+        for it in self.upstreams.values_mut() {
+            it.service_ms = service_ms;
+        }
+    }
+
+    /// Makes all upstreams warm and known to be so, by asking them.
+    pub(crate) fn warm_up(&mut self, flows: u32) {
+        self.open_flows(0, flows);
+        self.run_for(500);
+        for round in 0..60 {
+            for at in 0..flows {
+                self.request(at, (round + at) % 10 != 0);
+                if at % 20 == 19 {
+                    self.run_for(10);
+                }
+            }
+        }
+        self.run_for(1_000);
+    }
+
+    fn add_host(&mut self, name: &str, zone: &str) -> usize {
+        self.incarnation += 1;
+        let (id, zone) = (HostId::from_name(name), ZoneId::from_name(zone));
+        let core = HostCore::new(id, zone, self.incarnation, id.0, self.cfg.clone());
+        self.hosts.push(MeshHost {
+            name: name.to_owned(),
+            id,
+            zone,
+            core,
+            up: true,
+            frozen: false,
+            inbox: Vec::new(),
+            control_bytes: 0,
+        });
+        self.hosts.len() - 1
+    }
+
+    /// Starts a host that was not there before.
+    pub(crate) fn join(&mut self, name: &str, zone: &str) -> usize {
+        let at = self.add_host(name, zone);
+        self.list();
+        if let Some(it) = self.snapshot.clone() {
+            self.event(at, Event::Snapshot(it), &[]);
+        }
+        at
+    }
+
+    /// Kills a host; the list still names it.
+    pub(crate) fn crash(&mut self, at: usize) {
+        self.hosts[at].up = false;
+        self.hosts[at].inbox.clear();
+    }
+
+    /// Starts a crashed host again, empty.
+    pub(crate) fn restart(&mut self, at: usize) {
+        self.incarnation += 1;
+        let it = &mut self.hosts[at];
+        it.core = HostCore::new(it.id, it.zone, self.incarnation, it.id.0, self.cfg.clone());
+        it.up = true;
+        it.frozen = false;
+        self.list();
+        if let Some(it) = self.snapshot.clone() {
+            self.event(at, Event::Snapshot(it), &[]);
+        }
+    }
+
+    pub(crate) fn freeze(&mut self, at: usize) {
+        self.hosts[at].frozen = true;
+    }
+
+    /// Lets a frozen host run again: first it reads what waits in its socket.
+    pub(crate) fn thaw(&mut self, at: usize) {
+        self.hosts[at].frozen = false;
+        for (from, bytes) in std::mem::take(&mut self.hosts[at].inbox) {
+            self.to_host(at, from, &bytes);
+        }
+    }
+
+    /// Asks a host to leave.
+    pub(crate) fn leave(&mut self, at: usize) {
+        self.event(at, Event::Leave, &[]);
+    }
+
+    /// Gives all running hosts the list of the hosts that are up.
+    pub(crate) fn list(&mut self) {
+        let listed: Vec<ListedHost> = self
+            .hosts
+            .iter()
+            .filter(|it| it.up)
+            .map(|it| ListedHost { host: it.id, zone: it.zone, leaving: false })
+            .collect();
+        for at in 0..self.hosts.len() {
+            if self.hosts[at].up && !self.hosts[at].frozen {
+                self.event(at, Event::HostList(&listed), &[]);
+            }
+        }
+    }
+
+    /// Publishes a revision to all running hosts at once.
+    pub(crate) fn publish(&mut self, snapshot: Arc<Snapshot>) {
+        for it in &snapshot.upstreams {
+            self.upstreams.entry(it.addr).or_insert_with(|| FakeUpstream {
+                id: it.id,
+                zone: it.zone,
+                slots: it.slots.into(),
+                cold_slots: it.cold_slots.into(),
+                service_ms: 4,
+                served: 0,
+                sessions: BTreeSet::new(),
+                running: Vec::new(),
+                ran: 0,
+                shed: 0,
+                overloads: 0,
+                most_at_once: 0,
+                last_packet: Millis(0),
+            });
+        }
+        self.snapshot = Some(Arc::clone(&snapshot));
+        for at in 0..self.hosts.len() {
+            if self.hosts[at].up && !self.hosts[at].frozen {
+                self.event(at, Event::Snapshot(Arc::clone(&snapshot)), &[]);
+            }
+        }
+    }
+
+    /// Publishes a revision to some hosts only.
+    pub(crate) fn publish_to(&mut self, hosts: &[usize], snapshot: &Arc<Snapshot>) {
+        for &at in hosts {
+            self.event(at, Event::Snapshot(Arc::clone(snapshot)), &[]);
+        }
+    }
+
+    // Callers.
+
+    pub(crate) fn flow(at: u32) -> FlowKey {
+        let (ip, port) = (0x6440_0000 + at / 10_000, (at % 10_000) as u16 + 1_024);
+        FlowKey { caller_ip: ip, caller_port: port, service: MESA }
+    }
+
+    pub(crate) fn open_flows(&mut self, from: u32, to: u32) {
+        for at in from..to {
+            self.send_from_caller(&Header::new(Kind::Open, &Mesh::flow(at)));
+            if at % 10 == 9 {
+                self.run_for(1);
+            }
+        }
+    }
+
+    /// Sends a request of a flow; returns its number.
+    pub(crate) fn request(&mut self, flow: u32, idempotent: bool) -> u32 {
+        let key = Mesh::flow(flow);
+        let last = self.callers.asked.range((key, 0)..=(key, u32::MAX)).next_back();
+        let req = last.map_or(1, |it| it.0.1 + 1);
+        let asked = Asked {
+            sent: self.now,
+            idempotent,
+            outcome: Outcome::Pending,
+            ended: Millis(0),
+            code: 0,
+            runs: 0,
+            parts: BTreeSet::new(),
+        };
+        self.callers.asked.insert((key, req), asked);
+        self.send_request(flow, req);
+        req
+    }
+
+    /// Sends a request's packet, for the first time or again.
+    pub(crate) fn send_request(&mut self, flow: u32, req: u32) {
+        let key = Mesh::flow(flow);
+        let mut header = Header::new(Kind::Request, &key).req(req).deadline_ms(400);
+        if !self.callers.asked[&(key, req)].idempotent {
+            header = header.non_idempotent();
+        }
+        self.send_from_caller(&header);
+    }
+
+    fn send_from_caller(&mut self, header: &Header) {
+        self.caller_packets += 1;
+        let up: Vec<usize> = match &self.spray {
+            Some(it) => it.clone(),
+            None => (0..self.hosts.len()).filter(|&it| self.hosts[it].up).collect(),
+        };
+        if up.is_empty() {
+            return;
+        }
+        let to = up[self.rng.random_range(0..up.len())];
+        self.send(Place::Callers, Place::Host(to), header.as_bytes().to_vec());
+    }
+
+    // The network.
+
+    fn send(&mut self, from: Place, to: Place, bytes: Vec<u8>) {
+        if self.is_cut(from, to) {
+            return;
+        }
+        let external =
+            from == Place::Callers || matches!((from, to), (Place::Host(_), Place::Host(_)));
+        if external && self.rng.random_range(0..100) < self.loss {
+            return;
+        }
+        let copies =
+            if external && self.rng.random_range(0..100) < self.duplicates { 2 } else { 1 };
+        for _ in 0..copies {
+            let jitter = if self.jitter > 0 { self.rng.random_range(0..=self.jitter) } else { 0 };
+            let at = self.now + Millis(self.latency(from, to) + jitter);
+            self.seq += 1;
+            let delivery = Delivery { at, seq: self.seq, to, from, bytes: bytes.clone() };
+            self.heap.push(Reverse(delivery));
+        }
+    }
+
+    fn zone_of(&self, place: Place) -> Option<ZoneId> {
+        match place {
+            Place::Host(at) => Some(self.hosts[at].zone),
+            Place::Upstream(addr) => self.upstreams.get(&addr).map(|it| it.zone),
+            Place::Callers => None,
+        }
+    }
+
+    fn is_cut(&self, from: Place, to: Place) -> bool {
+        let (Some(a), Some(b)) = (self.zone_of(from), self.zone_of(to)) else { return false };
+        a != b && (self.cut.contains(&a) || self.cut.contains(&b))
+    }
+
+    fn latency(&self, from: Place, to: Place) -> u64 {
+        match (self.zone_of(from), self.zone_of(to)) {
+            (Some(a), Some(b)) if a == b => 1,
+            (Some(_), Some(_)) => 2,
+            _ => 1,
+        }
+    }
+
+    /// Lets virtual time pass.
+    pub(crate) fn run_for(&mut self, ms: u64) {
+        for _ in 0..ms {
+            self.now = self.now + Millis(1);
+            while self.heap.peek().is_some_and(|it| it.0.at <= self.now) {
+                let Reverse(it) = self.heap.pop().expect("just peeked");
+                self.deliver(it);
+            }
+            self.step_upstreams();
+            if self.now.0.is_multiple_of(TICK_MS) {
+                for at in 0..self.hosts.len() {
+                    if self.hosts[at].up && !self.hosts[at].frozen {
+                        self.event(at, Event::Tick, &[]);
+                    }
+                }
+            }
+        }
+    }
+
+    fn deliver(&mut self, it: Delivery) {
+        match it.to {
+            Place::Host(at) if !self.hosts[at].up => {}
+            Place::Host(at) if self.hosts[at].frozen => {
+                self.hosts[at].inbox.push((it.from, it.bytes));
+            }
+            Place::Host(at) => self.to_host(at, it.from, &it.bytes),
+            Place::Upstream(addr) => self.to_upstream(addr, it.from, &it.bytes),
+            Place::Callers => self.to_caller(&it.bytes),
+        }
+    }
+
+    fn to_host(&mut self, at: usize, from: Place, bytes: &[u8]) {
+        if let Some(body) = bytes.strip_prefix(PEER_MAGIC) {
+            let envelope: Envelope = decode(body).expect("hosts send well-formed messages");
+            self.event(at, Event::Peer(&envelope), &[]);
+        } else if Relay::is_relay(bytes) {
+            let relay = Relay::parse(bytes).expect("hosts send well-formed relays");
+            self.event(at, Event::Relayed(relay), relay.packet.bytes());
+        } else {
+            let packet = Packet::parse(bytes).expect("fakes send well-formed packets");
+            let event = match from {
+                Place::Upstream(from) => Event::Upstream { from, packet },
+                _ => Event::Fabric(packet),
+            };
+            self.event(at, event, bytes);
+        }
+    }
+
+    fn event(&mut self, at: usize, event: Event<'_>, bytes: &[u8]) {
+        let actions = self.hosts[at].core.handle(self.now, event);
+        let me = Place::Host(at);
+        for action in actions {
+            match action {
+                Action::Relay { to, header } => {
+                    self.relays += 1;
+                    let mut buf = header.as_bytes().to_vec();
+                    buf.extend_from_slice(bytes);
+                    self.send_to_host(me, to, buf);
+                }
+                Action::ToUpstream(to) => self.send(me, Place::Upstream(to), bytes.to_vec()),
+                Action::ToCaller => self.send(me, Place::Callers, bytes.to_vec()),
+                Action::HeldToUpstream(to, held) => {
+                    self.send(me, Place::Upstream(to), held.into_vec());
+                }
+                Action::HeldToCaller(held) => self.send(me, Place::Callers, held.into_vec()),
+                Action::Reply(header) => {
+                    self.send(me, Place::Callers, header.as_bytes().to_vec());
+                }
+                Action::Peer { to, msg } => self.send_peer(at, to, msg),
+                Action::Count(_) => {}
+            }
+        }
+    }
+
+    fn send_peer(&mut self, at: usize, to: HostId, msg: PeerMsg) {
+        let envelope = Envelope { from: self.hosts[at].id, incarnation: 0, msg };
+        let mut buf = PEER_MAGIC.to_vec();
+        buf.extend(encode(&envelope).expect("messages can be encoded"));
+        self.hosts[at].control_bytes += buf.len() as u64;
+        self.send_to_host(Place::Host(at), to, buf);
+    }
+
+    fn send_to_host(&mut self, from: Place, to: HostId, bytes: Vec<u8>) {
+        let newest = self.hosts.iter().rposition(|it| it.id == to);
+        if let Some(to) = newest {
+            self.send(from, Place::Host(to), bytes);
+        }
+    }
+
+    // Upstreams.
+
+    fn to_upstream(&mut self, addr: SocketAddrV4, from: Place, bytes: &[u8]) {
+        let packet = Packet::parse(bytes).expect("hosts forward well-formed packets");
+        let flow = packet.flow();
+        let key = (flow, packet.req());
+        assert_eq!(flow.service, MESA, "a packet reached another service");
+        let now = self.now;
+        let it = self.upstreams.get_mut(&addr).expect("hosts send to known upstreams");
+        it.last_packet = now;
+        let header = packet.header();
+        let reply = match packet.kind() {
+            Kind::Open => {
+                it.sessions.insert(flow);
+                Some(header.kind(Kind::Opened))
+            }
+            Kind::Close => {
+                it.sessions.remove(&flow);
+                None
+            }
+            Kind::Cancel => {
+                it.running.retain(|r| (r.flow, r.req) != key);
+                None
+            }
+            Kind::Request if !it.sessions.contains(&flow) => Some(header.kind(Kind::Reset)),
+            Kind::Request => {
+                let bears = if it.is_cold() { it.cold_slots } else { it.slots };
+                if it.running.len() >= bears {
+                    it.shed += 1;
+                    it.overloads += u64::from(it.is_cold());
+                    Some(header.kind(Kind::Shed))
+                } else {
+                    let factor = if it.is_cold() { COLD_FACTOR } else { 1 };
+                    it.running.push(Running {
+                        flow,
+                        req: packet.req(),
+                        header,
+                        to: from,
+                        due: now + Millis(it.service_ms * factor),
+                        deadline: now + Millis(packet.deadline_ms().into()),
+                    });
+                    it.ran += 1;
+                    it.most_at_once = it.most_at_once.max(it.running.len());
+                    self.callers.note_run(key);
+                    None
+                }
+            }
+            other => panic!("an upstream got {other:?}"),
+        };
+        if let Some(header) = reply {
+            self.send(Place::Upstream(addr), from, header.as_bytes().to_vec());
+        }
+    }
+
+    fn step_upstreams(&mut self) {
+        let now = self.now;
+        let mut answers = Vec::new();
+        for (addr, it) in &mut self.upstreams {
+            it.running.retain(|r| r.deadline > now || r.due <= now);
+            while let Some(at) = it.running.iter().position(|r| r.due <= now) {
+                let done = it.running.swap_remove(at);
+                it.served += 1;
+                let header = done.header.kind(Kind::Answer).part(0, 1);
+                answers.push((*addr, done.to, header));
+            }
+        }
+        for (addr, to, header) in answers {
+            self.send(Place::Upstream(addr), to, header.as_bytes().to_vec());
+        }
+    }
+
+    // What callers see.
+
+    fn to_caller(&mut self, bytes: &[u8]) {
+        let packet = Packet::parse(bytes).expect("hosts send well-formed packets");
+        let flow = packet.flow();
+        let now = self.now;
+        match packet.kind() {
+            Kind::Opened => {
+                self.callers.opened.insert(flow);
+            }
+            Kind::Reset | Kind::GivenUp => {
+                self.callers.ended.insert(flow, packet.code());
+                self.callers.end(now, (flow, packet.req()), Outcome::Unknown, packet.code());
+            }
+            Kind::Answer => self.callers.part(now, &packet),
+            Kind::NotRun => {
+                let key = (flow, packet.req());
+                if let Some(it) = self.callers.asked.get(&key) {
+                    assert_eq!(it.runs, 0, "told not run, but {key:?} ran: {}", packet.code());
+                }
+                self.callers.end(now, key, Outcome::NotRun, packet.code());
+            }
+            Kind::OutcomeUnknown => {
+                self.callers.end(now, (flow, packet.req()), Outcome::Unknown, packet.code());
+            }
+            _ => {}
+        }
+    }
+}
+
+impl Ledger {
+    fn note_run(&mut self, key: (FlowKey, u32)) {
+        let it = self.asked.get_mut(&key).expect("only requests that were sent run");
+        it.runs += 1;
+        assert!(it.idempotent || it.runs == 1, "{key:?} must run at most once");
+        assert_ne!(it.outcome, Outcome::NotRun, "{key:?} runs after its caller was told not run");
+    }
+
+    fn part(&mut self, now: Millis, packet: &Packet<'_>) {
+        let key = (packet.flow(), packet.req());
+        let it = self.asked.get_mut(&key).expect("answers name requests that were sent");
+        it.parts.insert(packet.part());
+        if it.parts.len() == usize::from(packet.parts()) {
+            self.end(now, key, Outcome::Answered, 0);
+        }
+    }
+
+    /// The first final answer counts.
+    fn end(&mut self, now: Millis, key: (FlowKey, u32), outcome: Outcome, code: u16) {
+        let Some(it) = self.asked.get_mut(&key) else { return };
+        if it.outcome == Outcome::Pending {
+            (it.outcome, it.ended, it.code) = (outcome, now, code);
+        }
+    }
+}
--- /dev/null
+++ b/crates/pomelorun-core/tests/core/path.rs
@@ -0,0 +1,78 @@
+//! The whole path through a handful of cores.
+
+use pomelorun_core::Millis;
+
+use crate::mesh::{Mesh, Outcome, Shape, snapshot};
+
+const FLOWS: u32 = 400;
+
+#[test]
+fn requests_are_answered_by_whichever_host_gets_the_packet() {
+    let mut mesh = Mesh::new(&Shape::consorcio(), 1);
+    mesh.warm_up(100);
+    assert_eq!(mesh.callers.opened.len(), 100);
+    assert_eq!(mesh.callers.count(Outcome::Pending), 0);
+    let answered = mesh.callers.count(Outcome::Answered);
+    assert!(answered > 5_900, "{answered} of 6000 answered");
+    assert!(mesh.callers.ended.is_empty());
+}
+
+#[test]
+fn cold_upstreams_get_one_request_at_a_time() {
+    let mut mesh = Mesh::new(&Shape::consorcio(), 2);
+    mesh.open_flows(0, FLOWS);
+    mesh.run_for(200);
+    for flow in 0..FLOWS {
+        mesh.request(flow, true);
+    }
+    mesh.run_for(1_000);
+    let overloads: u64 = mesh.upstreams.values().map(|it| it.overloads).sum();
+    assert_eq!(overloads, 0);
+    assert_eq!(mesh.callers.count(Outcome::Pending), 0);
+}
+
+#[test]
+fn flows_survive_the_planned_leaving_of_a_host() {
+    let mut mesh = Mesh::new(&Shape::consorcio(), 3);
+    mesh.warm_up(FLOWS);
+    mesh.leave(0);
+    mesh.spray = Some((1..mesh.hosts.len()).collect());
+    mesh.run_for(800);
+    assert!(mesh.hosts[0].core.is_drained());
+    mesh.crash(0);
+    mesh.list();
+    for flow in 0..FLOWS {
+        mesh.request(flow, true);
+        mesh.run_for(2);
+    }
+    mesh.run_for(1_000);
+    assert_eq!(mesh.callers.ended.len(), 0, "flows broken");
+    assert_eq!(mesh.callers.count(Outcome::Pending), 0);
+}
+
+#[test]
+fn a_zone_taken_out_gets_no_more_packets_and_its_flows_are_given_up() {
+    let shape = Shape::consorcio();
+    let mut mesh = Mesh::new(&shape, 4);
+    mesh.warm_up(FLOWS);
+    mesh.publish(snapshot(2, &shape, |_, zones| zones[0].out = true));
+    let out = mesh.now;
+    mesh.run_for(100);
+    let zone = mesh.hosts[0].zone;
+    let ended = mesh.callers.ended.len();
+    let there: usize =
+        mesh.upstreams.values().filter(|it| it.zone == zone).map(|it| it.sessions.len()).sum();
+    assert_eq!(ended, there, "every flow of the zone, and no other, is given up");
+    for flow in 0..FLOWS {
+        mesh.request(flow, true);
+        mesh.run_for(1);
+    }
+    mesh.run_for(1_000);
+    let late: Vec<Millis> = mesh
+        .upstreams
+        .values()
+        .filter(|it| it.zone == zone && it.last_packet > out + Millis(10))
+        .map(|it| it.last_packet)
+        .collect();
+    assert!(late.is_empty(), "packets at {late:?}, out since {out:?}");
+}
--- a/crates/pomelorun/src/engine.rs
+++ b/crates/pomelorun/src/engine.rs
@@ -95,10 +95,16 @@
         }
     }
 
-    /// Takes in the host list.
+    /// Takes in the host list; the addresses of hosts that have left it stay known, since the
+    /// list lags.
     pub(crate) fn host_list(&mut self, hosts: &[HostEntry]) {
-        self.peers = hosts.iter().map(|it| (it.listed.host, it.packets.into())).collect();
-        self.peers.sort_unstable();
+        for it in hosts {
+            let peer = (it.listed.host, it.packets.into());
+            match self.peers.binary_search_by_key(&peer.0, |known| known.0) {
+                Ok(at) => self.peers[at] = peer,
+                Err(at) => self.peers.insert(at, peer),
+            }
+        }
         let listed: Vec<_> = hosts.iter().map(|it| it.listed).collect();
         self.handle(Event::HostList(&listed), &[]);
     }
--- a/crates/pomelorunctl/src/main.rs
+++ b/crates/pomelorunctl/src/main.rs
@@ -1,2 +1,51 @@
-//! .
-fn main() {}
+//! The command line for operators.
+
+mod answer;
+mod hosts;
+mod objects;
+mod status;
+
+use std::process::ExitCode;
+
+use gumdrop::Options;
+
+use crate::answer::Answer;
+
+/// Checks, publishes and watches a pomelorun deployment.
+#[derive(Debug, Options)]
+struct Args {
+    /// print this help
+    help: bool,
+    /// print the version
+    version: bool,
+    #[options(command)]
+    command: Option<Command>,
+}
+
+#[derive(Debug, Options)]
+enum Command {
+    /// check a directory of objects
+    Check(objects::CheckArgs),
+    /// list the objects that differ between two directories
+    Diff(objects::DiffArgs),
+    /// write the bundle that is published for a directory
+    Bundle(objects::BundleArgs),
+    /// show the state of the hosts
+    Status(status::StatusArgs),
+}
+
+#[actix_rt::main]
+async fn main() -> ExitCode {
+    let args = Args::parse_args_default_or_exit();
+    if args.version {
+        return Answer::ok(format!("pomelorunctl {}", env!("CARGO_PKG_VERSION"))).give();
+    }
+    let answer = match args.command {
+        Some(Command::Check(it)) => objects::check(&it),
+        Some(Command::Diff(it)) => objects::diff(&it),
+        Some(Command::Bundle(it)) => objects::bundle(&it),
+        Some(Command::Status(it)) => status::status(&it).await,
+        None => Answer::usage(format!("a command is required\n\n{}", Args::usage())),
+    };
+    answer.give()
+}
