--- /dev/null
+++ b/crates/pomelorun-config/tests/config/faults.rs
@@ -0,0 +1,117 @@
+//! Every fault is found, with its place and a numbered code.
+
+use std::fs;
+
+use pomelorun_config::{Fault, MAX_FILE_BYTES, check, load_dir};
+use pomelorun_wire::Code;
+
+const ZONES: &str =
+    r#"[{"kind":"AvailabilityZone","name":"a"},{"kind":"AvailabilityZone","name":"b"}]"#;
+const POOL: &str = r#"{"kind":"UpstreamPool","name":"mesa","slots":2,"endpoints":[
+    {"name":"1","zone":"a","address":"127.0.0.1:6001"},
+    {"name":"2","zone":"b","address":"127.0.0.1:6002"}]}"#;
+const SERVICE: &str = r#"{"kind":"Service","name":"mesa","address":"10.20.0.1:443","pool":"mesa"}"#;
+
+/// The faults of a directory with these files.
+fn faults_of(files: &[(&str, &str)]) -> Vec<Fault> {
+    let dir = tempfile::tempdir().unwrap();
+    for (name, text) in files {
+        fs::write(dir.path().join(name), text).unwrap();
+    }
+    let checked = load_dir(dir.path()).and_then(|set| check(&set).or(()));
+    checked.err().unwrap_or_default().0
+}
+
+fn only(files: &[(&str, &str)]) -> Fault {
+    let mut faults = faults_of(files);
+    assert_eq!(faults.len(), 1, "{faults:?}");
+    faults.pop().unwrap()
+}
+
+#[test]
+fn a_good_set_has_none() {
+    assert_eq!(faults_of(&[("z.json", ZONES), ("p.json", POOL), ("s.json", SERVICE)]), []);
+}
+
+#[test]
+fn an_empty_directory() {
+    assert_eq!(only(&[]).code, Code::CONFIG_EMPTY);
+}
+
+#[test]
+fn a_file_that_is_not_json() {
+    let fault = only(&[("z.json", ZONES), ("p.json", "{not json")]);
+    assert_eq!(fault.code, Code::CONFIG_JSON);
+    assert!(fault.file.ends_with("p.json"), "{fault:?}");
+}
+
+#[test]
+fn a_file_over_the_size_limit() {
+    let large = " ".repeat(MAX_FILE_BYTES as usize + 1);
+    assert_eq!(only(&[("z.json", &large)]).code, Code::CONFIG_TOO_LARGE);
+}
+
+#[test]
+fn an_unknown_field_with_a_suggestion() {
+    let pool = POOL.replace("\"slots\"", "\"slotz\"");
+    let faults = faults_of(&[("z.json", ZONES), ("p.json", &pool), ("s.json", SERVICE)]);
+    let fault = &faults[0];
+    assert_eq!(fault.code, Code::CONFIG_UNKNOWN_FIELD);
+    assert!(fault.message.contains("did you mean `slots`?"), "{fault:?}");
+}
+
+#[test]
+fn a_dangling_reference() {
+    let service = SERVICE.replace("\"pool\":\"mesa\"", "\"pool\":\"mesas\"");
+    let fault = only(&[("z.json", ZONES), ("p.json", POOL), ("s.json", &service)]);
+    assert_eq!((fault.code, fault.path.as_str()), (Code::CONFIG_DANGLING, "Service/mesa.pool"));
+}
+
+#[test]
+fn an_endpoint_in_an_unknown_zone() {
+    let pool = POOL.replace("\"zone\":\"b\"", "\"zone\":\"c\"");
+    let fault = only(&[("z.json", ZONES), ("p.json", &pool), ("s.json", SERVICE)]);
+    assert_eq!(fault.code, Code::CONFIG_DANGLING);
+    assert_eq!(fault.path, "UpstreamPool/mesa.endpoints.2.zone");
+}
+
+#[test]
+fn a_name_used_twice() {
+    let other = SERVICE.replace("10.20.0.1", "10.20.0.2");
+    let files = [("z.json", ZONES), ("p.json", POOL), ("s.json", SERVICE), ("t.json", &other)];
+    assert_eq!(only(&files).code, Code::CONFIG_DUPLICATE);
+}
+
+#[test]
+fn an_address_used_by_two_services() {
+    let other = SERVICE.replace("\"name\":\"mesa\"", "\"name\":\"archivo\"");
+    let files = [("z.json", ZONES), ("p.json", POOL), ("s.json", SERVICE), ("t.json", &other)];
+    let fault = only(&files);
+    assert_eq!(fault.code, Code::CONFIG_DUPLICATE);
+    assert!(fault.message.contains("10.20.0.1:443"), "{fault:?}");
+}
+
+#[test]
+fn zero_slots() {
+    let pool = POOL.replace("\"slots\":2", "\"slots\":0");
+    let faults = faults_of(&[("z.json", ZONES), ("p.json", &pool), ("s.json", SERVICE)]);
+    assert_eq!(faults[0].code, Code::CONFIG_VALUE);
+    assert_eq!(faults[0].path, "UpstreamPool/mesa.slots");
+}
+
+#[test]
+fn a_pool_without_an_endpoint_in_a_zone_that_is_in() {
+    let zones = ZONES.replace("\"name\"", "\"out\":true,\"name\"");
+    let fault = only(&[("z.json", &zones), ("p.json", POOL), ("s.json", SERVICE)]);
+    assert_eq!(fault.code, Code::CONFIG_NO_ENDPOINT);
+}
+
+#[test]
+fn all_faults_of_all_files_at_once() {
+    let pool =
+        r#"{"kind":"UpstreamPool","name":"mesa","slots":"two","endpointz":[],"endpoints":[]}"#;
+    let faults = faults_of(&[("p.json", pool), ("q.json", "["), ("s.json", "{}")]);
+    let codes: Vec<Code> = faults.iter().map(|it| it.code).collect();
+    let (json, field) = (Code::CONFIG_JSON, Code::CONFIG_UNKNOWN_FIELD);
+    assert_eq!(codes, [field, json, json, json], "{faults:?}");
+}
--- a/crates/pomelorun-core/src/host.rs
+++ b/crates/pomelorun-core/src/host.rs
@@ -27,9 +27,9 @@
 /// Buckets before the first configuration arrives.
 const INITIAL_BUCKETS: u32 = 1;
 /// Time after its announcement during which a leaving host is asked for flows.
-const ASK_LEAVING_FOR: Millis = Millis(300);
+const ASK_LEAVING_FOR: Millis = Millis(1_000);
 /// Flows that a leaving host tells new keepers of on one timer event.
-const FLOWS_PER_MESSAGE: usize = 32;
+const FLOWS_PER_MESSAGE: usize = 100;
 /// Flows that are given up on one timer event.
 const GIVE_UP_PER_TICK: usize = 2_000;
 
@@ -197,6 +197,9 @@
         self.refresh_view(now, out);
         for at in 0..self.stewards.len() {
             let id = self.stewards[at].id();
+            if self.view.steward(id) == Some(self.me) {
+                self.take_role(now, id, out);
+            }
             let backup = self.view.backup(id);
             self.with_role(now, id, |it, cx| {
                 it.tick(cx, out);
@@ -604,6 +607,9 @@
 
     fn rebuild_view(&mut self, now: Millis, out: &mut Actions) {
         let Some(snapshot) = self.history.first().cloned() else { return };
+        if !self.members.list_was_read() {
+            return;
+        }
         let mut hosts: Vec<ViewHost> = self
             .members
             .others()
@@ -665,13 +671,13 @@
         self.refresh_view(now, out);
     }
 
-    /// The flows kept here that do not live where their hash alone says.
+    /// The flows known here that do not live where their hash alone says.
+    ///
+    /// Those of other keepers are among them: a keeper that took a bucket over lately may not have
+    /// asked for them yet.
     fn exceptions(&self) -> Vec<FlowEntry> {
         let mut found = Vec::new();
         for (flow, upstream) in self.flows.iter() {
-            if self.view.keeper(self.flows.bucket_of(&flow)) != Some(self.me) {
-                continue;
-            }
             let newest = self.history.iter().take(1).map(Arc::as_ref);
             if candidates(newest, &flow, 1).first() != Some(&upstream) {
                 found.push(FlowEntry { flow, upstream });
--- a/crates/pomelorun-core/src/members.rs
+++ b/crates/pomelorun-core/src/members.rs
@@ -122,6 +122,11 @@
         &self.members
     }
 
+    /// Tells whether the platform's host list was read; before that no other host is known.
+    pub(crate) fn list_was_read(&self) -> bool {
+        self.list_read
+    }
+
     /// Finds another host.
     pub fn get(&self, host: HostId) -> Option<&Member> {
         let at = self.members.binary_search_by_key(&host, |it| it.host).ok()?;
--- a/crates/pomelorun-core/src/steward.rs
+++ b/crates/pomelorun-core/src/steward.rs
@@ -153,6 +153,8 @@
     backup: Option<Backup>,
     /// The steward whose whole state is replicated here.
     replica_of: Option<HostId>,
+    /// When it last stopped acting.
+    stood_down: Option<Millis>,
     /// Until then a request may have run at the word of another steward.
     uncertain_until: Millis,
     /// The same for idempotent requests, whose records are not handed over.
@@ -172,6 +174,7 @@
             records: Records::default(),
             backup: None,
             replica_of: None,
+            stood_down: None,
             uncertain_until: cx.now + cx.settle(),
             uncertain_idempotent_until: cx.now + cx.settle(),
         }
@@ -428,7 +431,8 @@
         is_dead: &dyn Fn(HostId) -> bool,
         out: &mut Actions,
     ) {
-        if self.phase != StewardPhase::Standby {
+        let lately = |it: Millis| cx.now.since(it) < cx.cfg.take_over_ms;
+        if self.phase != StewardPhase::Standby || self.stood_down.is_some_and(lately) {
             return;
         }
         if self.replica_of.is_some_and(is_dead) {
@@ -539,9 +543,16 @@
         }
     }
 
+    /// Another host regards itself as the steward; settle with it who is.
+    fn contested(&mut self, cx: &StewardCx<'_>, other: HostId, out: &mut Actions) {
+        self.step_down(cx, out);
+        self.ask(cx, Ranked::from_slice(&[other]), out);
+    }
+
     /// Stops acting; what waits is refused, what is in progress is still answered.
     pub(crate) fn step_down(&mut self, cx: &StewardCx<'_>, out: &mut Actions) {
         self.phase = StewardPhase::Standby;
+        self.stood_down = Some(cx.now);
         self.backup = None;
         for held in std::mem::take(&mut self.recording) {
             out.push(unknown(cx, held.header(), Code::STEWARD_CHANGING));
@@ -622,7 +633,7 @@
     ) {
         let Some(backup) = self.backup.as_mut().filter(|it| it.host == from) else { return };
         if !accepted {
-            self.step_down(cx, out);
+            self.contested(cx, from, out);
             return;
         }
         backup.synced = true;
@@ -644,7 +655,7 @@
             return;
         }
         if !accepted {
-            self.step_down(cx, out);
+            self.contested(cx, from, out);
             return;
         }
         if let Some(at) = self.recording.iter().position(|it| it.key == *key) {
--- a/crates/pomelorun-standins/src/callers.rs
+++ b/crates/pomelorun-standins/src/callers.rs
@@ -16,6 +16,8 @@
 
 /// Time after which an unanswered opening is sent again.
 const OPEN_AGAIN: Duration = Duration::from_millis(400);
+/// Time after which an unanswered request is sent again, with the same number.
+const REQUEST_AGAIN: Duration = Duration::from_millis(150);
 /// Time after its deadline at which a request without a final answer counts as lost.
 const LOST_AFTER: Duration = Duration::from_millis(500);
 /// Time between two sweeps over what is outstanding.
@@ -80,6 +82,8 @@
     pub unopened: u64,
     /// Requests sent.
     pub requests: u64,
+    /// Packets of requests that were sent again.
+    pub sent_again: u64,
     /// Requests answered whole.
     pub answered: u64,
     /// Requests refused as not run.
@@ -133,7 +137,9 @@
 }
 
 struct Outstanding {
+    header: Header,
     sent: Instant,
+    last_sent: Instant,
     deadline: Instant,
     parts: Vec<bool>,
     left: u16,
@@ -219,7 +225,10 @@
         let mut next_progress = Instant::now();
         let mut stopping = false;
         loop {
-            timer.tick().await;
+            tokio::select! {
+                _ = timer.tick() => {}
+                _ = self.socket.readable() => {}
+            }
             self.receive();
             let now = Instant::now();
             if !stopping {
@@ -310,7 +319,9 @@
         self.outstanding.insert(
             (at, req),
             Outstanding {
+                header,
                 sent: now,
+                last_sent: now,
                 deadline: now + Duration::from_millis(deadline_ms.into()),
                 parts: Vec::new(),
                 left: 0,
@@ -322,6 +333,16 @@
         let before = self.outstanding.len();
         self.outstanding.retain(|_, it| now < it.deadline + LOST_AFTER);
         self.report.lost += (before - self.outstanding.len()) as u64;
+        let mut again = Vec::new();
+        for it in self.outstanding.values_mut() {
+            if now < it.deadline && now.duration_since(it.last_sent) >= REQUEST_AGAIN {
+                it.last_sent = now;
+                let left = it.deadline.duration_since(now).as_millis();
+                again.push(it.header.deadline_ms(u16::try_from(left).unwrap_or(u16::MAX)));
+            }
+        }
+        self.report.sent_again += again.len() as u64;
+        again.iter().for_each(|it| self.send(it));
         if stopping {
             return;
         }
--- a/crates/pomelorun-standins/src/demo.rs
+++ b/crates/pomelorun-standins/src/demo.rs
@@ -98,6 +98,8 @@
     pub unopened: u64,
     /// Requests sent.
     pub requests: u64,
+    /// Packets of requests that were sent again.
+    pub sent_again: u64,
     /// Requests answered whole.
     pub answered: u64,
     /// Requests refused as not run.
@@ -531,6 +533,7 @@
         flows: seen.flows,
         unopened: seen.unopened,
         requests: seen.requests,
+        sent_again: seen.sent_again,
         answered: seen.answered,
         refused_not_run: seen.refused_not_run,
         outcome_unknown: seen.outcome_unknown,
--- /dev/null
+++ b/crates/pomelorun-wire/tests/wire/codes.rs
@@ -0,0 +1,21 @@
+//! The table of numbered codes.
+
+use pomelorun_wire::Code;
+
+const DOC: &str = include_str!("../../../../docs/CODES.md");
+
+#[test]
+fn codes_are_unique_and_ascending() {
+    for pair in Code::TABLE.windows(2) {
+        assert!(pair[0].code < pair[1].code, "{} and {}", pair[0].code, pair[1].code);
+    }
+}
+
+#[test]
+fn the_page_lists_the_table() {
+    let mut rows = String::new();
+    for it in Code::TABLE {
+        rows += &format!("| {} | `{}` | {} | {} |\n", it.code, it.name, it.meaning, it.action);
+    }
+    assert!(DOC.ends_with(&rows), "docs/CODES.md must end with:\n{rows}");
+}
--- /dev/null
+++ b/crates/pomelorun-wire/tests/wire/main.rs
@@ -0,0 +1,6 @@
+//! Tests of packets, messages and codes.
+
+#![allow(missing_docs, reason = "tests")]
+
+mod codes;
+mod packets;
--- a/crates/pomelorun/src/daemon.rs
+++ b/crates/pomelorun/src/daemon.rs
@@ -24,8 +24,8 @@
 
 /// Time between two looks at whether a leaving host has finished.
 const DRAIN_LOOK: Duration = Duration::from_millis(50);
-/// Time that other hosts have to notice the announcement before the first look.
-const DRAIN_AT_LEAST: Duration = Duration::from_millis(500);
+/// Time that a leaving host stays to be asked for flows.
+const DRAIN_AT_LEAST: Duration = Duration::from_millis(1_500);
 
 /// Why a daemon did not start or ended early.
 #[derive(Debug, Error)]
--- /dev/null
+++ b/crates/pomelorun/tests/daemon/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the daemon's settings.
+
+#![allow(missing_docs, reason = "tests")]
+
+mod settings;
