--- /dev/null
+++ b/crates/pomelorun-core/src/host/control.rs
@@ -0,0 +1,145 @@
+//! Control messages, configuration, membership and leaving.
+
+use std::sync::Arc;
+
+use pomelorun_wire::{Code, Envelope, FlowKey, Header, Kind, PeerMsg, UpstreamId};
+
+use crate::{
+    action::{Action, Actions},
+    host::{GIVE_UP_PER_TICK, HostCore},
+    snapshot::Snapshot,
+    time::Millis,
+    view::{View, ViewHost},
+};
+
+impl HostCore {
+    /// Tells callers that their flows are given up, a bounded number at a time.
+    pub(super) fn give_up_some(&mut self, out: &mut Actions) {
+        let count = self.give_up.len().min(GIVE_UP_PER_TICK);
+        let Some(snapshot) = self.history.first() else { return };
+        for flow in self.give_up.drain(..count) {
+            let known = snapshot.service(flow.service).is_some();
+            let code = if known { Code::ZONE_OUT } else { Code::SERVICE_UNKNOWN };
+            let header = Header::new(Kind::GivenUp, &flow).code(code.0);
+            out.push(Action::Reply(header));
+        }
+    }
+
+    pub(super) fn peer(&mut self, now: Millis, envelope: &Envelope, out: &mut Actions) {
+        let from = envelope.from;
+        match &envelope.msg {
+            PeerMsg::Ping { .. } | PeerMsg::Pong { .. } | PeerMsg::PingReq { .. } => {
+                let revision = self.revision();
+                let sent = self.members.message(now, from, &envelope.msg, revision);
+                out.extend(sent.into_iter().map(|(to, msg)| Action::Peer { to, msg }));
+                self.refresh_view(now, out);
+            }
+            PeerMsg::Record { upstream, entry } => self.with_role(now, *upstream, |it, cx| {
+                let msg = it.replica_record(cx, from, entry);
+                out.push(Action::Peer { to: from, msg });
+            }),
+            PeerMsg::Replica { state } => self.with_role(now, state.upstream, |it, cx| {
+                let msg = it.replica(cx, from, state);
+                out.push(Action::Peer { to: from, msg });
+            }),
+            PeerMsg::RecordAck { upstream, key, accepted } => {
+                self.with_role(now, *upstream, |it, cx| {
+                    it.record_acked(cx, from, key, *accepted, out);
+                });
+            }
+            PeerMsg::ReplicaAck { upstream, accepted } => {
+                self.with_role(now, *upstream, |it, cx| {
+                    it.replica_acked(cx, from, *accepted, out);
+                });
+            }
+            PeerMsg::TakeOver { upstream } => {
+                let leaving = self.leaving;
+                self.with_role(now, *upstream, |it, cx| it.asked(cx, from, leaving, out));
+            }
+            PeerMsg::HandOver { upstream, verdict } => {
+                self.with_role(now, *upstream, |it, cx| it.answered(cx, from, verdict, out));
+            }
+            PeerMsg::Flows { entries } => {
+                for it in entries {
+                    if self.flows.insert(now, &it.flow, it.upstream).is_none() {
+                        self.chooser.add(it.upstream);
+                    }
+                }
+            }
+        }
+    }
+
+    pub(super) fn snapshot(&mut self, now: Millis, snapshot: Arc<Snapshot>, out: &mut Actions) {
+        if snapshot.revision <= self.revision() {
+            out.push(Action::Count(Code::CONFIG_REGRESSION));
+            return;
+        }
+        self.flows.rebucket(snapshot.buckets);
+        self.history.insert(0, Arc::clone(&snapshot));
+        self.history.truncate(self.cfg.history.max(1));
+        let keeps = |flow: &FlowKey, id: UpstreamId| {
+            snapshot.service(flow.service).is_some()
+                && snapshot.upstream(id).is_some_and(|it| !snapshot.is_out(it.zone))
+        };
+        let lost: Vec<FlowKey> =
+            self.flows.iter().filter(|(flow, id)| !keeps(flow, *id)).map(|it| it.0).collect();
+        for flow in lost {
+            self.forget(&flow);
+            if self.view.keeper(self.flows.bucket_of(&flow)) == Some(self.me) {
+                self.give_up.push(flow);
+            }
+        }
+        self.stewards.retain(|it| snapshot.upstream(it.id()).is_some());
+        for it in &mut self.stewards {
+            if let Some(upstream) = snapshot.upstream(it.id()) {
+                it.resize(upstream);
+            }
+        }
+        self.rebuild_view(now, out);
+    }
+
+    pub(super) fn refresh_view(&mut self, now: Millis, out: &mut Actions) {
+        if self.members.take_changed() {
+            self.rebuild_view(now, out);
+        }
+    }
+
+    pub(super) fn rebuild_view(&mut self, now: Millis, out: &mut Actions) {
+        let Some(snapshot) = self.history.first().cloned() else { return };
+        if !self.members.list_was_read() {
+            return;
+        }
+        let mut hosts: Vec<ViewHost> = self
+            .members
+            .others()
+            .iter()
+            .filter(|it| it.takes_work() && !snapshot.is_out(it.zone))
+            .map(|it| ViewHost { host: it.host, zone: it.zone })
+            .collect();
+        if !self.leaving && !snapshot.is_out(self.zone) {
+            let me = ViewHost { host: self.me, zone: self.zone };
+            let at = hosts.partition_point(|it| it.host < self.me);
+            hosts.insert(at, me);
+        }
+        self.view = View::new(&snapshot, hosts);
+        let zone = self.zone;
+        for upstream in snapshot.upstreams.iter().filter(|it| it.zone == zone) {
+            if self.view.steward(upstream.id) == Some(self.me) {
+                self.take_role(now, upstream.id, out);
+            }
+        }
+    }
+
+    pub(super) fn leave(&mut self, now: Millis, out: &mut Actions) {
+        if self.leaving {
+            return;
+        }
+        self.leaving = true;
+        self.hand_over = self.exceptions();
+        self.members.leave();
+        let revision = self.revision();
+        let sent = self.members.farewell(revision);
+        out.extend(sent.into_iter().map(|(to, msg)| Action::Peer { to, msg }));
+        self.refresh_view(now, out);
+    }
+}
--- /dev/null
+++ b/crates/pomelorun-core/src/host/entry.rs
@@ -0,0 +1,153 @@
+//! Packets from the fabric and from other hosts, and who is to deal with them.
+
+use pomelorun_wire::{Code, HostId, Kind, Packet, Relay, RelayHeader, Stage, UpstreamId};
+
+use crate::{
+    action::{Action, Actions},
+    host::{HOPS, HostCore},
+    time::Millis,
+};
+
+/// What to do with a packet that reaches its keeper.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Next {
+    /// The flow lives there.
+    Steward(UpstreamId),
+    /// Ask this host, after so many others.
+    Probe(HostId, u16),
+    /// Tell the caller that the flow is given up.
+    GiveUp(Code),
+    /// Tell the caller to come back.
+    ComeBack(Code),
+}
+
+impl HostCore {
+    pub(super) fn fabric(&mut self, now: Millis, packet: &Packet<'_>, out: &mut Actions) {
+        self.stats.fabric_packets += 1;
+        if !packet.kind().is_from_caller() {
+            out.push(Action::Count(Code::PACKET_MALFORMED));
+            return;
+        }
+        let Some(snapshot) = self.history.first() else {
+            self.come_back(packet, Code::NOT_READY, out);
+            return;
+        };
+        if snapshot.service(packet.flow().service).is_none() {
+            self.come_back(packet, Code::SERVICE_UNKNOWN, out);
+            return;
+        }
+        if let Some(upstream) = self.flows.get(&packet.flow())
+            && self.view.steward(upstream) == Some(self.me)
+        {
+            self.route_to_steward(now, packet, upstream, HOPS, out);
+            return;
+        }
+        self.route_to_keeper(now, packet, HOPS, out);
+    }
+
+    pub(super) fn relayed(&mut self, now: Millis, relay: &Relay<'_>, out: &mut Actions) {
+        let packet = &relay.packet;
+        let Some(hops) = relay.hops_left().checked_sub(1) else {
+            self.come_back(packet, Code::HOPS_SPENT, out);
+            return;
+        };
+        match relay.stage() {
+            Stage::Keeper => self.route_to_keeper(now, packet, hops, out),
+            Stage::Steward => self.route_to_steward(now, packet, relay.upstream(), hops, out),
+            Stage::Probe => self.probed(now, relay, hops, out),
+            Stage::ProbeMissed => {
+                let next = self.next_probe(now, &packet.flow(), relay.rank() + 1);
+                self.carry_out(now, packet, next, hops, out);
+            }
+        }
+    }
+
+    pub(super) fn route_to_keeper(
+        &mut self,
+        now: Millis,
+        packet: &Packet<'_>,
+        hops: u8,
+        out: &mut Actions,
+    ) {
+        let flow = packet.flow();
+        match self.view.keeper(self.flows.bucket_of(&flow)) {
+            Some(keeper) if keeper == self.me => {
+                let next = self.keep(now, packet);
+                self.carry_out(now, packet, next, hops, out);
+            }
+            Some(keeper) => self.relay(keeper, Stage::Keeper, hops, |it| it, packet, out),
+            None => self.come_back(packet, Code::NO_UPSTREAM, out),
+        }
+    }
+
+    pub(super) fn carry_out(
+        &mut self,
+        now: Millis,
+        packet: &Packet<'_>,
+        next: Next,
+        hops: u8,
+        out: &mut Actions,
+    ) {
+        match next {
+            Next::Steward(id) => self.route_to_steward(now, packet, id, hops, out),
+            Next::Probe(host, asked) => {
+                self.relay(host, Stage::Probe, HOPS, |it| it.rank(asked), packet, out);
+            }
+            Next::GiveUp(code) => {
+                let header = packet.header().kind(Kind::GivenUp).code(code.0);
+                out.push(Action::Reply(header));
+            }
+            Next::ComeBack(code) => self.come_back(packet, code, out),
+        }
+    }
+
+    /// Hands the packet to the steward of its upstream, or acts as that steward.
+    pub(super) fn route_to_steward(
+        &mut self,
+        now: Millis,
+        packet: &Packet<'_>,
+        id: UpstreamId,
+        hops: u8,
+        out: &mut Actions,
+    ) {
+        match self.view.steward(id) {
+            Some(steward) if steward == self.me => self.steward(now, packet, id, out),
+            Some(steward) => {
+                self.relay(steward, Stage::Steward, hops, |it| it.upstream(id), packet, out);
+            }
+            None => self.come_back(packet, Code::ZONE_CUT, out),
+        }
+    }
+
+    pub(super) fn relay(
+        &mut self,
+        to: HostId,
+        stage: Stage,
+        hops: u8,
+        tag: impl Fn(RelayHeader) -> RelayHeader,
+        packet: &Packet<'_>,
+        out: &mut Actions,
+    ) {
+        if hops == 0 {
+            self.come_back(packet, Code::HOPS_SPENT, out);
+            return;
+        }
+        let header = tag(RelayHeader::new(stage, hops, self.me, self.revision()));
+        out.push(Action::Relay { to, header });
+    }
+
+    /// Gives a packet up without knowing what became of earlier copies of it.
+    pub(super) fn come_back(&self, packet: &Packet<'_>, code: Code, out: &mut Actions) {
+        let kind = match packet.kind() {
+            Kind::Open => Kind::NotRun,
+            Kind::Request => Kind::OutcomeUnknown,
+            _ => {
+                out.push(Action::Count(code));
+                return;
+            }
+        };
+        let after = self.cfg.come_back_ms.as_u16();
+        let header = packet.header().kind(kind).code(code.0).retry_after_ms(after);
+        out.push(Action::Reply(header));
+    }
+}
--- /dev/null
+++ b/crates/pomelorun-core/src/host/roles.rs
@@ -0,0 +1,130 @@
+//! The role of steward, as far as the whole host is concerned.
+
+use std::net::SocketAddrV4;
+
+use pomelorun_wire::{Code, HostId, Kind, MemberState, Packet, UpstreamId};
+
+use crate::{
+    action::{Action, Actions},
+    host::HostCore,
+    steward::{Steward, StewardCx},
+    time::Millis,
+    view::{Ranked, steward_score},
+};
+
+impl HostCore {
+    /// Acts as the steward of the packet's upstream.
+    pub(super) fn steward(
+        &mut self,
+        now: Millis,
+        packet: &Packet<'_>,
+        id: UpstreamId,
+        out: &mut Actions,
+    ) {
+        let Some(addr) = self.upstream_addr(id) else {
+            self.come_back(packet, Code::NO_UPSTREAM, out);
+            return;
+        };
+        let flow = packet.flow();
+        if packet.kind() == Kind::Close {
+            self.forget(&flow);
+            out.push(Action::ToUpstream(addr));
+            return;
+        }
+        if self.flows.touch(now, &flow) != Some(id) {
+            self.flows.insert(now, &flow, id);
+            self.chooser.add(id);
+        }
+        if packet.kind() == Kind::Open {
+            out.push(Action::ToUpstream(addr));
+            return;
+        }
+        self.with_role(now, id, |it, cx| match packet.kind() {
+            Kind::Cancel => it.cancel(cx, packet, out),
+            _ => it.request(cx, packet, out),
+        });
+    }
+
+    pub(super) fn upstream(
+        &mut self,
+        now: Millis,
+        from: SocketAddrV4,
+        packet: &Packet<'_>,
+        out: &mut Actions,
+    ) {
+        let flow = packet.flow();
+        let id = self.flows.get(&flow).filter(|&it| self.upstream_addr(it) == Some(from));
+        let Some(id) = id else {
+            out.push(Action::Count(Code::ANSWER_UNEXPECTED));
+            return;
+        };
+        match packet.kind() {
+            Kind::Opened => out.push(Action::ToCaller),
+            Kind::Reset => {
+                self.forget(&flow);
+                out.push(Action::ToCaller);
+            }
+            Kind::Answer | Kind::Shed => {
+                self.with_role(now, id, |it, cx| it.answer(cx, packet, out));
+            }
+            _ => out.push(Action::Count(Code::PACKET_MALFORMED)),
+        }
+    }
+
+    pub(super) fn upstream_addr(&self, id: UpstreamId) -> Option<SocketAddrV4> {
+        Some(self.history.first()?.upstream(id)?.addr)
+    }
+
+    pub(super) fn take_role(&mut self, now: Millis, id: UpstreamId, out: &mut Actions) {
+        let others = self.previous_stewards(id);
+        let members = &self.members;
+        let dead: Vec<HostId> = members
+            .others()
+            .iter()
+            .filter(|it| it.state == MemberState::Dead)
+            .map(|it| it.host)
+            .collect();
+        let is_dead = |host: HostId| dead.binary_search(&host).is_ok();
+        self.with_role(now, id, |it, cx| it.take_role(cx, others, &is_dead, out));
+    }
+
+    /// The hosts of this zone, leaving ones included, that may have been the steward so far.
+    pub(super) fn previous_stewards(&self, id: UpstreamId) -> Ranked {
+        const ASKED: usize = 3;
+        let mut ranked: Vec<(u64, HostId)> = self
+            .members
+            .others()
+            .iter()
+            .filter(|it| it.zone == self.zone && it.state != MemberState::Dead)
+            .map(|it| (steward_score(it.host, id), it.host))
+            .collect();
+        ranked.sort_unstable_by(|a, b| b.cmp(a));
+        ranked.iter().take(ASKED).map(|it| it.1).collect()
+    }
+
+    /// Runs `f` on this host's state of an upstream of its zone, creating it where needed.
+    pub(super) fn with_role(
+        &mut self,
+        now: Millis,
+        id: UpstreamId,
+        f: impl FnOnce(&mut Steward, &StewardCx<'_>),
+    ) {
+        let Some(snapshot) = self.history.first() else { return };
+        let Some(upstream) = snapshot.upstream(id) else { return };
+        let cx = StewardCx {
+            now,
+            me: self.me,
+            cfg: &self.cfg,
+            upstream,
+            pool: snapshot.pool_of(upstream),
+        };
+        let at = match self.stewards.binary_search_by_key(&id, Steward::id) {
+            Ok(at) => at,
+            Err(at) => {
+                self.stewards.insert(at, Steward::new(&cx));
+                at
+            }
+        };
+        f(&mut self.stewards[at], &cx);
+    }
+}
