--- a/crates/pomelorun-standins/src/demo.rs
+++ b/crates/pomelorun-standins/src/demo.rs
@@ -3,22 +3,20 @@
 
 use std::{
     fs,
-    io::{IsTerminal, Write},
-    path::{Path, PathBuf},
-    process::Stdio,
+    path::PathBuf,
     time::{Duration, Instant},
 };
 
 use pomelorun_config::{Bundle, ObjectSet, compile};
 use pomelorun_core::{ServiceView, Snapshot};
 use serde::Serialize;
-use serde_json::json;
 use thiserror::Error;
 
 use crate::{
     callers::{CallersCommand, CallersLine, CallersPlan, CallersReport, ServicePlan},
     child::{Child, ChildError},
     deployment::{Deployment, HostPlan, Layout, ServiceLoad, load_deployment},
+    harness::{self, HarnessError},
     network::{LinkPlan, NetworkCommand, NetworkPlan, NetworkReport},
     platform::{HostRow, PlatformPlan},
     upstreams::{UpstreamCommand, UpstreamPlan, UpstreamsPlan, UpstreamsReport},
@@ -26,8 +24,6 @@
 
 /// Time for a stand-in to start.
 const START: Duration = Duration::from_secs(10);
-/// Time for all hosts to have the first revision in force.
-const HOSTS_READY: Duration = Duration::from_secs(15);
 /// Time for the hosts to settle who is the steward of what, before callers come.
 const SETTLE: Duration = Duration::from_secs(4);
 /// Time over which the flows are opened, seconds.
@@ -67,13 +63,13 @@
     /// A process did not do its part.
     #[error(transparent)]
     Child(#[from] ChildError),
+    /// A process could not be started or did not answer.
+    #[error(transparent)]
+    Harness(#[from] HarnessError),
     /// A file could not be written.
     #[error(transparent)]
     File(#[from] std::io::Error),
-    /// The platform or a host did not answer.
-    #[error("{0}")]
-    Http(String),
-    /// A host did not become ready or did not leave in time.
+    /// A host did not leave in time.
     #[error("{0}")]
     Host(String),
 }
@@ -145,7 +141,7 @@
     layout.place(&mut set);
     let work = std::env::temp_dir().join(format!("pomelorun-demo-{}", std::process::id()));
     fs::create_dir_all(&work)?;
-    let daemon = build_daemon()?;
+    let daemon = harness::build_daemon()?;
     let mut demo = Demo {
         options: options.clone(),
         deployment,
@@ -164,29 +160,6 @@
     report
 }
 
-/// Builds the daemon where cargo runs this program, and finds it beside this program.
-fn build_daemon() -> Result<PathBuf, DemoError> {
-    if let Some(cargo) = std::env::var_os("CARGO") {
-        progress("building the daemon");
-        let mut command = std::process::Command::new(cargo);
-        command.args(["build", "--quiet", "-p", "pomelorund"]);
-        if !cfg!(debug_assertions) {
-            command.arg("--release");
-        }
-        let status = command.stdin(Stdio::null()).status()?;
-        if !status.success() {
-            return Err(DemoError::Host("the daemon does not build".to_owned()));
-        }
-    }
-    let beside = std::env::current_exe()?;
-    let dir = beside.parent().unwrap_or(Path::new("."));
-    // Test programs lie one directory below the binaries.
-    let found = [dir.join("pomelorund"), dir.join("../pomelorund")];
-    found.into_iter().find(|it| it.exists()).ok_or_else(|| {
-        DemoError::Host("no `pomelorund` beside this program; build the workspace".to_owned())
-    })
-}
-
 /// A daemon and its place in the layout.
 struct RunningHost {
     plan: HostPlan,
@@ -210,16 +183,16 @@
 impl Demo {
     async fn run(&mut self) -> Result<DemoReport, DemoError> {
         let snapshot = compile(1, &self.set).map_err(|e| DemoError::Deployment(e.to_string()))?;
-        progress("starting the platform, the network and the upstreams");
+        harness::progress("starting the platform, the network and the upstreams");
         let plan = PlatformPlan { address: self.layout.platform() };
-        let _platform = self.stand_in("platform", &plan)?;
+        let _platform = harness::stand_in("platform", &plan)?;
         self.publish().await?;
         let replacement = self.replacement();
         let mut all = self.deployment.hosts.clone();
         all.push(replacement.clone());
-        let mut network = self.stand_in("network", &self.network_plan(&all))?;
-        let mut upstreams = self.stand_in("upstreams", &self.upstreams_plan(&snapshot)?)?;
-        progress("starting the hosts");
+        let mut network = harness::stand_in("network", &self.network_plan(&all))?;
+        let mut upstreams = harness::stand_in("upstreams", &self.upstreams_plan(&snapshot)?)?;
+        harness::progress("starting the hosts");
         let plans = self.deployment.hosts.clone();
         self.list_hosts(&plans, &all).await?;
         for (number, plan) in plans.iter().enumerate() {
@@ -227,7 +200,7 @@
         }
         self.wait_ready().await?;
         actix_rt::time::sleep(SETTLE).await;
-        let mut callers = self.stand_in("callers", &self.callers_plan(&snapshot)?)?;
+        let mut callers = harness::stand_in("callers", &self.callers_plan(&snapshot)?)?;
         let start = Instant::now();
         self.watch(&mut callers, start, DRAIN_AT, "opening flows").await?;
         self.drain_one().await?;
@@ -237,7 +210,7 @@
         callers.tell(&CallersCommand::Stop);
         let seen = self.callers_report(&mut callers)?;
         let elapsed = start.elapsed();
-        progress("stopping");
+        harness::progress("stopping");
         upstreams.tell(&UpstreamCommand::Stop(seen.not_run.clone()));
         let served: UpstreamsReport = upstreams.hear(START)?;
         let revision = self.least_revision().await?;
@@ -248,28 +221,8 @@
         Ok(judge(&seen, &served, &traffic, elapsed, hosts, revision, self.revision))
     }
 
-    /// Starts a stand-in and waits until it is ready.
-    fn stand_in<T: Serialize>(&self, name: &str, plan: &T) -> Result<Child, DemoError> {
-        let program = std::env::current_exe()?;
-        let mut child = Child::start(name, &program, &[name], Stdio::inherit())?;
-        child.tell(plan);
-        let ready: String = child.hear(START)?;
-        if ready == "ready" { Ok(child) } else { Err(DemoError::Host(format!("{name}: {ready}"))) }
-    }
-
-    fn platform_url(&self, path: &str) -> String {
-        format!("http://{}{path}", self.layout.platform())
-    }
-
     async fn post<T: Serialize>(&self, path: &str, body: &T) -> Result<(), DemoError> {
-        let url = self.platform_url(path);
-        let sent = client().post(&url).send_json(body).await;
-        let res = sent.map_err(|e| DemoError::Http(format!("{url}: {e}")))?;
-        if res.status().is_success() {
-            Ok(())
-        } else {
-            Err(DemoError::Http(format!("{url}: {}", res.status())))
-        }
+        Ok(harness::post(&harness::platform_url(self.layout, path), body).await?)
     }
 
     async fn publish(&mut self) -> Result<(), DemoError> {
@@ -301,40 +254,17 @@
     }
 
     fn start_host(&mut self, plan: &HostPlan, number: usize) -> Result<(), DemoError> {
-        let settings = json!({
-            "host": plan.name,
-            "zone": plan.zone,
-            "packets": self.layout.host(number),
-            "admin": self.layout.admin(number),
-            "fabric": self.layout.fabric(),
-            "config_service": self.platform_url(&format!("/z/{}", plan.zone)),
-            "host_list": self.platform_url(&format!("/z/{}/v1/hosts", plan.zone)),
-        });
-        let path = self.work.join(format!("{}.json", plan.name));
-        fs::write(&path, settings.to_string())?;
         let log_dir = self.options.logs.as_ref().unwrap_or(&self.work);
         let log = fs::File::create(log_dir.join(format!("{}.log", plan.name)))?;
-        let path = path.display().to_string();
-        let child = Child::start(&plan.name, &self.daemon, &["--settings", &path], log.into())?;
+        let settings = harness::host_settings(self.layout, plan, number);
+        let child = harness::start_daemon(&self.daemon, &self.work, plan, &settings, log.into())?;
         self.hosts.push(RunningHost { plan: plan.clone(), number, child });
         Ok(())
     }
 
     async fn wait_ready(&self) -> Result<(), DemoError> {
-        const LOOK: Duration = Duration::from_millis(50);
-        let start = Instant::now();
         for host in &self.hosts {
-            let url = format!("http://{}/v1/health", self.layout.admin(host.number));
-            loop {
-                let answer = client().get(&url).send().await;
-                if answer.is_ok_and(|it| it.status().is_success()) {
-                    break;
-                }
-                if start.elapsed() > HOSTS_READY {
-                    return Err(DemoError::Host(format!("{} is not ready", host.plan.name)));
-                }
-                actix_rt::time::sleep(LOOK).await;
-            }
+            harness::wait_ready(self.layout, &host.plan, host.number).await?;
         }
         Ok(())
     }
@@ -352,7 +282,10 @@
                 (self.open, self.answered) = (open, answered);
             }
             let at = start.elapsed().as_secs();
-            progress(&format!("{at:>3} s  {} flows, {} answers  {what}", self.open, self.answered));
+            harness::progress(&format!(
+                "{at:>3} s  {} flows, {} answers  {what}",
+                self.open, self.answered
+            ));
         }
         Ok(())
     }
@@ -409,11 +342,7 @@
     async fn least_revision(&self) -> Result<u64, DemoError> {
         let mut least = u64::MAX;
         for host in &self.hosts {
-            let url = format!("http://{}/v1/status", self.layout.admin(host.number));
-            let http = |e: &dyn std::fmt::Display| DemoError::Http(format!("{url}: {e}"));
-            let mut res = client().get(&url).send().await.map_err(|e| http(&e))?;
-            let status: serde_json::Value =
-                res.json().limit(16 << 20).await.map_err(|e| http(&e))?;
+            let status = harness::status(self.layout, host.number).await?;
             least = least.min(status["revision"].as_u64().unwrap_or(0));
         }
         Ok(least)
@@ -601,17 +530,3 @@
     };
     pools.iter().map(|it| ratio(&it.1)).fold(0.0, f64::max)
 }
-
-/// A client for one call: between calls this program blocks, and kept connections would go stale.
-fn client() -> awc::Client {
-    awc::Client::default()
-}
-
-/// Shows progress on a terminal.
-fn progress(text: &str) {
-    let mut err = std::io::stderr();
-    if err.is_terminal() {
-        // Progress that cannot be shown is no fault.
-        let _ = write!(err, "\r\x1b[K{text}").and_then(|()| err.flush());
-    }
-}
--- a/crates/pomelorun-standins/src/lib.rs
+++ b/crates/pomelorun-standins/src/lib.rs
@@ -8,6 +8,7 @@
 mod child;
 mod demo;
 mod deployment;
+mod harness;
 mod line;
 mod network;
 mod platform;
@@ -18,6 +19,7 @@
     child::{Child, ChildError},
     demo::{DemoError, DemoOptions, DemoReport, run_demo},
     deployment::{Deployment, HostPlan, Layout, ServiceLoad, load_deployment},
+    harness::HarnessError,
     line::{Lines, Polled, say},
     network::{LinkPlan, NetworkCommand, NetworkPlan, NetworkReport, run_network},
     platform::{Fault, HostRow, PlatformPlan, run_platform},
