--- a/crates/pomelorun-standins/src/lib.rs
+++ b/crates/pomelorun-standins/src/lib.rs
@@ -12,6 +12,7 @@
 mod line;
 mod network;
 mod platform;
+mod throughput;
 mod upstreams;
 
 pub use crate::{
@@ -23,6 +24,9 @@
     line::{Lines, Polled, say},
     network::{LinkPlan, NetworkCommand, NetworkPlan, NetworkReport, run_network},
     platform::{Fault, HostRow, PlatformPlan, run_platform},
+    throughput::{
+        ForwarderPlan, ThroughputOptions, ThroughputReport, run_forwarder, run_throughput,
+    },
     upstreams::{
         UpstreamCommand, UpstreamPlan, UpstreamSeen, UpstreamsPlan, UpstreamsReport, WARM_AFTER,
         run_upstreams,
--- a/crates/pomelorun-standins/src/main.rs
+++ b/crates/pomelorun-standins/src/main.rs
@@ -3,7 +3,7 @@
 use std::{path::PathBuf, process::ExitCode};
 
 use gumdrop::Options;
-use pomelorun_standins::{DemoOptions, PlatformPlan};
+use pomelorun_standins::{DemoOptions, PlatformPlan, ThroughputOptions};
 
 /// Stand-ins for the platform, upstreams and callers of pomelorun.
 #[derive(Debug, Options)]
@@ -26,6 +26,10 @@
     Upstreams(NoArgs),
     /// stand in for the callers
     Callers(NoArgs),
+    /// forward datagrams and do nothing else
+    Forwarder(NoArgs),
+    /// measure packets a second through a daemon beside a bare forwarder
+    Throughput(ThroughputArgs),
 }
 
 #[derive(Debug, Options)]
@@ -34,6 +38,18 @@
     help: bool,
 }
 
+#[derive(Debug, Options)]
+struct ThroughputArgs {
+    /// print this help
+    help: bool,
+    /// turns of each device
+    #[options(no_short, default = "7", meta = "N")]
+    rounds: u32,
+    /// packets in each turn
+    #[options(no_short, default = "300000", meta = "N")]
+    packets: u64,
+}
+
 #[derive(Debug, Options)]
 struct DemoArgs {
     /// print this help
@@ -60,6 +76,8 @@
         Some(Command::Platform(_)) => platform().await,
         Some(Command::Network(_)) => pomelorun_standins::run_network(),
         Some(Command::Upstreams(_)) => pomelorun_standins::run_upstreams().await,
+        Some(Command::Throughput(args)) => return throughput(&args).await,
+        Some(Command::Forwarder(_)) => pomelorun_standins::run_forwarder(),
         Some(Command::Callers(_)) => pomelorun_standins::run_callers().await,
         None => {
             eprintln!("a command is required\n\n{}", Args::usage());
@@ -81,16 +99,35 @@
     pomelorun_standins::run_platform(&plan).await
 }
 
+/// Prints a report as one JSON object.
+fn print<T: serde::Serialize>(report: &T) {
+    let text = serde_json::to_string(report).expect("reports have string keys only");
+    #[expect(clippy::print_stdout, reason = "the result of the command")]
+    {
+        println!("{text}");
+    }
+}
+
+async fn throughput(args: &ThroughputArgs) -> ExitCode {
+    let options = ThroughputOptions { rounds: args.rounds, packets: args.packets };
+    match pomelorun_standins::run_throughput(options).await {
+        Ok(report) => {
+            print(&report);
+            ExitCode::SUCCESS
+        }
+        Err(e) => {
+            eprintln!("throughput: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 async fn demo(args: DemoArgs) -> ExitCode {
     let options =
         DemoOptions { dir: args.dir, scale: args.scale, seed: args.seed, logs: args.logs };
     match pomelorun_standins::run_demo(&options).await {
         Ok(report) => {
-            let text = serde_json::to_string(&report).expect("reports have string keys only");
-            #[expect(clippy::print_stdout, reason = "the result of the demonstration")]
-            {
-                println!("{text}");
-            }
+            print(&report);
             if report.broken_promises.is_empty() { ExitCode::SUCCESS } else { ExitCode::from(1) }
         }
         Err(e) => {
