Take the queue out of the steward

A move only: what waits, its admission, its end and the handling of a shed request go to steward/queue.rs. No behaviour changes; the tests of the core pass as before.

--- a/crates/pomelorun-core/src/steward.rs
+++ b/crates/pomelorun-core/src/steward.rs
@@ -1,9 +1,10 @@
 //! The steward of one upstream: the single place that counts its requests, runs its limit and
 //! remembers its non-idempotent requests.
 
+mod queue;
 mod succession;
 
-use std::{collections::VecDeque, net::SocketAddrV4};
+use std::net::SocketAddrV4;
 
 use pomelorun_wire::{
     Code, Header, HostId, Kind, Packet, PeerMsg, RecordEntry, RecordKey, RecordState, UpstreamId,
@@ -15,6 +16,7 @@
     record::{Record, Records},
     settings::CoreSettings,
     snapshot::{PoolView, UpstreamView},
+    steward::queue::{Admission, Held, Queue},
     time::Millis,
     view::Ranked,
 };
@@ -115,22 +117,6 @@
     }
 }
 
-/// A request that waits, for a slot or for the replica of its record.
-#[derive(Debug, Clone)]
-struct Held {
-    key: RecordKey,
-    bytes: Box<[u8]>,
-    since: Millis,
-    deadline: Millis,
-    idempotent: bool,
-}
-
-impl Held {
-    fn header(&self) -> Header {
-        Packet::parse(&self.bytes).expect("held bytes were parsed on arrival").header()
-    }
-}
-
 #[derive(Debug, Clone, Copy)]
 struct Backup {
     host: HostId,
@@ -147,7 +133,7 @@
     in_flight: Vec<InFlight>,
     /// When requests that another steward started are over at the latest.
     foreign: Vec<Millis>,
-    queue: VecDeque<Held>,
+    queue: Queue,
     /// Requests whose record is being replicated.
     recording: Vec<Held>,
     records: Records,
@@ -170,7 +156,7 @@
             limit: Limit::new(cx.upstream.cold_slots, cx.upstream.slots),
             in_flight: Vec::new(),
             foreign: Vec::new(),
-            queue: VecDeque::new(),
+            queue: Queue::default(),
             recording: Vec::new(),
             records: Records::default(),
             backup: None,
@@ -226,10 +212,10 @@
                 out.push(Action::ToUpstream(cx.addr()));
             }
             Next::Start => {
-                let held = hold(cx, packet, key);
+                let held = Held::new(cx, packet, key);
                 self.record(cx, held, out);
             }
-            Next::Queue => self.queue.push_back(hold(cx, packet, key)),
+            Next::Queue => self.queue.push(Held::new(cx, packet, key)),
             Next::Refuse(code) => self.refuse(cx, &key, packet.header(), code, out),
             Next::Unknown(code) => out.push(unknown(cx, packet.header(), code)),
             Next::Ignore(code) => out.push(Action::Count(code)),
@@ -248,19 +234,17 @@
         if self.phase == StewardPhase::Standby {
             return Next::Refuse(Code::STEWARD_CHANGING);
         }
-        let free = self.phase == StewardPhase::Active
-            && self.queue.is_empty()
-            && self.limit.admits(cx.now, self.busy());
-        if free {
-            return Next::Start;
+        match self.admission(cx) {
+            Admission::Start => Next::Start,
+            Admission::Wait => Next::Queue,
+            Admission::Refuse => Next::Refuse(Code::BUSY),
         }
-        if self.queue.len() < cx.cfg.queue_len { Next::Queue } else { Next::Refuse(Code::BUSY) }
     }
 
     fn is_in_progress(&self, key: &RecordKey) -> bool {
         self.in_flight.iter().any(|it| it.key == *key)
             || self.recording.iter().any(|it| it.key == *key)
-            || self.queue.iter().any(|it| it.key == *key)
+            || self.queue.contains(key)
     }
 
     /// Records a non-idempotent request, here and at the backup, before it is forwarded.
@@ -333,8 +317,7 @@
     /// The caller gave a request up.
     pub(crate) fn cancel(&mut self, cx: &StewardCx<'_>, packet: &Packet<'_>, out: &mut Actions) {
         let key = RecordKey { flow: packet.flow(), req: packet.req() };
-        if let Some(at) = self.queue.iter().position(|it| it.key == key) {
-            self.queue.remove(at);
+        if self.queue.remove(&key).is_some() {
             self.refuse(cx, &key, packet.header(), Code::CANCELLED, out);
         } else if self.in_flight.iter().any(|it| it.key == key) {
             out.push(Action::ToUpstream(cx.addr()));
@@ -350,10 +333,7 @@
         };
         if packet.kind() == Kind::Shed {
             let it = self.in_flight.swap_remove(at);
-            self.limit.shed(cx.now);
-            self.records.remove(&key);
-            out.push(not_run(cx, it.header, Code::UPSTREAM_SHED));
-            self.pump(cx, out);
+            self.shed(cx, &it, out);
             return;
         }
         if !self.in_flight[at].note_part(packet) {
@@ -377,18 +357,6 @@
         self.records.put(Record { key: it.key, state, idempotent: it.idempotent, keep_until });
     }
 
-    /// Starts what waits, as far as the limit admits.
-    fn pump(&mut self, cx: &StewardCx<'_>, out: &mut Actions) {
-        while self.phase == StewardPhase::Active && self.limit.admits(cx.now, self.busy()) {
-            let Some(held) = self.queue.pop_front() else { return };
-            if held.idempotent {
-                self.forward(cx, held, out);
-            } else {
-                self.record(cx, held, out);
-            }
-        }
-    }
-
     /// Lets time pass.
     pub(crate) fn tick(&mut self, cx: &StewardCx<'_>, out: &mut Actions) {
         self.foreign.retain(|it| *it > cx.now);
@@ -407,18 +375,6 @@
             out.push(unknown(cx, it.header, Code::TIMED_OUT));
         }
     }
-
-    fn drop_late(&mut self, cx: &StewardCx<'_>, out: &mut Actions) {
-        while let Some(at) = self.queue.iter().position(|it| it.deadline <= cx.now) {
-            let held = self.queue.remove(at).expect("position is in range");
-            self.refuse(cx, &held.key, held.header(), Code::BUSY, out);
-        }
-        let late = |it: &Held| cx.now.since(it.since) >= cx.cfg.record_ack_ms;
-        while let Some(at) = self.recording.iter().position(late) {
-            let held = self.recording.swap_remove(at);
-            out.push(unknown(cx, held.header(), Code::NOT_RECORDED));
-        }
-    }
 }
 
 fn deadline_of(cx: &StewardCx<'_>, packet: &Packet<'_>) -> Millis {
@@ -427,16 +383,6 @@
     cx.now + if asked == Millis(0) { max } else { asked.min(max) }
 }
 
-fn hold(cx: &StewardCx<'_>, packet: &Packet<'_>, key: RecordKey) -> Held {
-    Held {
-        key,
-        bytes: packet.bytes().into(),
-        since: cx.now,
-        deadline: deadline_of(cx, packet),
-        idempotent: packet.is_idempotent(),
-    }
-}
-
 fn not_run(cx: &StewardCx<'_>, header: Header, code: Code) -> Action {
     Action::Reply(reply(cx, header, Kind::NotRun, code))
 }
--- a/crates/pomelorun-core/src/steward/succession.rs
+++ b/crates/pomelorun-core/src/steward/succession.rs
@@ -144,7 +144,7 @@
         for held in std::mem::take(&mut self.recording) {
             out.push(unknown(cx, held.header(), Code::STEWARD_CHANGING));
         }
-        for held in std::mem::take(&mut self.queue) {
+        for held in self.queue.take() {
             self.refuse(cx, &held.key, held.header(), Code::STEWARD_CHANGING, out);
         }
         self.know_nothing(cx);
