Remember refused requests so that no copy of them runs

A caller that was told "not run" had its request run: the refusal was not remembered, and a copy that was sent again or duplicated on the way was admitted.

An upstream's shedding now says "not run" only where no earlier copy ran.

A host that does not act as the steward answers "outcome unknown", never "not run": it does not know what the acting one did.

--- a/crates/pomelorun-core/src/steward.rs
+++ b/crates/pomelorun-core/src/steward.rs
@@ -81,6 +81,8 @@
     Start,
     Queue,
     Refuse(Code),
+    /// An earlier copy was refused, so this one must not run either.
+    RefuseAgain,
     Unknown(Code),
     Ignore(Code),
 }
@@ -217,6 +219,7 @@
             }
             Next::Queue => self.queue.push(Held::new(cx, packet, key)),
             Next::Refuse(code) => self.refuse(cx, &key, packet.header(), code, out),
+            Next::RefuseAgain => out.push(not_run(cx, packet.header(), Code::REFUSED_BEFORE)),
             Next::Unknown(code) => out.push(unknown(cx, packet.header(), code)),
             Next::Ignore(code) => out.push(Action::Count(code)),
         }
@@ -226,13 +229,16 @@
         if self.is_in_progress(key) {
             return Next::Ignore(Code::IN_PROGRESS);
         }
+        if self.records.get(key).is_some_and(|it| it.state == RecordState::NotRun) {
+            return Next::RefuseAgain;
+        }
         if !packet.is_idempotent()
             && (self.records.get(key).is_some() || cx.now < self.uncertain_until)
         {
             return Next::Unknown(Code::OUTCOME_UNKNOWN);
         }
         if self.phase == StewardPhase::Standby {
-            return Next::Refuse(Code::STEWARD_CHANGING);
+            return Next::Unknown(Code::STEWARD_CHANGING);
         }
         match self.admission(cx) {
             Admission::Start => Next::Start,
@@ -298,7 +304,7 @@
 
     /// Gives a request up that this steward has not forwarded.
     fn refuse(
-        &self,
+        &mut self,
         cx: &StewardCx<'_>,
         key: &RecordKey,
         header: Header,
@@ -311,7 +317,35 @@
             self.uncertain_until
         };
         let certain = cx.now >= until && self.records.get(key).is_none();
-        out.push(if certain { not_run(cx, header, code) } else { unknown(cx, header, code) });
+        if !certain {
+            out.push(unknown(cx, header, code));
+            return;
+        }
+        self.note_not_run(cx, key, header);
+        out.push(not_run(cx, header, code));
+    }
+
+    /// Tells the caller that the upstream shed a request; an idempotent one may have run before.
+    fn say_shed(&mut self, cx: &StewardCx<'_>, it: &InFlight, out: &mut Actions) {
+        let ran = |it: &Record| it.state == RecordState::Answered;
+        let unsure = it.idempotent && cx.now < self.uncertain_idempotent_until;
+        if unsure || self.records.get(&it.key).is_some_and(ran) {
+            out.push(unknown(cx, it.header, Code::UPSTREAM_SHED));
+            return;
+        }
+        self.note_not_run(cx, &it.key, it.header);
+        out.push(not_run(cx, it.header, Code::UPSTREAM_SHED));
+    }
+
+    /// Remembers that a caller is told "not run" for as long as a copy of the request may arrive.
+    fn note_not_run(&mut self, cx: &StewardCx<'_>, key: &RecordKey, header: Header) {
+        let resent_for = Millis(u64::from(header.time_left_ms())).max(cx.pool.max_deadline);
+        self.records.put(Record {
+            key: *key,
+            state: RecordState::NotRun,
+            idempotent: header.is_idempotent(),
+            keep_until: cx.now + resent_for + cx.cfg.packet_life_ms,
+        });
     }
 
     /// The caller gave a request up.
--- a/crates/pomelorun-core/src/steward/queue.rs
+++ b/crates/pomelorun-core/src/steward/queue.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     action::Actions,
-    steward::{InFlight, Steward, StewardCx, StewardPhase, deadline_of, not_run, unknown},
+    steward::{InFlight, Steward, StewardCx, StewardPhase, deadline_of, unknown},
     time::Millis,
 };
 
@@ -116,8 +116,7 @@
     /// The upstream shed a request, which therefore has not run.
     pub(super) fn shed(&mut self, cx: &StewardCx<'_>, it: &InFlight, out: &mut Actions) {
         self.limit.shed(cx.now);
-        self.records.remove(&it.key);
-        out.push(not_run(cx, it.header, Code::UPSTREAM_SHED));
+        self.say_shed(cx, it, out);
         self.pump(cx, out);
     }
 
--- a/crates/pomelorun-wire/src/packet.rs
+++ b/crates/pomelorun-wire/src/packet.rs
@@ -171,6 +171,11 @@
         self.flags & FLAG_NON_IDEMPOTENT == 0
     }
 
+    /// Returns the time that was left for the request, milliseconds.
+    pub fn time_left_ms(&self) -> u16 {
+        self.deadline_ms.get()
+    }
+
     /// Returns the numbered result code.
     pub fn result(&self) -> Code {
         Code(self.code.get())
