Count outcomes by service where they are decided

Cause: a burn report needs, for each service, flows opened, broken and given up, and requests answered, answered in time, refused and unknown; hosts counted codes only.

The bound is exact and needs two counters, so it was taken; a changed objective counts from its revision on.

Change: ServiceCounts, a sorted vector over the services in force, filled from the actions of each event; the steward notes a full answer with the time since it arrived, its wait in the queue included.

--- a/crates/pomelorun-config/src/compile.rs
+++ b/crates/pomelorun-config/src/compile.rs
@@ -48,6 +48,7 @@
             },
             name: service.name.clone(),
             pool,
+            answer_within: Millis(service.objectives.answer_within_ms),
         });
     }
     snapshot.services.sort_by_key(|it| it.addr);
--- a/crates/pomelorun-core/src/host.rs
+++ b/crates/pomelorun-core/src/host.rs
@@ -16,6 +16,7 @@
     choice::Chooser,
     flow_table::FlowTable,
     members::Members,
+    service_counts::ServiceCounts,
     settings::CoreSettings,
     snapshot::Snapshot,
     stats::Stats,
@@ -54,6 +55,7 @@
     /// Flows whose new keepers cannot find them by themselves, to be told on leaving.
     hand_over: Vec<FlowEntry>,
     stats: Stats,
+    services: ServiceCounts,
     /// When the last packet left for upstreams of a zone, sorted by zone.
     last_packets: Vec<(ZoneId, Millis)>,
     last_tick: Option<Millis>,
@@ -86,6 +88,7 @@
             give_up: Vec::new(),
             hand_over: Vec::new(),
             stats: Stats::default(),
+            services: ServiceCounts::default(),
             last_packets: Vec::new(),
             last_tick: None,
             leaving: false,
@@ -96,6 +99,10 @@
     pub fn handle(&mut self, now: Millis, event: Event<'_>) -> Actions {
         let mut out = Actions::new();
         self.check_awake(now, &mut out);
+        let answer = match &event {
+            Event::Upstream { packet, .. } => Some((packet.flow().service, packet.kind())),
+            _ => None,
+        };
         match event {
             Event::Fabric(packet) => self.fabric(now, &packet, &mut out),
             Event::Relayed(relay) => self.relayed(now, &relay, &mut out),
@@ -110,6 +117,7 @@
             Event::Leave => self.leave(now, &mut out),
         }
         self.tally(now, &out);
+        self.services.tally(answer, &out);
         out
     }
 
@@ -133,6 +141,11 @@
         &self.stats
     }
 
+    /// Outcomes by service since the start.
+    pub fn services(&self) -> &ServiceCounts {
+        &self.services
+    }
+
     /// The hosts known here.
     pub fn members(&self) -> &Members {
         &self.members
--- a/crates/pomelorun-core/src/host/control.rs
+++ b/crates/pomelorun-core/src/host/control.rs
@@ -74,6 +74,7 @@
             out.push(Action::Count(Code::CONFIG_REGRESSION));
             return;
         }
+        self.services.follow(&snapshot);
         self.flows.rebucket(snapshot.buckets);
         self.history.insert(0, Arc::clone(&snapshot));
         self.history.truncate(self.cfg.history.max(1));
--- a/crates/pomelorun-core/src/lib.rs
+++ b/crates/pomelorun-core/src/lib.rs
@@ -11,6 +11,7 @@
 mod limit;
 mod members;
 mod record;
+mod service_counts;
 mod settings;
 mod snapshot;
 mod stats;
@@ -26,6 +27,7 @@
     limit::{Limit, LimitReason},
     members::{Member, Members},
     record::{Record, Records},
+    service_counts::{Outcomes, ServiceCounts},
     settings::CoreSettings,
     snapshot::{PoolView, ServiceView, Snapshot, UpstreamView, ZoneView},
     stats::Stats,
--- a/crates/pomelorun-core/src/snapshot.rs
+++ b/crates/pomelorun-core/src/snapshot.rs
@@ -26,6 +26,8 @@
     pub name: String,
     /// Position of its pool in [`Snapshot::pools`].
     pub pool: usize,
+    /// Latency bound of an answer by the service's objectives, milliseconds.
+    pub answer_within: Millis,
 }
 
 /// An upstream pool.
--- a/crates/pomelorun-core/src/steward.rs
+++ b/crates/pomelorun-core/src/steward.rs
@@ -6,7 +6,8 @@
 use std::{collections::VecDeque, net::SocketAddrV4};
 
 use pomelorun_wire::{
-    Code, Header, HostId, Kind, Packet, PeerMsg, RecordEntry, RecordKey, RecordState, UpstreamId,
+    Code, Header, HostId, Kind, Packet, PeerMsg, RecordEntry, RecordKey, RecordState, ServiceAddr,
+    UpstreamId,
 };
 
 use crate::{
@@ -87,6 +88,7 @@
 struct InFlight {
     key: RecordKey,
     header: Header,
+    arrived: Millis,
     started: Millis,
     deadline: Millis,
     idempotent: bool,
@@ -120,6 +122,7 @@
 struct Held {
     key: RecordKey,
     bytes: Box<[u8]>,
+    arrived: Millis,
     since: Millis,
     deadline: Millis,
     idempotent: bool,
@@ -160,6 +163,8 @@
     uncertain_until: Millis,
     /// The same for idempotent requests, whose records are not handed over.
     uncertain_idempotent_until: Millis,
+    /// A full answer that is not counted yet, with the time that it took from its arrival.
+    answered: Option<(ServiceAddr, Millis)>,
 }
 
 impl Steward {
@@ -178,6 +183,7 @@
             stood_down: None,
             uncertain_until: cx.now + cx.settle(),
             uncertain_idempotent_until: cx.now + cx.settle(),
+            answered: None,
         }
     }
 
@@ -208,6 +214,11 @@
         self.in_flight.is_empty() && self.recording.is_empty() && self.queue.is_empty()
     }
 
+    /// Takes the full answer that the last event brought, if any.
+    pub(crate) fn take_answered(&mut self) -> Option<(ServiceAddr, Millis)> {
+        self.answered.take()
+    }
+
     fn busy(&self) -> usize {
         self.in_flight.len() + self.recording.len() + self.foreign.len()
     }
@@ -290,6 +301,9 @@
 
     fn forward(&mut self, cx: &StewardCx<'_>, held: Held, out: &mut Actions) {
         self.note_started(cx, held.key, held.header(), held.deadline, held.idempotent);
+        if let Some(it) = self.in_flight.last_mut() {
+            it.arrived = held.arrived;
+        }
         out.push(Action::HeldToUpstream(cx.addr(), held.bytes));
     }
 
@@ -304,6 +318,7 @@
         self.in_flight.push(InFlight {
             key,
             header,
+            arrived: cx.now,
             started: cx.now,
             deadline,
             idempotent,
@@ -363,6 +378,7 @@
         out.push(Action::ToCaller);
         if self.in_flight[at].parts_left == Some(0) {
             let it = self.in_flight.swap_remove(at);
+            self.answered = Some((key.flow.service, cx.now.since(it.arrived)));
             self.limit.answered(cx.now, cx.now.since(it.started), cx.pool.slow_after);
             self.note_ran(cx, &it);
             self.pump(cx, out);
@@ -431,6 +447,7 @@
     Held {
         key,
         bytes: packet.bytes().into(),
+        arrived: cx.now,
         since: cx.now,
         deadline: deadline_of(cx, packet),
         idempotent: packet.is_idempotent(),
--- a/crates/pomelorun-core/tests/core/main.rs
+++ b/crates/pomelorun-core/tests/core/main.rs
@@ -2,5 +2,6 @@
 
 #![allow(dead_code, missing_docs, reason = "the mesh serves several topics")]
 
+mod counts;
 mod mesh;
 mod path;
--- a/crates/pomelorun-core/tests/core/mesh.rs
+++ b/crates/pomelorun-core/tests/core/mesh.rs
@@ -83,7 +83,8 @@
         max_deadline: Millis(500),
         slow_after: Millis(shape.service_ms * 2),
     };
-    let service = ServiceView { addr: MESA, name: "mesa".to_owned(), pool: 0 };
+    let answer_within = Millis(shape.service_ms * 4);
+    let service = ServiceView { addr: MESA, name: "mesa".to_owned(), pool: 0, answer_within };
     Arc::new(Snapshot {
         revision,
         buckets: 256,
