Let a host explain where a flow's packet would go

Cause: operators could not ask why a flow goes where it goes.

Change: HostCore::explain names bucket, ranking, home, choice, steward and the route of an opening packet and of a request; it changes nothing. The ranking shares the score of the keeper's table.

--- a/crates/pomelorun-core/src/host.rs
+++ b/crates/pomelorun-core/src/host.rs
@@ -2,6 +2,7 @@
 
 mod control;
 mod entry;
+mod explain;
 mod keeper;
 mod roles;
 
@@ -25,6 +26,8 @@
     view::View,
 };
 
+pub use self::explain::{Explanation, Route};
+
 /// How often a packet may be handed on between hosts.
 const HOPS: u8 = 6;
 /// Buckets before the first configuration arrives.
--- /dev/null
+++ b/crates/pomelorun-core/src/host/explain.rs
@@ -0,0 +1,114 @@
+//! What would happen to a flow's packet, for operators. Nothing is changed by asking.
+
+use pomelorun_wire::{Code, FlowKey, HostId, UpstreamId};
+
+use crate::{
+    host::{HostCore, entry::Next},
+    steward::UpstreamStatus,
+    time::Millis,
+    view::bucket_ranking,
+};
+
+/// Hosts that are named in the ranking of a bucket.
+const RANKED: usize = 5;
+
+/// Where this host would send a packet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Route {
+    /// To the upstream, as its steward.
+    Upstream(UpstreamId),
+    /// To the steward of the upstream.
+    Steward(UpstreamId, HostId),
+    /// To the keeper of the flow's bucket.
+    Keeper(HostId),
+    /// To a host that may know the flow.
+    Ask(HostId),
+    /// Nowhere: the caller is told that the flow is given up.
+    GiveUp(Code),
+    /// Nowhere: the caller is told to come back.
+    ComeBack(Code),
+}
+
+/// What one host knows of a flow.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Explanation {
+    /// The flow's bucket.
+    pub bucket: u32,
+    /// The first hosts by score for the bucket, the keeper first.
+    pub ranking: Vec<HostId>,
+    /// Where the flow lives, as this host knows from its packets or from another host.
+    pub home: Option<UpstreamId>,
+    /// Where a new flow with this key would be opened now, as far as this host knows.
+    pub choice: Option<UpstreamId>,
+    /// Steward and backup of the home, or of the choice where no home is known.
+    pub steward: Option<HostId>,
+    /// See `steward`.
+    pub backup: Option<HostId>,
+    /// State of that upstream, where this host holds it.
+    pub status: Option<UpstreamStatus>,
+    /// What would happen to an opening packet that the fabric hands to this host.
+    pub open: Route,
+    /// The same for a request.
+    pub request: Route,
+}
+
+impl HostCore {
+    /// Explains what this host knows of a flow and would do with its packets.
+    pub fn explain(&self, now: Millis, flow: &FlowKey) -> Explanation {
+        let bucket = self.flows.bucket_of(flow);
+        let home = self.flows.get(flow);
+        let choice = self.choice(flow).ok();
+        let subject = home.or(choice);
+        Explanation {
+            bucket,
+            ranking: bucket_ranking(self.view.hosts(), bucket, RANKED),
+            home,
+            choice,
+            steward: subject.and_then(|it| self.view.steward(it)),
+            backup: subject.and_then(|it| self.view.backup(it)),
+            status: self.stewards.iter().find(|it| Some(it.id()) == subject).map(|it| it.status()),
+            open: self.route(flow, |it| it.opened_at(flow)),
+            request: self.route(flow, |it| it.next_probe(now, flow, 0)),
+        }
+    }
+
+    fn choice(&self, flow: &FlowKey) -> Result<UpstreamId, Code> {
+        let snapshot = self.history.first().ok_or(Code::NOT_READY)?;
+        let service = snapshot.service(flow.service).ok_or(Code::SERVICE_UNKNOWN)?;
+        self.choose(snapshot, service, flow).ok_or(Code::NO_UPSTREAM)
+    }
+
+    fn opened_at(&self, flow: &FlowKey) -> Next {
+        self.choice(flow).map_or_else(Next::ComeBack, Next::Steward)
+    }
+
+    fn route(&self, flow: &FlowKey, unknown: impl Fn(&HostCore) -> Next) -> Route {
+        let Some(snapshot) = self.history.first() else { return Route::ComeBack(Code::NOT_READY) };
+        if snapshot.service(flow.service).is_none() {
+            return Route::ComeBack(Code::SERVICE_UNKNOWN);
+        }
+        let home = self.flows.get(flow);
+        if let Some(id) = home.filter(|&it| self.view.steward(it) == Some(self.me)) {
+            return Route::Upstream(id);
+        }
+        let next = match (self.view.keeper(self.flows.bucket_of(flow)), home) {
+            (None, _) => return Route::ComeBack(Code::NO_UPSTREAM),
+            (Some(keeper), _) if keeper != self.me => return Route::Keeper(keeper),
+            (Some(_), None) => unknown(self),
+            (Some(_), Some(id)) => {
+                let out = snapshot.upstream(id).is_none_or(|it| snapshot.is_out(it.zone));
+                if out { Next::GiveUp(Code::ZONE_OUT) } else { Next::Steward(id) }
+            }
+        };
+        match next {
+            Next::Steward(id) => match self.view.steward(id) {
+                Some(steward) if steward == self.me => Route::Upstream(id),
+                Some(steward) => Route::Steward(id, steward),
+                None => Route::ComeBack(Code::ZONE_CUT),
+            },
+            Next::Probe(host, _) => Route::Ask(host),
+            Next::GiveUp(code) => Route::GiveUp(code),
+            Next::ComeBack(code) => Route::ComeBack(code),
+        }
+    }
+}
--- a/crates/pomelorun-core/src/lib.rs
+++ b/crates/pomelorun-core/src/lib.rs
@@ -23,7 +23,7 @@
     action::{Action, Actions, Event, ListedHost},
     choice::{Candidates, Chooser, rendezvous_score},
     flow_table::FlowTable,
-    host::HostCore,
+    host::{Explanation, HostCore, Route},
     limit::{Limit, LimitReason},
     members::{Member, Members},
     record::{Record, Records},
--- a/crates/pomelorun-core/src/view.rs
+++ b/crates/pomelorun-core/src/view.rs
@@ -74,6 +74,15 @@
     hosts.iter().map(|it| it.host).max_by_key(|it| rendezvous_score(it.0, key))
 }
 
+/// The first hosts by score for a bucket, the keeper first.
+pub(crate) fn bucket_ranking(hosts: &[ViewHost], bucket: u32, most: usize) -> Vec<HostId> {
+    let key = BUCKET_SALT ^ u64::from(bucket);
+    let mut ranked: Vec<HostId> = hosts.iter().map(|it| it.host).collect();
+    ranked.sort_by_key(|it| std::cmp::Reverse(rendezvous_score(it.0, key)));
+    ranked.truncate(most);
+    ranked
+}
+
 /// Score of a host as the steward of an upstream.
 pub(crate) fn steward_score(host: HostId, upstream: UpstreamId) -> u64 {
     rendezvous_score(host.0, u64::from(upstream.0))
--- a/crates/pomelorun-core/tests/core/main.rs
+++ b/crates/pomelorun-core/tests/core/main.rs
@@ -3,5 +3,6 @@
 #![allow(dead_code, missing_docs, reason = "the mesh serves several topics")]
 
 mod counts;
+mod explain;
 mod mesh;
 mod path;
