--- a/crates/pomelorun-core/src/lib.rs
+++ b/crates/pomelorun-core/src/lib.rs
@@ -11,6 +11,7 @@
 mod limit;
 mod members;
 mod record;
+mod service_counts;
 mod settings;
 mod snapshot;
 mod stats;
@@ -22,10 +23,11 @@
     action::{Action, Actions, Event, ListedHost},
     choice::{Candidates, Chooser, rendezvous_score},
     flow_table::FlowTable,
-    host::HostCore,
+    host::{Explanation, HostCore, Route},
     limit::{Limit, LimitReason},
     members::{Member, Members},
     record::{Record, Records},
+    service_counts::{Outcomes, ServiceCounts},
     settings::CoreSettings,
     snapshot::{PoolView, ServiceView, Snapshot, UpstreamView, ZoneView},
     stats::Stats,
--- a/crates/pomelorun-core/src/steward.rs
+++ b/crates/pomelorun-core/src/steward.rs
@@ -7,7 +7,8 @@
 use std::net::SocketAddrV4;
 
 use pomelorun_wire::{
-    Code, Header, HostId, Kind, Packet, PeerMsg, RecordEntry, RecordKey, RecordState, UpstreamId,
+    Code, Header, HostId, Kind, Packet, PeerMsg, RecordEntry, RecordKey, RecordState, ServiceAddr,
+    UpstreamId,
 };
 
 use crate::{
@@ -91,6 +92,7 @@
 struct InFlight {
     key: RecordKey,
     header: Header,
+    arrived: Millis,
     started: Millis,
     deadline: Millis,
     idempotent: bool,
@@ -148,6 +150,8 @@
     uncertain_until: Millis,
     /// The same for idempotent requests, whose records are not handed over.
     uncertain_idempotent_until: Millis,
+    /// A full answer that is not counted yet, with the time that it took from its arrival.
+    answered: Option<(ServiceAddr, Millis)>,
 }
 
 impl Steward {
@@ -166,6 +170,7 @@
             stood_down: None,
             uncertain_until: cx.now + cx.settle(),
             uncertain_idempotent_until: cx.now + cx.settle(),
+            answered: None,
         }
     }
 
@@ -196,6 +201,11 @@
         self.in_flight.is_empty() && self.recording.is_empty() && self.queue.is_empty()
     }
 
+    /// Takes the full answer that the last event brought, if any.
+    pub(crate) fn take_answered(&mut self) -> Option<(ServiceAddr, Millis)> {
+        self.answered.take()
+    }
+
     fn busy(&self) -> usize {
         self.in_flight.len() + self.recording.len() + self.foreign.len()
     }
@@ -280,6 +290,9 @@
 
     fn forward(&mut self, cx: &StewardCx<'_>, held: Held, out: &mut Actions) {
         self.note_started(cx, held.key, held.header(), held.deadline, held.idempotent);
+        if let Some(it) = self.in_flight.last_mut() {
+            it.arrived = held.arrived;
+        }
         out.push(Action::HeldToUpstream(cx.addr(), held.bytes));
     }
 
@@ -294,6 +307,7 @@
         self.in_flight.push(InFlight {
             key,
             header,
+            arrived: cx.now,
             started: cx.now,
             deadline,
             idempotent,
@@ -377,6 +391,7 @@
         out.push(Action::ToCaller);
         if self.in_flight[at].parts_left == Some(0) {
             let it = self.in_flight.swap_remove(at);
+            self.answered = Some((key.flow.service, cx.now.since(it.arrived)));
             self.limit.answered(cx.now, cx.now.since(it.started), cx.pool.slow_after);
             self.note_ran(cx, &it);
             self.pump(cx, out);
--- a/crates/pomelorun-core/src/steward/queue.rs
+++ b/crates/pomelorun-core/src/steward/queue.rs
@@ -15,6 +15,7 @@
 pub(super) struct Held {
     pub(super) key: RecordKey,
     pub(super) bytes: Box<[u8]>,
+    pub(super) arrived: Millis,
     pub(super) since: Millis,
     pub(super) deadline: Millis,
     pub(super) idempotent: bool,
@@ -25,6 +26,7 @@
         Held {
             key,
             bytes: packet.bytes().into(),
+            arrived: cx.now,
             since: cx.now,
             deadline: deadline_of(cx, packet),
             idempotent: packet.is_idempotent(),
