--- a/crates/pomelorun-standins/src/lib.rs
+++ b/crates/pomelorun-standins/src/lib.rs
@@ -12,6 +12,7 @@
 mod line;
 mod network;
 mod platform;
+mod slopes;
 mod throughput;
 mod upstreams;
 
@@ -24,6 +25,7 @@
     line::{Lines, Polled, say},
     network::{LinkPlan, NetworkCommand, NetworkPlan, NetworkReport, run_network},
     platform::{Fault, HostRow, PlatformPlan, run_platform},
+    slopes::{Figure, Point, Role, Slope, SlopeError, measure_point, run_slopes, slopes_table},
     throughput::{
         ForwarderPlan, ThroughputOptions, ThroughputReport, run_forwarder, run_throughput,
     },
--- a/crates/pomelorun-standins/src/main.rs
+++ b/crates/pomelorun-standins/src/main.rs
@@ -3,7 +3,7 @@
 use std::{path::PathBuf, process::ExitCode};
 
 use gumdrop::Options;
-use pomelorun_standins::{DemoOptions, PlatformPlan, ThroughputOptions};
+use pomelorun_standins::{DemoOptions, PlatformPlan, Role, ThroughputOptions};
 
 /// Stand-ins for the platform, upstreams and callers of pomelorun.
 #[derive(Debug, Options)]
@@ -28,6 +28,10 @@
     Callers(NoArgs),
     /// forward datagrams and do nothing else
     Forwarder(NoArgs),
+    /// measure how the cost of each role grows
+    Slopes(NoArgs),
+    /// measure one role at one size
+    Slope(SlopeArgs),
     /// measure packets a second through a daemon beside a bare forwarder
     Throughput(ThroughputArgs),
 }
@@ -38,6 +42,18 @@
     help: bool,
 }
 
+#[derive(Debug, Options)]
+struct SlopeArgs {
+    /// print this help
+    help: bool,
+    /// `members`, `view`, `config`, `flows` or `stewards`
+    #[options(free, required)]
+    role: String,
+    /// how many
+    #[options(free, required)]
+    size: usize,
+}
+
 #[derive(Debug, Options)]
 struct ThroughputArgs {
     /// print this help
@@ -77,6 +93,8 @@
         Some(Command::Network(_)) => pomelorun_standins::run_network(),
         Some(Command::Upstreams(_)) => pomelorun_standins::run_upstreams().await,
         Some(Command::Throughput(args)) => return throughput(&args).await,
+        Some(Command::Slopes(_)) => return slopes(),
+        Some(Command::Slope(args)) => return slope(&args),
         Some(Command::Forwarder(_)) => pomelorun_standins::run_forwarder(),
         Some(Command::Callers(_)) => pomelorun_standins::run_callers().await,
         None => {
@@ -108,6 +126,34 @@
     }
 }
 
+fn slopes() -> ExitCode {
+    match pomelorun_standins::run_slopes() {
+        Ok(slopes) => {
+            eprintln!("{}", pomelorun_standins::slopes_table(&slopes));
+            print(&slopes);
+            ExitCode::SUCCESS
+        }
+        Err(e) => {
+            eprintln!("slopes: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn slope(args: &SlopeArgs) -> ExitCode {
+    const LARGEST: usize = 1_000_000;
+    let Some(role) = Role::from_name(&args.role) else {
+        eprintln!("slope: no role is named `{}`; see `slope --help`", args.role);
+        return ExitCode::from(2);
+    };
+    if !(2..=LARGEST).contains(&args.size) {
+        eprintln!("slope: size {} is not in 2..={LARGEST}", args.size);
+        return ExitCode::from(2);
+    }
+    print(&pomelorun_standins::measure_point(role, args.size));
+    ExitCode::SUCCESS
+}
+
 async fn throughput(args: &ThroughputArgs) -> ExitCode {
     let options = ThroughputOptions { rounds: args.rounds, packets: args.packets };
     match pomelorun_standins::run_throughput(options).await {
