Deal small objects out to chunks together

Ruled out: the endpoints themselves, 105 bytes each. Change: objects go to chunks of about 14 KB by a hash of their names, where manifest and chunk are about equally long.

--- a/crates/pomelorun-config/src/bundle.rs
+++ b/crates/pomelorun-config/src/bundle.rs
@@ -1,7 +1,7 @@
 //! What is published: one manifest that names its chunks by content hash.
 //!
-//! The configuration service holds values of up to a megabyte, so a large set is split. A pool is
-//! split by a hash of the endpoint names, which keeps a small change within few chunks. Nothing is
+//! The configuration service holds values of up to a megabyte, so a large set is
+//! split by a hash of names, which keeps a small change within one chunk. Nothing is
 //! in force before every chunk named by the manifest was read and matches its hash.
 
 use pomelorun_wire::{Code, stable_hash};
@@ -14,10 +14,13 @@
 /// Largest value that the configuration service holds, bytes.
 pub const MAX_VALUE_BYTES: usize = 1 << 20;
 
-/// Endpoints in one chunk, on average.
-const ENDPOINTS_PER_CHUNK: usize = 512;
-/// Services or zones in one chunk.
-const OBJECTS_PER_CHUNK: usize = 512;
+/// Length of a chunk, on average, bytes.
+///
+/// A change makes every host fetch the manifest and one chunk; their sum is least where they are
+/// about equally long.
+const CHUNK_BYTES: usize = 14 << 10;
+/// Endpoints of a pool that are kept together, on average.
+const ENDPOINTS_PER_PART: usize = 64;
 
 /// Names one chunk by its content.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -104,6 +107,7 @@
     pub fn new(revision: u64, set: &ObjectSet) -> Result<Bundle, BundleError> {
         let mut named = Vec::new();
         for objects in split(set) {
+            // Chunks keep the order of the set, so equal sets have equal chunks.
             let text = serde_json::to_string(&objects).expect("objects have string keys only");
             if text.len() > MAX_VALUE_BYTES {
                 return Err(BundleError::TooLarge { bytes: text.len() });
@@ -159,22 +163,39 @@
     set.add(object);
 }
 
+/// Deals the objects out to chunks by a hash of their names.
 fn split(set: &ObjectSet) -> Vec<Vec<Object>> {
-    let mut chunks: Vec<Vec<Object>> = Vec::new();
-    for zones in set.zones.chunks(OBJECTS_PER_CHUNK) {
-        chunks.push(zones.iter().cloned().map(Object::AvailabilityZone).collect());
+    let mut objects: Vec<(u64, Object)> = Vec::new();
+    let hash = |kind: &str, name: &str| stable_hash(format!("{kind}/{name}").as_bytes());
+    for it in &set.zones {
+        objects.push((hash("zone", &it.name), Object::AvailabilityZone(it.clone())));
     }
-    for services in set.services.chunks(OBJECTS_PER_CHUNK) {
-        chunks.push(services.iter().cloned().map(Object::Service).collect());
+    for it in &set.services {
+        objects.push((hash("service", &it.name), Object::Service(it.clone())));
     }
     for pool in &set.pools {
-        chunks.extend(split_pool(pool).into_iter().map(|it| vec![Object::UpstreamPool(it)]));
+        for (at, part) in split_pool(pool).into_iter().enumerate() {
+            let name = format!("{}/{at}", pool.name);
+            objects.push((hash("pool", &name), Object::UpstreamPool(part)));
+        }
+    }
+    let bytes: usize = objects.iter().map(|it| json_len(&it.1)).sum();
+    let count = bytes.div_ceil(CHUNK_BYTES).max(1).next_power_of_two();
+    let mut chunks = vec![Vec::new(); count];
+    for (hash, object) in objects {
+        chunks[hash as usize % count].push(object);
     }
+    chunks.retain(|it| !it.is_empty());
     chunks
 }
 
+fn json_len(object: &Object) -> usize {
+    serde_json::to_string(object).expect("objects have string keys only").len()
+}
+
+/// Splits a pool that is larger than a chunk into parts of the same name.
 fn split_pool(pool: &UpstreamPool) -> Vec<UpstreamPool> {
-    let parts = pool.endpoints.len().div_ceil(ENDPOINTS_PER_CHUNK).max(1).next_power_of_two();
+    let parts = pool.endpoints.len().div_ceil(ENDPOINTS_PER_PART).max(1).next_power_of_two();
     let mut out = vec![UpstreamPool { endpoints: Vec::new(), ..pool.clone() }; parts];
     for endpoint in &pool.endpoints {
         let part = stable_hash(endpoint.name.as_bytes()) as usize % parts;
