Look elsewhere for a flow that an upstream does not know

Cause: a host that joins may believe others dead that have not read its address yet. As the keeper of a flow it then asked too few hosts, trusted the hash and was wrong; the steward's table kept the guess, and the upstream's reset ended the flow, at once or many seconds later. A crash of a host that was both keeper and steward broke flows in the same way.

Change: a request to an upstream that has not answered for its flow here is held; a reset then hands the packet back to the keeper, which tries the next upstream by rank. A keeper remembers who was asked, so that a change of view skips nobody; it learns the home once a host knows it; it asks before it opens a flow of a bucket that came to it lately. A reset takes the request out of those in progress. Tables are ranked again only for what a changed host ranks for.

--- a/crates/pomelorun-core/src/action.rs
+++ b/crates/pomelorun-core/src/action.rs
@@ -56,6 +56,15 @@
         /// The header to put in front.
         header: RelayHeader,
     },
+    /// Hand a packet that waited here to another host, behind this header.
+    HeldRelay {
+        /// The receiver.
+        to: HostId,
+        /// The header to put in front.
+        header: RelayHeader,
+        /// The packet.
+        bytes: Box<[u8]>,
+    },
     /// Send the event's packet to an upstream.
     ToUpstream(SocketAddrV4),
     /// Send the event's packet to the caller.
--- a/crates/pomelorun-core/src/choice.rs
+++ b/crates/pomelorun-core/src/choice.rs
@@ -81,40 +81,43 @@
 /// Lists the upstreams at which a flow may live, by rank under each remembered configuration,
 /// newest first.
 pub(crate) fn candidates<'a>(
-    history: impl Iterator<Item = &'a Snapshot> + Clone,
+    history: impl Iterator<Item = &'a Snapshot>,
     flow: &FlowKey,
     most: usize,
 ) -> Candidates {
-    const RANKS_A_REVISION: usize = 3;
     let hash = flow.stable_hash();
+    let ranked: SmallVec<[Ranking; 8]> =
+        history.filter_map(|it| ranking(it, flow, hash, most)).collect();
     let mut found = Candidates::new();
-    for rank in 0..RANKS_A_REVISION {
-        for snapshot in history.clone() {
-            let Some(id) = at_rank(snapshot, flow, hash, rank) else { continue };
-            if !found.contains(&id) {
-                found.push(id);
-            }
+    for rank in 0..most {
+        for id in ranked.iter().filter_map(|it| it.get(rank)).map(|it| it.1) {
             if found.len() == most {
                 return found;
             }
+            if !found.contains(&id) {
+                found.push(id);
+            }
         }
     }
     found
 }
 
-fn at_rank(snapshot: &Snapshot, flow: &FlowKey, hash: u64, rank: usize) -> Option<UpstreamId> {
+/// The first upstreams of one configuration by rank, the highest score first.
+type Ranking = SmallVec<[(u64, UpstreamId); 32]>;
+
+fn ranking(snapshot: &Snapshot, flow: &FlowKey, hash: u64, most: usize) -> Option<Ranking> {
     let service = snapshot.service(flow.service)?;
-    let pool = &snapshot.pools[service.pool];
-    let mut ranked: SmallVec<[(u64, UpstreamId); 32]> = pool
+    let mut ranked: Ranking = snapshot.pools[service.pool]
         .upstreams
         .iter()
         .map(|&at| &snapshot.upstreams[at])
         .filter(|it| !snapshot.is_out(it.zone))
         .map(|it| (rendezvous_score(hash, u64::from(it.id.0)), it.id))
         .collect();
-    if rank >= ranked.len() {
-        return None;
+    if ranked.len() > most {
+        ranked.select_nth_unstable_by(most, |a, b| b.cmp(a));
+        ranked.truncate(most);
     }
-    let (_, it, _) = ranked.select_nth_unstable_by(rank, |a, b| b.cmp(a));
-    Some(it.1)
+    ranked.sort_unstable_by(|a, b| b.cmp(a));
+    Some(ranked)
 }
--- a/crates/pomelorun-core/src/flow_table.rs
+++ b/crates/pomelorun-core/src/flow_table.rs
@@ -10,8 +10,17 @@
 struct Entry {
     flow: FlowKey,
     upstream: UpstreamId,
-    /// Last packet, whole seconds of the core's clock.
-    seen_s: u32,
+    /// Last packet, whole seconds of the core's clock; the highest bit is [`CONFIRMED`].
+    seen: u32,
+}
+
+/// Set once the upstream has answered for the flow here.
+const CONFIRMED: u32 = 1 << 31;
+
+impl Entry {
+    fn seen_s(&self) -> u32 {
+        self.seen & !CONFIRMED
+    }
 }
 
 /// Map from flows to upstreams.
@@ -52,7 +61,7 @@
     pub fn touch(&mut self, now: Millis, flow: &FlowKey) -> Option<UpstreamId> {
         let bucket = self.bucket_mut(flow);
         let at = bucket.binary_search_by_key(flow, |it| it.flow).ok()?;
-        bucket[at].seen_s = seconds(now);
+        bucket[at].seen = bucket[at].seen & CONFIRMED | seconds(now);
         Some(bucket[at].upstream)
     }
 
@@ -65,7 +74,7 @@
 
     /// Notes where the flow lives; returns where it lived before.
     pub fn insert(&mut self, now: Millis, flow: &FlowKey, to: UpstreamId) -> Option<UpstreamId> {
-        let entry = Entry { flow: *flow, upstream: to, seen_s: seconds(now) };
+        let entry = Entry { flow: *flow, upstream: to, seen: seconds(now) };
         let bucket = self.bucket_mut(flow);
         match bucket.binary_search_by_key(flow, |it| it.flow) {
             Ok(at) => Some(std::mem::replace(&mut bucket[at], entry).upstream),
@@ -77,6 +86,21 @@
         }
     }
 
+    /// Tells whether the upstream has answered for the flow here.
+    pub fn is_confirmed(&self, flow: &FlowKey) -> bool {
+        let bucket = &self.buckets[self.bucket_of(flow) as usize];
+        let at = bucket.binary_search_by_key(flow, |it| it.flow);
+        at.is_ok_and(|at| bucket[at].seen & CONFIRMED != 0)
+    }
+
+    /// Notes that the upstream has answered for the flow here.
+    pub fn confirm(&mut self, flow: &FlowKey) {
+        let bucket = self.bucket_mut(flow);
+        if let Ok(at) = bucket.binary_search_by_key(flow, |it| it.flow) {
+            bucket[at].seen |= CONFIRMED;
+        }
+    }
+
     /// Forgets a flow; returns where it lived.
     pub fn remove(&mut self, flow: &FlowKey) -> Option<UpstreamId> {
         let bucket = self.bucket_mut(flow);
@@ -90,7 +114,7 @@
     pub fn retain(&mut self, mut keep: impl FnMut(&FlowKey, UpstreamId, u32) -> bool) {
         let mut len = 0;
         for bucket in &mut self.buckets {
-            bucket.retain(|it| keep(&it.flow, it.upstream, it.seen_s));
+            bucket.retain(|it| keep(&it.flow, it.upstream, it.seen_s()));
             len += bucket.len();
         }
         self.len = len;
@@ -113,8 +137,11 @@
         }
         let old = std::mem::replace(self, FlowTable::new(buckets));
         for entry in old.buckets.into_iter().flatten() {
-            let at = Millis(u64::from(entry.seen_s) * 1_000);
+            let at = Millis(u64::from(entry.seen_s()) * 1_000);
             self.insert(at, &entry.flow, entry.upstream);
+            if entry.seen & CONFIRMED != 0 {
+                self.confirm(&entry.flow);
+            }
         }
     }
 
@@ -125,5 +152,5 @@
 }
 
 fn seconds(now: Millis) -> u32 {
-    u32::try_from(now.0 / 1_000).unwrap_or(u32::MAX)
+    u32::try_from(now.0 / 1_000).unwrap_or(u32::MAX) & !CONFIRMED
 }
--- a/crates/pomelorun-core/src/host.rs
+++ b/crates/pomelorun-core/src/host.rs
@@ -1,8 +1,10 @@
 //! One host: the roles of entry, keeper and steward behind a single entry point.
 
+mod attempt;
 mod control;
 mod entry;
 mod keeper;
+mod lookup;
 mod roles;
 
 use std::sync::Arc;
@@ -15,6 +17,7 @@
     action::{Action, Actions, Event},
     choice::Chooser,
     flow_table::FlowTable,
+    host::{attempt::Attempts, lookup::Lookups},
     members::Members,
     settings::CoreSettings,
     snapshot::Snapshot,
@@ -50,6 +53,10 @@
     chooser: Chooser,
     /// Sorted by upstream.
     stewards: Vec<Steward>,
+    lookups: Lookups,
+    attempts: Attempts,
+    /// When each bucket last came to another keeper.
+    moved: Vec<Millis>,
     give_up: Vec<FlowKey>,
     /// Flows whose new keepers cannot find them by themselves, to be told on leaving.
     hand_over: Vec<FlowEntry>,
@@ -83,6 +90,9 @@
             flows: FlowTable::new(INITIAL_BUCKETS),
             chooser: Chooser::default(),
             stewards: Vec::new(),
+            lookups: Lookups::default(),
+            attempts: Attempts::default(),
+            moved: Vec::new(),
             give_up: Vec::new(),
             hand_over: Vec::new(),
             stats: Stats::default(),
@@ -193,6 +203,8 @@
                 it.set_backup(cx, backup, out);
             });
         }
+        self.lookups.expire(now);
+        self.attempts.expire(now);
         self.give_up_some(out);
         self.hand_over_some(out);
     }
@@ -200,7 +212,7 @@
     fn tally(&mut self, now: Millis, out: &Actions) {
         for action in out {
             match action {
-                Action::Relay { .. } => self.stats.relayed += 1,
+                Action::Relay { .. } | Action::HeldRelay { .. } => self.stats.relayed += 1,
                 Action::ToUpstream(_) | Action::HeldToUpstream(..) => {
                     self.stats.to_upstream += 1;
                     self.note_packet_to_zone(now);
--- a/crates/pomelorun-core/src/host/control.rs
+++ b/crates/pomelorun-core/src/host/control.rs
@@ -121,7 +121,9 @@
             let at = hosts.partition_point(|it| it.host < self.me);
             hosts.insert(at, me);
         }
-        self.view = View::new(&snapshot, hosts);
+        let view = self.view.renew(&snapshot, hosts);
+        self.note_moves(now, &view);
+        self.view = view;
         let zone = self.zone;
         for upstream in snapshot.upstreams.iter().filter(|it| it.zone == zone) {
             if self.view.steward(upstream.id) == Some(self.me) {
@@ -130,6 +132,17 @@
         }
     }
 
+    /// Notes the buckets that come to this host.
+    fn note_moves(&mut self, now: Millis, view: &View) {
+        self.moved.resize(view.buckets(), Millis(0));
+        for (bucket, moved) in (0..).zip(&mut self.moved) {
+            let mine = view.keeper(bucket) == Some(self.me);
+            if mine && self.view.keeper(bucket) != Some(self.me) {
+                *moved = now;
+            }
+        }
+    }
+
     pub(super) fn leave(&mut self, now: Millis, out: &mut Actions) {
         if self.leaving {
             return;
--- a/crates/pomelorun-core/src/host/entry.rs
+++ b/crates/pomelorun-core/src/host/entry.rs
@@ -13,8 +13,8 @@
 pub(super) enum Next {
     /// The flow lives there.
     Steward(UpstreamId),
-    /// Ask this host, after so many others.
-    Probe(HostId, u16),
+    /// Ask this host.
+    Probe(HostId),
     /// Tell the caller that the flow is given up.
     GiveUp(Code),
     /// Tell the caller to come back.
@@ -54,11 +54,13 @@
         match relay.stage() {
             Stage::Keeper => self.route_to_keeper(now, packet, hops, out),
             Stage::Steward => self.route_to_steward(now, packet, relay.upstream(), hops, out),
-            Stage::Probe => self.probed(now, relay, hops, out),
+            Stage::Probe => self.probed(relay, hops, out),
             Stage::ProbeMissed => {
-                let next = self.next_probe(now, &packet.flow(), relay.rank() + 1);
-                self.carry_out(now, packet, next, hops, out);
+                let noted = self.lookups.miss(now, &packet.flow(), relay.from());
+                self.search_on(now, packet, noted, out);
             }
+            Stage::Found => self.found(now, relay, out),
+            Stage::NotThere => self.not_there(now, packet, relay.upstream(), out),
         }
     }
 
@@ -90,9 +92,7 @@
     ) {
         match next {
             Next::Steward(id) => self.route_to_steward(now, packet, id, hops, out),
-            Next::Probe(host, asked) => {
-                self.relay(host, Stage::Probe, HOPS, |it| it.rank(asked), packet, out);
-            }
+            Next::Probe(host) => self.relay(host, Stage::Probe, HOPS, |it| it, packet, out),
             Next::GiveUp(code) => {
                 let header = packet.header().kind(Kind::GivenUp).code(code.0);
                 out.push(Action::Reply(header));
--- a/crates/pomelorun-core/src/host/keeper.rs
+++ b/crates/pomelorun-core/src/host/keeper.rs
@@ -5,16 +5,20 @@
 use pomelorun_wire::{
     Code, FlowEntry, FlowKey, HostId, Kind, MemberState, Packet, PeerMsg, Relay, Stage, UpstreamId,
 };
+use smallvec::SmallVec;
 
 use crate::{
     action::{Action, Actions},
     choice::candidates,
     host::entry::Next,
-    host::{ASK_LEAVING_FOR, FLOWS_PER_MESSAGE, HostCore},
+    host::{ASK_LEAVING_FOR, FLOWS_PER_MESSAGE, HOPS, HostCore},
     snapshot::{ServiceView, Snapshot},
     time::Millis,
 };
 
+/// Time after a bucket's move during which its new keeper asks before it opens a flow.
+const OPEN_ASKS_FOR: Millis = Millis(3_000);
+
 impl HostCore {
     /// Tells new keepers of flows, a bounded number at a time.
     pub(super) fn hand_over_some(&mut self, out: &mut Actions) {
@@ -42,9 +46,97 @@
             return self.known(&flow, upstream);
         }
         if packet.kind() == Kind::Open {
-            self.open(now, &flow)
+            self.open_or_ask(now, &flow)
         } else {
-            self.next_probe(now, &flow, 0)
+            self.look_up(now, &flow)
+        }
+    }
+
+    /// Opens a flow, unless an earlier keeper may have opened it already.
+    fn open_or_ask(&mut self, now: Millis, flow: &FlowKey) -> Next {
+        let bucket = self.flows.bucket_of(flow) as usize;
+        let lately = self.moved.get(bucket).is_some_and(|it| now.since(*it) < OPEN_ASKS_FOR);
+        if lately && let Some(host) = self.next_host(now, flow) {
+            self.lookups.ask(now, flow, host);
+            return Next::Probe(host);
+        }
+        self.open(now, flow)
+    }
+
+    /// Asks the next host that may know the flow; tries the likeliest home once none does.
+    fn look_up(&mut self, now: Millis, flow: &FlowKey) -> Next {
+        if let Some(host) = self.next_host(now, flow) {
+            self.lookups.ask(now, flow, host);
+            return Next::Probe(host);
+        }
+        let history = self.history.iter().map(Arc::as_ref);
+        let found = candidates(history, flow, self.cfg.probe_upstreams);
+        let untried = |it: &&UpstreamId| !self.lookups.was_reset(flow, **it);
+        let mut cut = false;
+        for &id in found.iter().filter(untried) {
+            if self.view.steward(id).is_some() {
+                return Next::Steward(id);
+            }
+            cut |= self.is_in(id);
+        }
+        if cut { Next::ComeBack(Code::ZONE_CUT) } else { Next::GiveUp(Code::FLOW_UNKNOWN) }
+    }
+
+    fn is_in(&self, id: UpstreamId) -> bool {
+        let Some(snapshot) = self.history.first() else { return false };
+        snapshot.upstream(id).is_some_and(|it| !snapshot.is_out(it.zone))
+    }
+
+    /// A host that was asked knows where the flow lives.
+    pub(super) fn found(&mut self, now: Millis, relay: &Relay<'_>, out: &mut Actions) {
+        let packet = &relay.packet;
+        let (flow, id) = (packet.flow(), relay.upstream());
+        if self.lookups.was_reset(&flow, id) || !self.is_in(id) {
+            let noted = self.lookups.miss(now, &flow, relay.from());
+            self.search_on(now, packet, noted, out);
+            return;
+        }
+        if self.flows.get(&flow).is_none() {
+            self.learn(now, &flow, id);
+        }
+        self.route_to_keeper(now, packet, HOPS, out);
+    }
+
+    /// Goes on with a search, or ends it where what was found out could not be noted.
+    pub(super) fn search_on(
+        &mut self,
+        now: Millis,
+        packet: &Packet<'_>,
+        noted: bool,
+        out: &mut Actions,
+    ) {
+        if noted {
+            self.route_to_keeper(now, packet, HOPS, out);
+        } else {
+            self.come_back(packet, Code::HOPS_SPENT, out);
+        }
+    }
+
+    /// An upstream has said that it does not know the flow.
+    pub(super) fn not_there(
+        &mut self,
+        now: Millis,
+        packet: &Packet<'_>,
+        id: UpstreamId,
+        out: &mut Actions,
+    ) {
+        let flow = packet.flow();
+        if self.flows.get(&flow) == Some(id) {
+            self.forget(&flow);
+        }
+        let noted = self.lookups.reset(now, &flow, id);
+        self.search_on(now, packet, noted, out);
+    }
+
+    fn learn(&mut self, now: Millis, flow: &FlowKey, id: UpstreamId) {
+        self.lookups.end(flow);
+        if self.flows.insert(now, flow, id).is_none() {
+            self.chooser.add(id);
         }
     }
 
@@ -89,26 +181,29 @@
         self.chooser.choose(snapshot, pool, flow, self.cfg.load_bound_percent, &usable)
     }
 
-    /// The next host that may know where a flow lives, or the likeliest home once none does.
-    pub(super) fn next_probe(&self, now: Millis, flow: &FlowKey, asked: u16) -> Next {
+    /// The next host that may know where a flow lives: those that kept its bucket or would keep
+    /// it next, then the stewards of its likeliest homes, then others.
+    fn next_host(&self, now: Millis, flow: &FlowKey) -> Option<HostId> {
+        let bucket = self.flows.bucket_of(flow);
         let history = self.history.iter().map(Arc::as_ref);
-        let found = candidates(history, flow, self.cfg.probe_candidates);
-        let mut hosts: Vec<HostId> = Vec::with_capacity(self.cfg.probe_candidates);
-        let stewards = found.iter().filter_map(|&it| self.view.steward(it));
+        let homes = candidates(history, flow, self.cfg.probe_candidates);
+        let stewards = homes.iter().filter_map(|&it| self.view.steward(it));
+        let keepers = self.view.keepers(bucket).iter().copied();
         let others = self.view.hosts().iter().map(|it| it.host);
-        for host in stewards.chain(self.just_left(now)).chain(others) {
-            if host != self.me && !hosts.contains(&host) {
-                hosts.push(host);
+        let mut asked: SmallVec<[HostId; 16]> = SmallVec::new();
+        for host in self.just_left(now).chain(keepers).chain(stewards).chain(others) {
+            if asked.len() == self.cfg.probe_candidates {
+                return None;
             }
-            if hosts.len() == self.cfg.probe_candidates {
-                break;
+            if host == self.me || asked.contains(&host) {
+                continue;
             }
+            if self.lookups.may_ask(now, flow, host) {
+                return Some(host);
+            }
+            asked.push(host);
         }
-        if let Some(&host) = hosts.get(usize::from(asked)) {
-            return Next::Probe(host, asked);
-        }
-        let reachable = found.iter().find(|&&it| self.view.steward(it).is_some());
-        reachable.map_or(Next::GiveUp(Code::FLOW_UNKNOWN), |&it| Next::Steward(it))
+        None
     }
 
     /// Hosts that announced their leaving so lately that they are still there to be asked.
@@ -121,14 +216,13 @@
             .map(|it| it.host)
     }
 
-    pub(super) fn probed(&mut self, now: Millis, relay: &Relay<'_>, hops: u8, out: &mut Actions) {
+    pub(super) fn probed(&mut self, relay: &Relay<'_>, hops: u8, out: &mut Actions) {
         let packet = &relay.packet;
         if let Some(upstream) = self.flows.get(&packet.flow()) {
-            self.route_to_steward(now, packet, upstream, hops, out);
+            self.relay(relay.from(), Stage::Found, hops, |it| it.upstream(upstream), packet, out);
             return;
         }
-        let rank = relay.rank();
-        self.relay(relay.from(), Stage::ProbeMissed, hops, |it| it.rank(rank), packet, out);
+        self.relay(relay.from(), Stage::ProbeMissed, hops, |it| it, packet, out);
     }
 
     pub(super) fn forget(&mut self, flow: &FlowKey) {
--- a/crates/pomelorun-core/src/host/roles.rs
+++ b/crates/pomelorun-core/src/host/roles.rs
@@ -39,6 +39,9 @@
             out.push(Action::ToUpstream(addr));
             return;
         }
+        if packet.kind() == Kind::Request {
+            self.hold_attempt(now, packet, id);
+        }
         self.with_role(now, id, |it, cx| match packet.kind() {
             Kind::Cancel => it.cancel(cx, packet, out),
             _ => it.request(cx, packet, out),
@@ -52,6 +55,10 @@
         packet: &Packet<'_>,
         out: &mut Actions,
     ) {
+        if packet.kind() == Kind::Reset {
+            self.reset(now, from, packet, out);
+            return;
+        }
         let flow = packet.flow();
         let id = self.flows.get(&flow).filter(|&it| self.upstream_addr(it) == Some(from));
         let Some(id) = id else {
@@ -59,12 +66,12 @@
             return;
         };
         match packet.kind() {
-            Kind::Opened => out.push(Action::ToCaller),
-            Kind::Reset => {
-                self.forget(&flow);
+            Kind::Opened => {
+                self.confirm(&flow);
                 out.push(Action::ToCaller);
             }
             Kind::Answer | Kind::Shed => {
+                self.confirm(&flow);
                 self.with_role(now, id, |it, cx| it.answer(cx, packet, out));
             }
             _ => out.push(Action::Count(Code::PACKET_MALFORMED)),
--- a/crates/pomelorun-core/src/settings.rs
+++ b/crates/pomelorun-core/src/settings.rs
@@ -22,8 +22,10 @@
     pub take_over_ms: Millis,
     /// Configurations that are remembered to find flows opened under them.
     pub history: usize,
-    /// Candidates that are asked for a flow whose home is not known.
+    /// Hosts that are asked for a flow whose home is not known.
     pub probe_candidates: usize,
+    /// Upstreams that are tried for a flow that no host asked knows.
+    pub probe_upstreams: usize,
     /// Time that the caller is told to wait before it comes back after a fault, milliseconds.
     pub come_back_ms: Millis,
     /// Time that a record of a finished non-idempotent request is kept, milliseconds.
@@ -45,6 +47,7 @@
             take_over_ms: Millis(300),
             history: 8,
             probe_candidates: 12,
+            probe_upstreams: 32,
             come_back_ms: Millis(200),
             record_keep_ms: Millis(60_000),
             packet_life_ms: Millis(2_000),
--- a/crates/pomelorun-core/src/steward.rs
+++ b/crates/pomelorun-core/src/steward.rs
@@ -349,6 +349,15 @@
         }
     }
 
+    /// The upstream does not know the flow, so the request has not run there.
+    pub(crate) fn not_known(&mut self, cx: &StewardCx<'_>, key: &RecordKey, out: &mut Actions) {
+        if let Some(at) = self.in_flight.iter().position(|it| it.key == *key) {
+            self.in_flight.swap_remove(at);
+            self.records.remove(key);
+            self.pump(cx, out);
+        }
+    }
+
     /// Remembers that a request ran, so that no later refusal claims that it did not.
     fn note_ran(&mut self, cx: &StewardCx<'_>, it: &InFlight) {
         let keep = if it.idempotent { cx.settle() } else { cx.cfg.record_keep_ms };
--- a/crates/pomelorun-core/src/view.rs
+++ b/crates/pomelorun-core/src/view.rs
@@ -27,15 +27,51 @@
 #[derive(Debug, Clone, Default)]
 pub struct View {
     hosts: Vec<ViewHost>,
-    keepers: Vec<HostId>,
+    /// The first hosts by rank for each bucket.
+    keepers: Vec<Ranked>,
     /// The hosts of the upstream's zone by rank, in the order of the snapshot's upstreams.
     stewards: Vec<(UpstreamId, Ranked)>,
 }
 
 impl View {
+    /// Derives the tables from those before; only what a changed host ranks for is ranked again.
+    pub(crate) fn renew(&self, snapshot: &Snapshot, hosts: Vec<ViewHost>) -> View {
+        if self.keepers.len() != snapshot.buckets as usize || self.hosts.is_empty() {
+            return View::new(snapshot, hosts);
+        }
+        let is_in = |all: &[ViewHost], it: &ViewHost| all.binary_search(it).is_ok();
+        let joined: Vec<ViewHost> =
+            hosts.iter().filter(|it| !is_in(&self.hosts, it)).copied().collect();
+        let gone: Vec<ViewHost> =
+            self.hosts.iter().filter(|it| !is_in(&hosts, it)).copied().collect();
+        let keepers = (0..snapshot.buckets)
+            .zip(&self.keepers)
+            .map(|(bucket, ranked)| {
+                let key = BUCKET_SALT ^ u64::from(bucket);
+                let score = |it: HostId| rendezvous_score(it.0, key);
+                again(ranked, &joined, &gone, score).unwrap_or_else(|| keepers(&hosts, bucket))
+            })
+            .collect();
+        let stewards = snapshot
+            .upstreams
+            .iter()
+            .map(|it| {
+                let score = |host: HostId| steward_score(host, it.id);
+                let near = |all: &[ViewHost]| -> SmallVec<[ViewHost; 4]> {
+                    all.iter().filter(|host| host.zone == it.zone).copied().collect()
+                };
+                let ranked = self
+                    .ranked_if_known(it.id)
+                    .and_then(|ranked| again(ranked, &near(&joined), &near(&gone), score));
+                (it.id, ranked.unwrap_or_else(|| stewards(&hosts, it.id, it.zone)))
+            })
+            .collect();
+        View { hosts, keepers, stewards }
+    }
+
     /// Derives the tables; `hosts` are those that take work, sorted by identifier.
     pub fn new(snapshot: &Snapshot, hosts: Vec<ViewHost>) -> View {
-        let keepers = (0..snapshot.buckets).filter_map(|it| keeper(&hosts, it)).collect();
+        let keepers = (0..snapshot.buckets).map(|it| keepers(&hosts, it)).collect();
         let stewards =
             snapshot.upstreams.iter().map(|it| (it.id, stewards(&hosts, it.id, it.zone))).collect();
         View { hosts, keepers, stewards }
@@ -46,9 +82,19 @@
         &self.hosts
     }
 
+    /// Number of buckets.
+    pub(crate) fn buckets(&self) -> usize {
+        self.keepers.len()
+    }
+
     /// The host that keeps a bucket, none where no host is live.
     pub fn keeper(&self, bucket: u32) -> Option<HostId> {
-        self.keepers.get(bucket as usize).copied()
+        self.keepers(bucket).first().copied()
+    }
+
+    /// The first hosts by rank for a bucket; the first keeps it.
+    pub fn keepers(&self, bucket: u32) -> &[HostId] {
+        self.keepers.get(bucket as usize).map_or(&[], |it| it.as_slice())
     }
 
     /// The steward of an upstream, none where its zone has no live host.
@@ -62,16 +108,38 @@
     }
 
     fn ranked(&self, upstream: UpstreamId) -> &[HostId] {
-        match self.stewards.binary_search_by_key(&upstream, |it| it.0) {
-            Ok(at) => &self.stewards[at].1,
-            Err(_) => &[],
-        }
+        self.ranked_if_known(upstream).map_or(&[], |it| it.as_slice())
+    }
+
+    fn ranked_if_known(&self, upstream: UpstreamId) -> Option<&Ranked> {
+        let at = self.stewards.binary_search_by_key(&upstream, |it| it.0).ok()?;
+        Some(&self.stewards[at].1)
+    }
+}
+
+/// Ranks again where that can be done from the ranks before, none where all hosts must be looked at.
+fn again(
+    ranked: &Ranked,
+    joined: &[ViewHost],
+    gone: &[ViewHost],
+    score: impl Fn(HostId) -> u64,
+) -> Option<Ranked> {
+    if gone.iter().any(|it| ranked.contains(&it.host)) {
+        return None;
+    }
+    let mut ranked = ranked.clone();
+    for it in joined {
+        let of = score(it.host);
+        let at = ranked.iter().position(|&other| (score(other), other) < (of, it.host));
+        ranked.insert(at.unwrap_or(ranked.len()), it.host);
+        ranked.truncate(RANKS);
     }
+    Some(ranked)
 }
 
-fn keeper(hosts: &[ViewHost], bucket: u32) -> Option<HostId> {
+fn keepers(hosts: &[ViewHost], bucket: u32) -> Ranked {
     let key = BUCKET_SALT ^ u64::from(bucket);
-    hosts.iter().map(|it| it.host).max_by_key(|it| rendezvous_score(it.0, key))
+    first_ranks(hosts.iter().map(|it| (rendezvous_score(it.host.0, key), it.host)))
 }
 
 /// Score of a host as the steward of an upstream.
@@ -80,15 +148,18 @@
 }
 
 fn stewards(hosts: &[ViewHost], upstream: UpstreamId, zone: ZoneId) -> Ranked {
-    let mut ranked: SmallVec<[(u64, HostId); 8]> = hosts
-        .iter()
-        .filter(|it| it.zone == zone)
-        .map(|it| (steward_score(it.host, upstream), it.host))
-        .collect();
-    if ranked.len() > RANKS {
-        ranked.select_nth_unstable_by(RANKS - 1, |a, b| b.cmp(a));
-        ranked.truncate(RANKS);
+    let near = hosts.iter().filter(|it| it.zone == zone);
+    first_ranks(near.map(|it| (steward_score(it.host, upstream), it.host)))
+}
+
+fn first_ranks(scored: impl Iterator<Item = (u64, HostId)>) -> Ranked {
+    let mut first: SmallVec<[(u64, HostId); RANKS + 1]> = SmallVec::new();
+    for it in scored {
+        let at = first.iter().position(|other| *other < it).unwrap_or(first.len());
+        if at < RANKS {
+            first.insert(at, it);
+            first.truncate(RANKS);
+        }
     }
-    ranked.sort_unstable_by(|a, b| b.cmp(a));
-    ranked.iter().map(|it| it.1).collect()
+    first.iter().map(|it| it.1).collect()
 }
--- a/crates/pomelorun-core/tests/core/main.rs
+++ b/crates/pomelorun-core/tests/core/main.rs
@@ -4,3 +4,4 @@
 
 mod mesh;
 mod path;
+mod routing;
--- a/crates/pomelorun-core/tests/core/mesh.rs
+++ b/crates/pomelorun-core/tests/core/mesh.rs
@@ -216,6 +216,8 @@
     pub(crate) caller_packets: u64,
     /// Hosts that the fabric sprays over; none for all that are up.
     pub(crate) spray: Option<Vec<usize>>,
+    /// Pairs of hosts of which the first has not read the second one's address yet.
+    pub(crate) strangers: Vec<(usize, usize)>,
     snapshot: Option<Arc<Snapshot>>,
     heap: BinaryHeap<Reverse<Delivery>>,
     seq: u64,
@@ -243,6 +245,7 @@
             relays: 0,
             caller_packets: 0,
             spray: None,
+            strangers: Vec::new(),
             snapshot: None,
             heap: BinaryHeap::new(),
             seq: 0,
@@ -553,6 +556,12 @@
                     buf.extend_from_slice(bytes);
                     self.send_to_host(me, to, buf);
                 }
+                Action::HeldRelay { to, header, bytes } => {
+                    self.relays += 1;
+                    let mut buf = header.as_bytes().to_vec();
+                    buf.extend_from_slice(&bytes);
+                    self.send_to_host(me, to, buf);
+                }
                 Action::ToUpstream(to) => self.send(me, Place::Upstream(to), bytes.to_vec()),
                 Action::ToCaller => self.send(me, Place::Callers, bytes.to_vec()),
                 Action::HeldToUpstream(to, held) => {
@@ -579,6 +588,10 @@
     fn send_to_host(&mut self, from: Place, to: HostId, bytes: Vec<u8>) {
         let newest = self.hosts.iter().rposition(|it| it.id == to);
         if let Some(to) = newest {
+            let stranger = |it: &(usize, usize)| Place::Host(it.0) == from && it.1 == to;
+            if self.strangers.iter().any(stranger) {
+                return;
+            }
             self.send(from, Place::Host(to), bytes);
         }
     }
--- a/crates/pomelorun-wire/src/relay.rs
+++ b/crates/pomelorun-wire/src/relay.rs
@@ -27,13 +27,23 @@
     Probe = 3,
     /// The keeper again, after a probe found nothing.
     ProbeMissed = 4,
+    /// The keeper again, after a probe found that the flow lives at the upstream named.
+    Found = 5,
+    /// The keeper again, after the upstream named said that it does not know the flow.
+    NotThere = 6,
 }
 
 impl Stage {
     fn from_byte(byte: u8) -> Option<Stage> {
-        [Stage::Keeper, Stage::Steward, Stage::Probe, Stage::ProbeMissed]
-            .into_iter()
-            .find(|it| *it as u8 == byte)
+        const ALL: [Stage; 6] = [
+            Stage::Keeper,
+            Stage::Steward,
+            Stage::Probe,
+            Stage::ProbeMissed,
+            Stage::Found,
+            Stage::NotThere,
+        ];
+        ALL.into_iter().find(|it| *it as u8 == byte)
     }
 }
 
--- a/crates/pomelorun/src/engine.rs
+++ b/crates/pomelorun/src/engine.rs
@@ -135,6 +135,10 @@
                 }
                 Action::ToUpstream(to) => self.out.push(to, bytes, &[]),
                 Action::ToCaller => self.out.push(self.fabric, bytes, &[]),
+                Action::HeldRelay { to, header, bytes } => {
+                    let Some(to) = self.address(to) else { continue };
+                    self.out.push(to, header.as_bytes(), &bytes);
+                }
                 Action::HeldToUpstream(to, held) => self.out.push(to, &held, &[]),
                 Action::HeldToCaller(held) => self.out.push(self.fabric, &held, &[]),
                 Action::Reply(header) => self.out.push(self.fabric, header.as_bytes(), &[]),
