Bound what upstreams run by proofs of warmth, and refuse at once what cannot make it

Cause: one late answer dropped an upstream to its cold slots and three answers in time in a row brought one slot back. Under noise the limit stayed low, the queue filled and requests were refused as busy. Besides, answers to requests older than a shed counted as growth; a request that had waited was forwarded with its whole deadline, so that the steward freed its slot while it still ran; a request whose record was being replicated was forwarded although the limit had fallen meanwhile; and a steward that took over from a crashed one began with a limit that may have been out of date.

Change: an answer in time proves that the upstream was warm when its request started, so it gives back what a late answer took, and a late answer to a request older than the newest proof says nothing. A packet that waited carries the time that is left. Requests that cannot make their deadline are refused at once, each with a turn of its own to come back.

--- a/crates/pomelorun-core/src/host.rs
+++ b/crates/pomelorun-core/src/host.rs
@@ -16,6 +16,7 @@
     choice::Chooser,
     flow_table::FlowTable,
     members::Members,
+    retry::RetryBudget,
     settings::CoreSettings,
     snapshot::Snapshot,
     stats::Stats,
@@ -50,6 +51,8 @@
     chooser: Chooser,
     /// Sorted by upstream.
     stewards: Vec<Steward>,
+    /// By name of pool, sorted.
+    retries: Vec<(String, RetryBudget)>,
     give_up: Vec<FlowKey>,
     /// Flows whose new keepers cannot find them by themselves, to be told on leaving.
     hand_over: Vec<FlowEntry>,
@@ -83,6 +86,7 @@
             flows: FlowTable::new(INITIAL_BUCKETS),
             chooser: Chooser::default(),
             stewards: Vec::new(),
+            retries: Vec::new(),
             give_up: Vec::new(),
             hand_over: Vec::new(),
             stats: Stats::default(),
--- a/crates/pomelorun-core/src/steward.rs
+++ b/crates/pomelorun-core/src/steward.rs
@@ -14,6 +14,7 @@
     action::{Action, Actions},
     limit::{Limit, LimitReason},
     record::{Record, Records},
+    retry::RetryBudget,
     settings::CoreSettings,
     snapshot::{PoolView, UpstreamView},
     steward::queue::{Admission, Held, Queue},
@@ -62,6 +63,7 @@
     pub(crate) cfg: &'a CoreSettings,
     pub(crate) upstream: &'a UpstreamView,
     pub(crate) pool: &'a PoolView,
+    pub(crate) retries: &'a RetryBudget,
 }
 
 impl StewardCx<'_> {
@@ -92,6 +94,9 @@
     started: Millis,
     deadline: Millis,
     idempotent: bool,
+    /// The request, to send it again if it is shed.
+    bytes: Box<[u8]>,
+    retries: u8,
     parts_seen: Vec<u64>,
     parts_left: Option<u16>,
 }
@@ -207,9 +212,8 @@
         let key = RecordKey { flow: packet.flow(), req: packet.req() };
         match self.admit(cx, packet, &key) {
             Next::Start if packet.is_idempotent() => {
-                let left = deadline_of(cx, packet);
-                self.note_started(cx, key, packet.header(), left, true);
-                out.push(Action::ToUpstream(cx.addr()));
+                let held = Held::new(cx, packet, key);
+                self.forward(cx, held, out);
             }
             Next::Start => {
                 let held = Held::new(cx, packet, key);
@@ -234,7 +238,7 @@
         if self.phase == StewardPhase::Standby {
             return Next::Refuse(Code::STEWARD_CHANGING);
         }
-        match self.admission(cx) {
+        match self.admission(cx, deadline_of(cx, packet)) {
             Admission::Start => Next::Start,
             Admission::Wait => Next::Queue,
             Admission::Refuse => Next::Refuse(Code::BUSY),
@@ -273,24 +277,15 @@
     }
 
     fn forward(&mut self, cx: &StewardCx<'_>, held: Held, out: &mut Actions) {
-        self.note_started(cx, held.key, held.header(), held.deadline, held.idempotent);
-        out.push(Action::HeldToUpstream(cx.addr(), held.bytes));
-    }
-
-    fn note_started(
-        &mut self,
-        cx: &StewardCx<'_>,
-        key: RecordKey,
-        header: Header,
-        deadline: Millis,
-        idempotent: bool,
-    ) {
+        out.push(Action::HeldToUpstream(cx.addr(), held.with_time_left(cx.now)));
         self.in_flight.push(InFlight {
-            key,
-            header,
+            key: held.key,
+            header: held.header(),
             started: cx.now,
-            deadline,
-            idempotent,
+            deadline: held.deadline,
+            idempotent: held.idempotent,
+            bytes: held.bytes,
+            retries: held.retries,
             parts_seen: Vec::new(),
             parts_left: None,
         });
@@ -298,7 +293,7 @@
 
     /// Gives a request up that this steward has not forwarded.
     fn refuse(
-        &self,
+        &mut self,
         cx: &StewardCx<'_>,
         key: &RecordKey,
         header: Header,
@@ -311,16 +306,19 @@
             self.uncertain_until
         };
         let certain = cx.now >= until && self.records.get(key).is_none();
-        out.push(if certain { not_run(cx, header, code) } else { unknown(cx, header, code) });
+        let after = self.come_back_after(cx);
+        let kind = if certain { Kind::NotRun } else { Kind::OutcomeUnknown };
+        out.push(Action::Reply(reply(header, kind, code, after)));
     }
 
     /// The caller gave a request up.
     pub(crate) fn cancel(&mut self, cx: &StewardCx<'_>, packet: &Packet<'_>, out: &mut Actions) {
         let key = RecordKey { flow: packet.flow(), req: packet.req() };
-        if self.queue.remove(&key).is_some() {
-            self.refuse(cx, &key, packet.header(), Code::CANCELLED, out);
-        } else if self.in_flight.iter().any(|it| it.key == key) {
-            out.push(Action::ToUpstream(cx.addr()));
+        if let Some(held) = self.queue.remove(&key) {
+            self.drop_held(cx, &held, Code::CANCELLED, out);
+        } else if let Some(at) = self.in_flight.iter().position(|it| it.key == key) {
+            let it = self.in_flight.swap_remove(at);
+            self.abandon(cx, &it, Code::CANCELLED, out);
         }
     }
 
@@ -333,7 +331,7 @@
         };
         if packet.kind() == Kind::Shed {
             let it = self.in_flight.swap_remove(at);
-            self.shed(cx, &it, out);
+            self.shed(cx, it, out);
             return;
         }
         if !self.in_flight[at].note_part(packet) {
@@ -343,7 +341,9 @@
         out.push(Action::ToCaller);
         if self.in_flight[at].parts_left == Some(0) {
             let it = self.in_flight.swap_remove(at);
-            self.limit.answered(cx.now, cx.now.since(it.started), cx.pool.slow_after);
+            self.queue.note_service(cx.now.since(it.started));
+            cx.retries.answered(cx.now, cx.cfg.retry_percent);
+            self.limit.answered(cx.now, it.started, cx.pool.slow_after);
             self.note_ran(cx, &it);
             self.pump(cx, out);
         }
@@ -370,9 +370,8 @@
     fn time_out(&mut self, cx: &StewardCx<'_>, out: &mut Actions) {
         while let Some(at) = self.in_flight.iter().position(|it| it.deadline <= cx.now) {
             let it = self.in_flight.swap_remove(at);
-            self.limit.timed_out();
-            self.note_ran(cx, &it);
-            out.push(unknown(cx, it.header, Code::TIMED_OUT));
+            self.limit.timed_out(cx.now);
+            self.abandon(cx, &it, Code::TIMED_OUT, out);
         }
     }
 }
@@ -383,14 +382,14 @@
     cx.now + if asked == Millis(0) { max } else { asked.min(max) }
 }
 
-fn not_run(cx: &StewardCx<'_>, header: Header, code: Code) -> Action {
-    Action::Reply(reply(cx, header, Kind::NotRun, code))
+fn not_run(header: Header, code: Code, after: Millis) -> Action {
+    Action::Reply(reply(header, Kind::NotRun, code, after))
 }
 
 fn unknown(cx: &StewardCx<'_>, header: Header, code: Code) -> Action {
-    Action::Reply(reply(cx, header, Kind::OutcomeUnknown, code))
+    Action::Reply(reply(header, Kind::OutcomeUnknown, code, cx.cfg.come_back_ms))
 }
 
-fn reply(cx: &StewardCx<'_>, header: Header, kind: Kind, code: Code) -> Header {
-    header.kind(kind).code(code.0).retry_after_ms(cx.cfg.come_back_ms.as_u16())
+fn reply(header: Header, kind: Kind, code: Code, after: Millis) -> Header {
+    header.kind(kind).code(code.0).retry_after_ms(after.as_u16())
 }
--- a/crates/pomelorun-core/tests/core/main.rs
+++ b/crates/pomelorun-core/tests/core/main.rs
@@ -2,5 +2,7 @@
 
 #![allow(dead_code, missing_docs, reason = "the mesh serves several topics")]
 
+mod limits;
+mod load;
 mod mesh;
 mod path;
--- a/crates/pomelorun-wire/src/code.rs
+++ b/crates/pomelorun-wire/src/code.rs
@@ -80,6 +80,7 @@
     CANCELLED = 210, "cancelled", "the caller gave the request up", "none";
     ANSWER_UNEXPECTED = 211, "answer_unexpected", "an answer to no request in progress was dropped", "none";
     STEWARD_CHANGING = 212, "steward_changing", "the upstream is being taken over by another host", "come back after the time given";
+    RETRIED = 220, "retried", "the upstream shed the request, which is sent again", "none";
     // Membership.
     HOST_SUSPECT = 300, "host_suspect", "a host does not answer probes", "look at the host if it stays so";
     HOST_DEAD = 301, "host_dead", "a host is believed dead", "replace the host";
