--- a/crates/pomelorun-core/src/host.rs
+++ b/crates/pomelorun-core/src/host.rs
@@ -20,6 +20,7 @@
     flow_table::FlowTable,
     host::{attempt::Attempts, lookup::Lookups},
     members::Members,
+    retry::RetryBudget,
     service_counts::ServiceCounts,
     settings::CoreSettings,
     snapshot::Snapshot,
@@ -61,6 +62,8 @@
     attempts: Attempts,
     /// When each bucket last came to another keeper.
     moved: Vec<Millis>,
+    /// By name of pool, sorted.
+    retries: Vec<(String, RetryBudget)>,
     give_up: Vec<FlowKey>,
     /// Flows whose new keepers cannot find them by themselves, to be told on leaving.
     hand_over: Vec<FlowEntry>,
@@ -98,6 +101,7 @@
             lookups: Lookups::default(),
             attempts: Attempts::default(),
             moved: Vec::new(),
+            retries: Vec::new(),
             give_up: Vec::new(),
             hand_over: Vec::new(),
             stats: Stats::default(),
--- a/crates/pomelorun-core/src/host/explain.rs
+++ b/crates/pomelorun-core/src/host/explain.rs
@@ -67,8 +67,8 @@
             steward: subject.and_then(|it| self.view.steward(it)),
             backup: subject.and_then(|it| self.view.backup(it)),
             status: self.stewards.iter().find(|it| Some(it.id()) == subject).map(|it| it.status()),
-            open: self.route(flow, |it| it.opened_at(flow)),
-            request: self.route(flow, |it| it.next_probe(now, flow, 0)),
+            open: self.route(flow, |it| it.opened_at(now, flow)),
+            request: self.route(flow, |it| it.search_step(now, flow)),
         }
     }
 
@@ -78,7 +78,10 @@
         self.choose(snapshot, service, flow).ok_or(Code::NO_UPSTREAM)
     }
 
-    fn opened_at(&self, flow: &FlowKey) -> Next {
+    fn opened_at(&self, now: Millis, flow: &FlowKey) -> Next {
+        if let Some(host) = self.asked_before_opening(now, flow) {
+            return Next::Probe(host);
+        }
         self.choice(flow).map_or_else(Next::ComeBack, Next::Steward)
     }
 
@@ -106,7 +109,7 @@
                 Some(steward) => Route::Steward(id, steward),
                 None => Route::ComeBack(Code::ZONE_CUT),
             },
-            Next::Probe(host, _) => Route::Ask(host),
+            Next::Probe(host) => Route::Ask(host),
             Next::GiveUp(code) => Route::GiveUp(code),
             Next::ComeBack(code) => Route::ComeBack(code),
         }
--- a/crates/pomelorun-core/src/host/keeper.rs
+++ b/crates/pomelorun-core/src/host/keeper.rs
@@ -54,19 +54,31 @@
 
     /// Opens a flow, unless an earlier keeper may have opened it already.
     fn open_or_ask(&mut self, now: Millis, flow: &FlowKey) -> Next {
-        let bucket = self.flows.bucket_of(flow) as usize;
-        let lately = self.moved.get(bucket).is_some_and(|it| now.since(*it) < OPEN_ASKS_FOR);
-        if lately && let Some(host) = self.next_host(now, flow) {
+        if let Some(host) = self.asked_before_opening(now, flow) {
             self.lookups.ask(now, flow, host);
             return Next::Probe(host);
         }
         self.open(now, flow)
     }
 
-    /// Asks the next host that may know the flow; tries the likeliest home once none does.
+    /// The host that is asked before a flow is opened, where its bucket came here lately.
+    pub(super) fn asked_before_opening(&self, now: Millis, flow: &FlowKey) -> Option<HostId> {
+        let bucket = self.flows.bucket_of(flow) as usize;
+        let lately = self.moved.get(bucket).is_some_and(|it| now.since(*it) < OPEN_ASKS_FOR);
+        if lately { self.next_host(now, flow) } else { None }
+    }
+
     fn look_up(&mut self, now: Millis, flow: &FlowKey) -> Next {
-        if let Some(host) = self.next_host(now, flow) {
+        let next = self.search_step(now, flow);
+        if let Next::Probe(host) = next {
             self.lookups.ask(now, flow, host);
+        }
+        next
+    }
+
+    /// Asks the next host that may know the flow; tries the likeliest home once none does.
+    pub(super) fn search_step(&self, now: Millis, flow: &FlowKey) -> Next {
+        if let Some(host) = self.next_host(now, flow) {
             return Next::Probe(host);
         }
         let history = self.history.iter().map(Arc::as_ref);
--- a/crates/pomelorun-core/src/record.rs
+++ b/crates/pomelorun-core/src/record.rs
@@ -38,6 +38,16 @@
         }
     }
 
+    /// Forgets a non-idempotent request that was started and has certainly not run.
+    pub fn forget_started(&mut self, key: &RecordKey) {
+        if let Ok(at) = self.entries.binary_search_by_key(key, |it| it.key)
+            && !self.entries[at].idempotent
+            && self.entries[at].state == RecordState::Started
+        {
+            self.entries.remove(at);
+        }
+    }
+
     /// Forgets what is past its time.
     pub fn expire(&mut self, now: Millis) {
         self.entries.retain(|it| it.keep_until > now);
