Keep outcomes by service for a month in memory and serve them

Cause: burn windows need a history and hosts keep nothing on disk.

Ways weighed: one ring of minutes (a month of 960 services would take 1.4 GB), windows kept as decaying averages (no plots, no exact sums), three rings of minutes, half hours and six hours. The rings were taken: exact sums cut to whole cells.

Change: /v1/burn (cells on request), /v1/explain, metrics by service. The minutes end on a task of the admin service, which copies counters under the report's lock; /v1/status copies the report before it serialises, so that the lock is not held meanwhile.

--- a/crates/pomelorun/src/admin.rs
+++ b/crates/pomelorun/src/admin.rs
@@ -1,13 +1,19 @@
-//! The service `admin`: status, metrics and health over HTTP.
+//! The service `admin`: status, metrics, burn, explanations and health over HTTP.
+
+use std::time::Duration;
 
 use actix::Recipient;
 use actix_web::{App, HttpResponse, HttpServer, dev::ServerHandle, web};
-use tokio::task::JoinHandle;
+use serde::Deserialize;
+use tokio::{sync::mpsc, task::JoinHandle, time::MissedTickBehavior};
 
 use crate::{
+    burn::{BurnReport, Cells, MINUTE, SharedBurn, describe_burn, totals_of},
     control::Control,
+    explain::parse_flow,
     kernel::{Registry, Service, StartError, Stopped},
     metrics::Metrics,
+    packets::PACKETS,
     report::SharedReport,
     settings::Settings,
 };
@@ -15,17 +21,22 @@
 const ADMIN: &str = "admin";
 /// Time that requests in progress have when the service stops, seconds.
 const STOP_S: u64 = 1;
+/// Time allowed to the packets service for an explanation.
+const EXPLAIN_TIME: Duration = Duration::from_secs(1);
 
 /// The service.
 pub(crate) struct Admin {
     settings: Settings,
     report: SharedReport,
+    burn: SharedBurn,
     running: Option<(ServerHandle, JoinHandle<std::io::Result<()>>)>,
+    minutes: Option<JoinHandle<()>>,
 }
 
 impl Admin {
     pub(crate) fn new(settings: &Settings, report: SharedReport) -> Admin {
-        Admin { settings: settings.clone(), report, running: None }
+        let burn = SharedBurn::default();
+        Admin { settings: settings.clone(), report, burn, running: None, minutes: None }
     }
 }
 
@@ -34,17 +45,23 @@
         ADMIN
     }
 
-    fn start(&mut self, _: &Registry) -> Result<Option<Recipient<Control>>, StartError> {
+    fn start(&mut self, registry: &Registry) -> Result<Option<Recipient<Control>>, StartError> {
         let failed = |detail: String| StartError { service: ADMIN, detail };
         let metrics = Metrics::new(&self.report).map_err(|e| failed(e.to_string()))?;
         let metrics = web::Data::new(metrics);
         let report = web::Data::new(self.report.clone());
+        let burn = web::Data::new(self.burn.clone());
+        let packets = web::Data::new(registry.need(PACKETS, ADMIN)?);
         let address = self.settings.admin;
         let server = HttpServer::new(move || {
             App::new()
                 .app_data(metrics.clone())
                 .app_data(report.clone())
+                .app_data(burn.clone())
+                .app_data(packets.clone())
                 .route("/v1/status", web::get().to(status))
+                .route("/v1/burn", web::get().to(burn_report))
+                .route("/v1/explain", web::get().to(explain))
                 .route("/v1/health", web::get().to(health))
                 .route("/metrics", web::get().to(metrics_text))
         })
@@ -56,12 +73,18 @@
         .run();
         let handle = server.handle();
         self.running = Some((handle, actix_rt::spawn(server)));
+        self.minutes = Some(actix_rt::spawn(count_minutes(self.report.clone(), self.burn.clone())));
         Ok(None)
     }
 
     fn stop(&mut self) -> Stopped {
-        let running = self.running.take();
+        let (running, minutes) = (self.running.take(), self.minutes.take());
         Box::pin(async move {
+            if let Some(task) = minutes {
+                task.abort();
+                // An aborted task ends with an error that says just that.
+                let _ = task.await;
+            }
             if let Some((handle, task)) = running {
                 handle.stop(true).await;
                 let _ = task.await;
@@ -71,7 +94,72 @@
 }
 
 async fn status(report: web::Data<SharedReport>) -> HttpResponse {
-    HttpResponse::Ok().json(&*report.lock())
+    let report = report.lock().clone();
+    HttpResponse::Ok().json(&report)
+}
+
+/// Ends a cell of the burn history every minute.
+async fn count_minutes(report: SharedReport, burn: SharedBurn) {
+    let mut timer = tokio::time::interval_at(tokio::time::Instant::now() + MINUTE, MINUTE);
+    timer.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        timer.tick().await;
+        let totals = totals_of(&report.lock().services);
+        burn.lock().minute(&totals);
+    }
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "snake_case")]
+struct BurnQuery {
+    /// Whether cells are wanted besides the sums.
+    #[serde(default)]
+    cells: bool,
+}
+
+async fn burn_report(
+    report: web::Data<SharedReport>,
+    burn: web::Data<SharedBurn>,
+    query: web::Query<BurnQuery>,
+) -> HttpResponse {
+    let (mut answer, services) = {
+        let report = report.lock();
+        let (host, zone) = (report.host.clone(), report.zone.clone());
+        let answer = BurnReport { host, zone, revision: report.revision, services: Vec::new() };
+        (answer, report.services.clone())
+    };
+    let history = burn.lock().clone();
+    let cells = if query.cells { Cells::Take } else { Cells::Leave };
+    answer.services = describe_burn(&history, &services, cells);
+    HttpResponse::Ok().json(&answer)
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "snake_case")]
+struct ExplainQuery {
+    /// The flow, as `CALLER>SERVICE`.
+    flow: String,
+}
+
+async fn explain(
+    report: web::Data<SharedReport>,
+    packets: web::Data<Recipient<Control>>,
+    query: web::Query<ExplainQuery>,
+) -> HttpResponse {
+    let flow = match parse_flow(&query.flow) {
+        Ok(it) => it,
+        Err(e) => return HttpResponse::BadRequest().body(e.to_string()),
+    };
+    let (reply, mut answer) = mpsc::channel(1);
+    packets.do_send(Control::Explain { flow, reply });
+    let Ok(Some(mut answer)) = tokio::time::timeout(EXPLAIN_TIME, answer.recv()).await else {
+        return HttpResponse::ServiceUnavailable().body("the host is too busy to answer");
+    };
+    let report = report.lock();
+    answer.host.clone_from(&report.host);
+    answer.zone.clone_from(&report.zone);
+    drop(report);
+    HttpResponse::Ok().json(&answer)
 }
 
 async fn health(report: web::Data<SharedReport>) -> HttpResponse {
--- a/crates/pomelorun/src/control.rs
+++ b/crates/pomelorun/src/control.rs
@@ -4,6 +4,10 @@
 
 use actix::Message;
 use pomelorun_core::{ListedHost, Snapshot};
+use pomelorun_wire::FlowKey;
+use tokio::sync::mpsc;
+
+use crate::explain::ExplainReport;
 
 /// One host of the host list with its address.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -31,6 +35,13 @@
     ConfigAge(u64),
     /// The host list was read.
     HostList(Vec<HostEntry>),
+    /// An operator asks where a flow goes; the answer is sent back at once.
+    Explain {
+        /// Which flow.
+        flow: FlowKey,
+        /// Takes the one answer.
+        reply: mpsc::Sender<ExplainReport>,
+    },
     /// The process shuts down.
     Leave,
 }
--- a/crates/pomelorun/src/engine.rs
+++ b/crates/pomelorun/src/engine.rs
@@ -3,13 +3,14 @@
 use std::{cell::RefCell, net::SocketAddrV4, rc::Rc, time::Instant};
 
 use pomelorun_core::{Action, Actions, Event, HostCore, Millis};
-use pomelorun_wire::{Envelope, HostId, Packet, PeerMsg, Relay, decode, encode};
+use pomelorun_wire::{Envelope, FlowKey, HostId, Packet, PeerMsg, Relay, decode, encode};
 use spdlog::prelude::*;
 use tokio::net::UdpSocket;
 
 use crate::{
     batch::{Incoming, Outgoing},
     control::HostEntry,
+    explain::ExplainReport,
     report::SharedReport,
 };
 
@@ -165,6 +166,11 @@
         Some(self.peers[at].1)
     }
 
+    /// Explains where a flow goes.
+    pub(crate) fn explain(&self, flow: &FlowKey) -> ExplainReport {
+        crate::explain::explain(&self.core, self.now(), flow)
+    }
+
     /// Renews the report.
     pub(crate) fn report(&self, shared: &SharedReport) {
         let mut report = shared.lock();
--- a/crates/pomelorun/src/lib.rs
+++ b/crates/pomelorun/src/lib.rs
@@ -6,10 +6,12 @@
 
 mod admin;
 mod batch;
+mod burn;
 mod config;
 mod control;
 mod daemon;
 mod engine;
+mod explain;
 mod host_list;
 mod kernel;
 mod log;
@@ -19,8 +21,17 @@
 mod settings;
 
 pub use crate::{
+    burn::{
+        BurnHistory, BurnReport, CELL_BYTES, Cells, ServiceBurn, WINDOWS, WindowOutcomes,
+        describe_burn,
+    },
     control::Control,
     daemon::{DaemonError, Finished, run},
-    report::{HostReport, MemberReport, UpstreamReport, ZoneReport},
+    explain::{ExplainReport, FlowTextError, RouteReport, parse_flow},
+    metrics::{Metrics, MetricsError},
+    report::{
+        CodeCount, HostReport, MemberReport, ServiceTotals, SharedReport, UpstreamReport,
+        ZoneReport,
+    },
     settings::{LogFormat, LogSettings, Settings, SettingsError},
 };
--- a/crates/pomelorun/src/metrics.rs
+++ b/crates/pomelorun/src/metrics.rs
@@ -5,6 +5,7 @@
     metrics::{Meter, MeterProvider},
 };
 use opentelemetry_sdk::metrics::SdkMeterProvider;
+use pomelorun_core::Outcomes;
 use prometheus::{Encoder, Registry, TextEncoder};
 use thiserror::Error;
 
@@ -13,10 +14,10 @@
 /// Why metrics cannot be set up or read.
 #[derive(Debug, Error)]
 #[error("metrics: {0}")]
-pub(crate) struct MetricsError(String);
+pub struct MetricsError(String);
 
 /// The instruments of a host.
-pub(crate) struct Metrics {
+pub struct Metrics {
     registry: Registry,
     /// Holds the instruments' callbacks.
     _provider: SdkMeterProvider,
@@ -24,7 +25,10 @@
 
 impl Metrics {
     /// Makes instruments that read the newest report.
-    pub(crate) fn new(report: &SharedReport) -> Result<Metrics, MetricsError> {
+    ///
+    /// # Errors
+    /// An exporter that cannot be registered.
+    pub fn new(report: &SharedReport) -> Result<Metrics, MetricsError> {
         let registry = Registry::new();
         let exporter = opentelemetry_prometheus::exporter()
             .with_registry(registry.clone())
@@ -35,11 +39,15 @@
         add_counters(&meter, report);
         add_gauges(&meter, report);
         add_codes(&meter, report);
+        add_services(&meter, report);
         Ok(Metrics { registry, _provider: provider })
     }
 
     /// All metrics as Prometheus text.
-    pub(crate) fn text(&self) -> Result<String, MetricsError> {
+    ///
+    /// # Errors
+    /// Metrics that cannot be encoded.
+    pub fn text(&self) -> Result<String, MetricsError> {
         let mut buf = Vec::new();
         TextEncoder::new()
             .encode(&self.registry.gather(), &mut buf)
@@ -105,3 +113,29 @@
         })
         .build();
 }
+
+type ReadOutcome = fn(&Outcomes) -> u64;
+
+fn add_services(meter: &Meter, report: &SharedReport) {
+    const COUNTERS: [(&str, &str, ReadOutcome); Outcomes::LEN] = [
+        ("pomelorun_flows_opened", "Flows that an upstream opened", |it| it.opened),
+        ("pomelorun_flows_broken", "Flows lost that no operator took out", |it| it.broken),
+        ("pomelorun_flows_given_up", "Flows given up with their zone or service", |it| it.given_up),
+        ("pomelorun_requests_answered", "Requests answered in full", |it| it.answered),
+        ("pomelorun_requests_in_time", "Requests answered within the bound", |it| it.in_time),
+        ("pomelorun_requests_refused", "Requests and openings refused as not run", |it| it.refused),
+        ("pomelorun_requests_unknown", "Requests ended with an unknown outcome", |it| it.unknown),
+    ];
+    for (name, description, read) in COUNTERS {
+        let report = report.clone();
+        meter
+            .u64_observable_counter(name)
+            .with_description(description)
+            .with_callback(move |out| {
+                for it in &report.lock().services {
+                    out.observe(read(&it.outcomes), &[KeyValue::new("service", it.name.clone())]);
+                }
+            })
+            .build();
+    }
+}
--- a/crates/pomelorun/src/packets.rs
+++ b/crates/pomelorun/src/packets.rs
@@ -143,6 +143,10 @@
             }
             Control::ConfigAge(age) => self.report.lock().config_age_ms = age,
             Control::HostList(hosts) => engine.host_list(&hosts),
+            Control::Explain { flow, reply } => {
+                // The asker has gone if the answer finds no receiver.
+                let _ = reply.try_send(engine.explain(&flow));
+            }
             Control::Leave => {
                 engine.handle(Event::Leave);
                 self.report.lock().leaving = true;
--- a/crates/pomelorun/src/report.rs
+++ b/crates/pomelorun/src/report.rs
@@ -2,8 +2,8 @@
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use pomelorun_core::{HostCore, LimitReason, Millis};
-use pomelorun_wire::MemberState;
+use pomelorun_core::{HostCore, LimitReason, Millis, Outcomes, Snapshot, UpstreamStatus, ZoneView};
+use pomelorun_wire::{MemberState, ServiceAddr};
 use serde::{Deserialize, Serialize};
 
 /// State of a host.
@@ -52,6 +52,22 @@
     pub config_bytes: u64,
     /// Occurrences by numbered code, such as `PR0201`.
     pub codes: Vec<CodeCount>,
+    /// Outcomes by service, sorted by address; served as metrics and burn only.
+    #[serde(skip)]
+    pub services: Vec<ServiceTotals>,
+}
+
+/// Outcomes of one service since the start of the process.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ServiceTotals {
+    /// Its address.
+    pub addr: ServiceAddr,
+    /// Its name.
+    pub name: String,
+    /// Bound by which answers in time are told, milliseconds.
+    pub answer_within_ms: u64,
+    /// The counters.
+    pub outcomes: Outcomes,
 }
 
 /// Occurrences of a code.
@@ -96,8 +112,14 @@
 pub struct UpstreamReport {
     /// Name of pool and endpoint.
     pub name: String,
+    /// Availability zone.
+    #[serde(default)]
+    pub zone: String,
     /// Requests that it may run now.
     pub limit: u16,
+    /// Requests that it runs at a time when warm.
+    #[serde(default)]
+    pub slots: u16,
     /// Requests in progress.
     pub in_flight: usize,
     /// Requests that wait.
@@ -110,10 +132,11 @@
 
 /// The newest report, shared between the services.
 #[derive(Debug, Clone, Default)]
-pub(crate) struct SharedReport(Arc<Mutex<HostReport>>);
+pub struct SharedReport(Arc<Mutex<HostReport>>);
 
 impl SharedReport {
-    pub(crate) fn lock(&self) -> MutexGuard<'_, HostReport> {
+    /// Locks the report.
+    pub fn lock(&self) -> MutexGuard<'_, HostReport> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
@@ -121,6 +144,7 @@
 /// Fills in what the core knows.
 pub(crate) fn describe_core(core: &HostCore, now: Millis, report: &mut HostReport) {
     let stats = core.stats();
+    describe_services(core, report);
     report.revision = core.revision();
     report.drained = core.is_drained();
     report.flows = core.flows().len();
@@ -145,25 +169,52 @@
         .map(|it| MemberReport { host: it.host.to_string(), state: it.state, listed: it.listed })
         .collect();
     let Some(snapshot) = core.in_force() else { return };
-    report.zones = snapshot
-        .zones
+    report.zones = snapshot.zones.iter().map(|it| describe_zone(core, now, it)).collect();
+    report.upstreams = core.upstreams().iter().map(|it| describe_upstream(snapshot, it)).collect();
+}
+
+pub(crate) fn describe_zone(core: &HostCore, now: Millis, zone: &ZoneView) -> ZoneReport {
+    ZoneReport {
+        name: zone.name.clone(),
+        out: zone.out,
+        last_packet_ago_ms: core.last_packet_to(zone.id).map(|at| now.since(at).0),
+    }
+}
+
+pub(crate) fn describe_upstream(snapshot: &Snapshot, it: &UpstreamStatus) -> UpstreamReport {
+    let upstream = snapshot.upstream(it.upstream);
+    let zone = upstream.and_then(|it| snapshot.zone(it.zone));
+    UpstreamReport {
+        name: upstream.map_or(String::new(), |it| it.name.clone()),
+        zone: zone.map_or(String::new(), |it| it.name.clone()),
+        limit: it.limit,
+        slots: upstream.map_or(0, |it| it.slots),
+        in_flight: it.in_flight,
+        queued: it.queued,
+        reason: reason_name(it.reason).to_owned(),
+        active: it.active,
+    }
+}
+
+/// Renews the counters; names are copied only when the revision has changed.
+fn describe_services(core: &HostCore, report: &mut HostReport) {
+    let entries = core.services().entries();
+    let same = report.revision == core.revision() && report.services.len() == entries.len();
+    if same {
+        for (it, (_, outcomes)) in report.services.iter_mut().zip(entries) {
+            it.outcomes = *outcomes;
+        }
+        return;
+    }
+    let Some(snapshot) = core.in_force() else { return };
+    report.services = snapshot
+        .services
         .iter()
-        .map(|it| ZoneReport {
+        .map(|it| ServiceTotals {
+            addr: it.addr,
             name: it.name.clone(),
-            out: it.out,
-            last_packet_ago_ms: core.last_packet_to(it.id).map(|at| now.since(at).0),
-        })
-        .collect();
-    report.upstreams = core
-        .upstreams()
-        .iter()
-        .map(|it| UpstreamReport {
-            name: snapshot.upstream(it.upstream).map_or(String::new(), |up| up.name.clone()),
-            limit: it.limit,
-            in_flight: it.in_flight,
-            queued: it.queued,
-            reason: reason_name(it.reason).to_owned(),
-            active: it.active,
+            answer_within_ms: it.answer_within.0,
+            outcomes: core.services().of(it.addr),
         })
         .collect();
 }
--- a/crates/pomelorun/tests/daemon/main.rs
+++ b/crates/pomelorun/tests/daemon/main.rs
@@ -1,5 +1,6 @@
-//! Tests of the daemon's settings.
+//! Tests of the daemon as a library.
 
 #![allow(missing_docs, reason = "tests")]
 
+mod burn;
 mod settings;
