Show burn, explain flows, and take the hosts' states together

Cause: operators had no burn report, could not ask where a flow goes, and status listed hosts without saying what differs.

Hosts are asked 16 at a time.

--- a/crates/pomelorunctl/src/answer.rs
+++ b/crates/pomelorunctl/src/answer.rs
@@ -2,6 +2,9 @@
 
 use std::{fmt, process::ExitCode, str::FromStr};
 
+use pomelorun_config::Faults;
+use serde::Serialize;
+
 /// Exit status for faults in what was given.
 const EXIT_FAULTS: u8 = 2;
 /// Exit status for hosts that do not answer.
@@ -49,6 +52,13 @@
     Unreachable,
 }
 
+/// Whether a set of objects may be published.
+#[derive(Debug, Serialize)]
+pub(crate) struct Checked<'a> {
+    pub(crate) ok: bool,
+    pub(crate) faults: &'a Faults,
+}
+
 /// Answer of a command.
 #[derive(Debug)]
 pub(crate) struct Answer {
@@ -68,6 +78,14 @@
         Answer { outcome: Outcome::Faults, out, err: String::new() }
     }
 
+    /// A set of objects has faults.
+    pub(crate) fn faults_as(format: Format, faults: &Faults) -> Answer {
+        match format {
+            Format::Json => Answer::faults(to_json(&Checked { ok: false, faults })),
+            Format::Text | Format::Html => Answer::faults(faults.to_string()),
+        }
+    }
+
     /// The call makes no sense.
     pub(crate) fn usage(err: String) -> Answer {
         Answer { outcome: Outcome::Faults, out: String::new(), err }
--- a/crates/pomelorunctl/src/hosts.rs
+++ b/crates/pomelorunctl/src/hosts.rs
@@ -2,10 +2,14 @@
 
 use std::{net::SocketAddrV4, time::Duration};
 
+use futures_util::{StreamExt, stream};
+use serde::de::DeserializeOwned;
 use thiserror::Error;
 
 /// Time allowed to an answer.
 const ANSWER_TIME: Duration = Duration::from_secs(3);
+/// Hosts that are asked at the same time.
+const AT_A_TIME: usize = 16;
 /// Largest answer that is read, bytes.
 const MAX_ANSWER: usize = 64 << 20;
 
@@ -30,6 +34,28 @@
     String::from_utf8(body.to_vec()).map_err(|e| failed(&e))
 }
 
+/// Asks all hosts for a path, some at a time; answers come in the order of the hosts.
+pub(crate) async fn ask<T: DeserializeOwned>(
+    hosts: &[SocketAddrV4],
+    path: &str,
+) -> (Vec<T>, Vec<HostError>) {
+    let one = |host: SocketAddrV4| async move {
+        let text = read(host, path).await?;
+        serde_json::from_str::<T>(&text)
+            .map_err(|e| HostError { host, detail: format!("unexpected answer: {e}") })
+    };
+    let all: Vec<Result<T, HostError>> =
+        stream::iter(hosts.iter().copied()).map(one).buffered(AT_A_TIME).collect().await;
+    let (mut answers, mut failed) = (Vec::new(), Vec::new());
+    for it in all {
+        match it {
+            Ok(it) => answers.push(it),
+            Err(e) => failed.push(e),
+        }
+    }
+    (answers, failed)
+}
+
 /// Reads host addresses from a list separated by commas.
 pub(crate) fn parse_hosts(text: &str) -> Result<Vec<SocketAddrV4>, String> {
     let parse = |it: &str| {
--- a/crates/pomelorunctl/src/main.rs
+++ b/crates/pomelorunctl/src/main.rs
@@ -1,6 +1,8 @@
 //! The command line for operators.
 
 mod answer;
+mod burn;
+mod explain;
 mod hosts;
 mod objects;
 mod status;
@@ -32,6 +34,10 @@
     Bundle(objects::BundleArgs),
     /// show the state of the hosts
     Status(status::StatusArgs),
+    /// explain where a flow goes and why
+    Explain(explain::ExplainArgs),
+    /// show how fast services spend their error budgets
+    Burn(burn::BurnArgs),
 }
 
 #[actix_rt::main]
@@ -45,6 +51,8 @@
         Some(Command::Diff(it)) => objects::diff(&it),
         Some(Command::Bundle(it)) => objects::bundle(&it),
         Some(Command::Status(it)) => status::status(&it).await,
+        Some(Command::Explain(it)) => explain::explain(&it).await,
+        Some(Command::Burn(it)) => burn::burn(&it).await,
         None => Answer::usage(format!("a command is required\n\n{}", Args::usage())),
     };
     answer.give()
--- a/crates/pomelorunctl/src/objects.rs
+++ b/crates/pomelorunctl/src/objects.rs
@@ -2,14 +2,14 @@
 
 use std::{
     fs,
+    io::ErrorKind,
     path::{Path, PathBuf},
 };
 
+use crate::answer::{Answer, Checked, Format, to_json};
 use gumdrop::Options;
 use pomelorun_config::{Bundle, Change, ChangeKind, Faults, ObjectSet};
-use serde::Serialize;
-
-use crate::answer::{Answer, Format, to_json};
+use pomelorun_wire::Code;
 
 #[derive(Debug, Options)]
 pub(crate) struct CheckArgs {
@@ -53,14 +53,8 @@
     revision: u64,
 }
 
-#[derive(Debug, Serialize)]
-struct Checked<'a> {
-    ok: bool,
-    faults: &'a Faults,
-}
-
 /// Reads a directory and checks the whole set.
-fn load(dir: &Path) -> Result<ObjectSet, Faults> {
+pub(crate) fn load(dir: &Path) -> Result<ObjectSet, Faults> {
     let set = pomelorun_config::load_dir(dir)?;
     pomelorun_config::check(&set).or(set)
 }
@@ -86,10 +80,7 @@
     let sets = load(&args.from).and_then(|from| Ok((from, load(&args.to)?)));
     let (from, to) = match sets {
         Ok(it) => it,
-        Err(faults) if args.format == Format::Json => {
-            return Answer::faults(to_json(&Checked { ok: false, faults: &faults }));
-        }
-        Err(faults) => return Answer::faults(faults.to_string()),
+        Err(faults) => return Answer::faults_as(args.format, &faults),
     };
     let changes = pomelorun_config::diff(&from, &to);
     match args.format {
@@ -119,6 +110,9 @@
         Ok(it) => it,
         Err(e) => return Answer::faults(format!("{}: {e}; nothing was written", e.code())),
     };
+    if let Err(e) = may_replace(&args.output, args.revision) {
+        return Answer::faults(format!("{e}; nothing was written"));
+    }
     if let Err(e) = fs::write(&args.output, to_json(&bundle)) {
         return Answer::faults(format!("{}: {e}", args.output.display()));
     }
@@ -129,3 +123,24 @@
         bundle.manifest.content_hash()
     ))
 }
+
+/// A bundle is replaced by a higher revision only, and any other file not at all.
+fn may_replace(output: &Path, revision: u64) -> Result<(), String> {
+    let shown = output.display();
+    let text = match fs::read_to_string(output) {
+        Ok(it) => it,
+        Err(e) if e.kind() == ErrorKind::NotFound => return Ok(()),
+        Err(e) => return Err(format!("{} {shown}: {e}", Code::CONFIG_READ)),
+    };
+    let Ok(before) = serde_json::from_str::<Bundle>(&text) else {
+        return Err(format!("{} {shown}: exists and is not a bundle", Code::CONFIG_JSON));
+    };
+    let before = before.manifest.revision;
+    if revision <= before {
+        return Err(format!(
+            "{} {shown}: holds revision {before}; choose a higher one than that, not {revision}",
+            Code::CONFIG_REGRESSION
+        ));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/pomelorunctl/tests/ctl/main.rs
@@ -0,0 +1,8 @@
+//! Tests of the operators' command line, run as a program.
+
+#![allow(missing_docs, reason = "tests")]
+
+mod burn;
+mod objects;
+mod run;
+mod status;
