Hold the pages of settings and metrics to the code

Cause: no page named every setting with unit, default and range, nor every metric.

Change: docs/operators/settings.md and metrics.md, each compared with what the daemon reads and exports. come_back_ms, record_keep_ms and packet_life_ms had no range and took any value; they have one now. target_info, which named an unknown service, is not exported any more. Plots label the present 0, not -0.

Measured: cargo test -p pomelorun pages. With the row of bounds.history and the row of pomelorun_requests_refused_total removed, the page tests fail and name the row.

--- a/crates/pomelorun/src/metrics.rs
+++ b/crates/pomelorun/src/metrics.rs
@@ -32,6 +32,7 @@
         let registry = Registry::new();
         let exporter = opentelemetry_prometheus::exporter()
             .with_registry(registry.clone())
+            .without_target_info()
             .build()
             .map_err(|e| MetricsError(e.to_string()))?;
         let provider = SdkMeterProvider::builder().with_reader(exporter).build();
--- a/crates/pomelorun/src/settings.rs
+++ b/crates/pomelorun/src/settings.rs
@@ -38,7 +38,8 @@
 }
 
 /// Settings of a daemon, checked.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
 pub struct Settings {
     /// Name of this host in the host list.
     pub host: String,
@@ -183,6 +184,9 @@
             ("bounds.queue_len", bounds.queue_len as u64, 0, 100_000),
             ("bounds.history", bounds.history as u64, 1, 1_000),
             ("bounds.probe_candidates", bounds.probe_candidates as u64, 1, 1_000),
+            ("bounds.come_back_ms", bounds.come_back_ms.0, 1, 60_000),
+            ("bounds.record_keep_ms", bounds.record_keep_ms.0, 1_000, 3_600_000),
+            ("bounds.packet_life_ms", bounds.packet_life_ms.0, 1, 60_000),
             ("bounds.load_bound_percent", u64::from(bounds.load_bound_percent), 101, 1_000),
         ];
         for (path, value, least, most) in ranges {
--- a/crates/pomelorun/tests/daemon/main.rs
+++ b/crates/pomelorun/tests/daemon/main.rs
@@ -3,4 +3,5 @@
 #![allow(missing_docs, reason = "tests")]
 
 mod burn;
+mod pages;
 mod settings;
--- a/crates/pomelorunctl/src/burn/plot.rs
+++ b/crates/pomelorunctl/src/burn/plot.rs
@@ -135,7 +135,7 @@
         .axis_desc_style(font)
         .x_labels(7)
         .y_labels(5)
-        .x_label_formatter(&|it| format!("{:.0}", -it))
+        .x_label_formatter(&|it| format!("{:.0}", it.abs()))
         .y_label_formatter(&|it| short(*it))
         .x_desc(unit)
         .y_desc("burn rate")
