--- a/crates/pomelorun/tests/daemon/main.rs
+++ b/crates/pomelorun/tests/daemon/main.rs
@@ -1,5 +1,7 @@
-//! Tests of the daemon's settings.
+//! Tests of the daemon as a library.
 
 #![allow(missing_docs, reason = "tests")]
 
+mod burn;
+mod pages;
 mod settings;
