Bound what upstreams run by proofs of warmth, and refuse at once what cannot make it

Cause: one late answer dropped an upstream to its cold slots and three answers in time in a row brought one slot back. Under noise the limit stayed low, the queue filled and requests were refused as busy. Besides, answers to requests older than a shed counted as growth; a request that had waited was forwarded with its whole deadline, so that the steward freed its slot while it still ran; a request whose record was being replicated was forwarded although the limit had fallen meanwhile; and a steward that took over from a crashed one began with a limit that may have been out of date.

Change: an answer in time proves that the upstream was warm when its request started, so it gives back what a late answer took, and a late answer to a request older than the newest proof says nothing. A packet that waited carries the time that is left. A replicated request waits if the limit has fallen. After a crash the limit starts cold. Requests that cannot make their deadline are refused at once, each with a turn of its own to come back. A shed request is sent again within a budget of 10% of the pool's answers, with full jitter and within its deadline.

--- a/crates/pomelorun-core/src/host.rs
+++ b/crates/pomelorun-core/src/host.rs
@@ -17,6 +17,7 @@
     choice::Chooser,
     flow_table::FlowTable,
     members::Members,
+    retry::RetryBudget,
     service_counts::ServiceCounts,
     settings::CoreSettings,
     snapshot::Snapshot,
@@ -54,6 +55,8 @@
     chooser: Chooser,
     /// Sorted by upstream.
     stewards: Vec<Steward>,
+    /// By name of pool, sorted.
+    retries: Vec<(String, RetryBudget)>,
     give_up: Vec<FlowKey>,
     /// Flows whose new keepers cannot find them by themselves, to be told on leaving.
     hand_over: Vec<FlowEntry>,
@@ -88,6 +91,7 @@
             flows: FlowTable::new(INITIAL_BUCKETS),
             chooser: Chooser::default(),
             stewards: Vec::new(),
+            retries: Vec::new(),
             give_up: Vec::new(),
             hand_over: Vec::new(),
             stats: Stats::default(),
--- a/crates/pomelorun-core/src/host/roles.rs
+++ b/crates/pomelorun-core/src/host/roles.rs
@@ -7,6 +7,7 @@
 use crate::{
     action::{Action, Actions},
     host::HostCore,
+    retry::RetryBudget,
     steward::{Steward, StewardCx},
     time::Millis,
     view::{Ranked, steward_score},
@@ -111,12 +112,21 @@
     ) {
         let Some(snapshot) = self.history.first() else { return };
         let Some(upstream) = snapshot.upstream(id) else { return };
+        let pool = snapshot.pool_of(upstream);
+        let at = match self.retries.binary_search_by(|it| it.0.as_str().cmp(&pool.name)) {
+            Ok(at) => at,
+            Err(at) => {
+                self.retries.insert(at, (pool.name.clone(), RetryBudget::default()));
+                at
+            }
+        };
         let cx = StewardCx {
             now,
             me: self.me,
             cfg: &self.cfg,
             upstream,
-            pool: snapshot.pool_of(upstream),
+            pool,
+            retries: &self.retries[at].1,
         };
         let at = match self.stewards.binary_search_by_key(&id, Steward::id) {
             Ok(at) => at,
--- a/crates/pomelorun-core/src/lib.rs
+++ b/crates/pomelorun-core/src/lib.rs
@@ -11,6 +11,7 @@
 mod limit;
 mod members;
 mod record;
+mod retry;
 mod service_counts;
 mod settings;
 mod snapshot;
--- a/crates/pomelorun-core/src/limit.rs
+++ b/crates/pomelorun-core/src/limit.rs
@@ -1,6 +1,12 @@
 //! How many requests an upstream may run at a time.
 //!
-//! The limit starts at the upstream's cold slots, grows by one after a few answers in time, and falls back on shedding, timeouts and slowness.
+//! The limit starts at the upstream's cold slots, grows by one after a few answers in time, and
+//! falls back at once on shedding, timeouts and slowness.
+//!
+//! Delays on the way only ever add to a latency, so an answer in time proves that the upstream was
+//! warm when the request started, while a late one may be due to noise. Hence an answer in time to
+//! a request that started after a late one did gives the whole limit back, and a late answer to a
+//! request that started before the newest proof of warmth says nothing.
 
 use crate::time::Millis;
 
@@ -29,6 +35,13 @@
     heard: Option<Millis>,
     /// Answers in time since the limit last changed.
     in_time: u16,
+    /// The limit before late answers made it fall; an answer in time gives it back.
+    suspended: Option<u16>,
+    /// When the sign came that made the limit fall; a late answer is a sign of its request's start.
+    /// What started no later proves nothing about the time after.
+    fell: Option<Millis>,
+    /// Start of the youngest request that was answered in time.
+    warm: Option<Millis>,
 }
 
 /// Answers in time before the limit grows by one.
@@ -47,6 +60,9 @@
             reason: LimitReason::New,
             heard: None,
             in_time: 0,
+            suspended: None,
+            fell: None,
+            warm: None,
         }
     }
 
@@ -63,8 +79,7 @@
     /// Tells whether one more request may start.
     pub fn admits(&mut self, now: Millis, in_flight: usize) -> bool {
         if self.heard.is_some_and(|it| now.since(it) > SILENCE) {
-            self.now = self.cold;
-            self.reason = LimitReason::New;
+            self.forget(now);
         }
         in_flight < usize::from(self.now)
     }
@@ -78,19 +93,47 @@
 
     /// Takes over the limit of the steward before.
     pub fn inherit(&mut self, now: Millis, limit: u16) {
+        *self = Limit::new(self.cold, self.slots);
         self.now = limit.clamp(self.cold, self.slots);
         self.heard = Some(now);
         self.reason = LimitReason::Warm;
     }
 
-    /// Notes an answer.
-    pub fn answered(&mut self, now: Millis, latency: Millis, slow_after: Millis) {
+    /// Starts again at the cold slots, since what is known may be out of date.
+    pub fn forget(&mut self, now: Millis) {
+        *self = Limit::new(self.cold, self.slots);
+        self.fell = Some(now);
+    }
+
+    /// Notes an answer to a request that started at `started`.
+    pub fn answered(&mut self, now: Millis, started: Millis, slow_after: Millis) {
         self.heard = Some(now);
-        if latency > slow_after {
-            self.fall(LimitReason::Slow);
+        if now.since(started) > slow_after {
+            self.answered_late(started);
+        } else {
+            self.answered_in_time(started);
+        }
+    }
+
+    fn answered_late(&mut self, started: Millis) {
+        if self.warm.is_some_and(|it| started < it) {
             return;
         }
+        let before = self.suspended.unwrap_or(0).max(self.now);
+        self.fall(started, LimitReason::Slow);
+        self.suspended = Some(before);
+    }
+
+    fn answered_in_time(&mut self, started: Millis) {
+        if self.fell.is_some_and(|it| started <= it) {
+            return;
+        }
+        self.warm = self.warm.max(Some(started));
         self.reason = LimitReason::Warm;
+        if let Some(before) = self.suspended.take() {
+            self.now = before.clamp(self.now, self.slots);
+            return;
+        }
         self.in_time += 1;
         if self.in_time >= IN_TIME_TO_GROW {
             self.in_time = 0;
@@ -101,17 +144,19 @@
     /// Notes that the upstream shed a request.
     pub fn shed(&mut self, now: Millis) {
         self.heard = Some(now);
-        self.fall(LimitReason::Shed);
+        self.fall(now, LimitReason::Shed);
     }
 
     /// Notes that a request ran into its deadline.
-    pub fn timed_out(&mut self) {
-        self.fall(LimitReason::TimedOut);
+    pub fn timed_out(&mut self, now: Millis) {
+        self.fall(now, LimitReason::TimedOut);
     }
 
-    fn fall(&mut self, reason: LimitReason) {
+    fn fall(&mut self, at: Millis, reason: LimitReason) {
         self.now = self.cold;
         self.in_time = 0;
+        self.suspended = None;
+        self.fell = self.fell.max(Some(at));
         self.reason = reason;
     }
 }
--- a/crates/pomelorun-core/src/record.rs
+++ b/crates/pomelorun-core/src/record.rs
@@ -38,6 +38,13 @@
         }
     }
 
+    /// Removes a record, once the request is known not to have run.
+    pub fn remove(&mut self, key: &RecordKey) {
+        if let Ok(at) = self.entries.binary_search_by_key(key, |it| it.key) {
+            self.entries.remove(at);
+        }
+    }
+
     /// Forgets what is past its time.
     pub fn expire(&mut self, now: Millis) {
         self.entries.retain(|it| it.keep_until > now);
--- a/crates/pomelorun-core/src/settings.rs
+++ b/crates/pomelorun-core/src/settings.rs
@@ -32,6 +32,8 @@
     pub packet_life_ms: Millis,
     /// Bound on the load of one upstream for a new flow, percent of the mean.
     pub load_bound_percent: u32,
+    /// Retries of shed requests that a pool is given, percent of its answers.
+    pub retry_percent: u32,
 }
 
 impl Default for CoreSettings {
@@ -49,6 +51,7 @@
             record_keep_ms: Millis(60_000),
             packet_life_ms: Millis(2_000),
             load_bound_percent: 115,
+            retry_percent: 10,
         }
     }
 }
--- a/crates/pomelorun-core/src/steward.rs
+++ b/crates/pomelorun-core/src/steward.rs
@@ -15,6 +15,7 @@
     action::{Action, Actions},
     limit::{Limit, LimitReason},
     record::{Record, Records},
+    retry::RetryBudget,
     settings::CoreSettings,
     snapshot::{PoolView, UpstreamView},
     steward::queue::{Admission, Held, Queue},
@@ -63,6 +64,7 @@
     pub(crate) cfg: &'a CoreSettings,
     pub(crate) upstream: &'a UpstreamView,
     pub(crate) pool: &'a PoolView,
+    pub(crate) retries: &'a RetryBudget,
 }
 
 impl StewardCx<'_> {
@@ -96,6 +98,9 @@
     started: Millis,
     deadline: Millis,
     idempotent: bool,
+    /// The request, to send it again if it is shed.
+    bytes: Box<[u8]>,
+    retries: u8,
     parts_seen: Vec<u64>,
     parts_left: Option<u16>,
 }
@@ -219,9 +224,14 @@
         let key = RecordKey { flow: packet.flow(), req: packet.req() };
         match self.admit(cx, packet, &key) {
             Next::Start if packet.is_idempotent() => {
-                let left = deadline_of(cx, packet);
-                self.note_started(cx, key, packet.header(), left, true);
-                out.push(Action::ToUpstream(cx.addr()));
+                let held = Held::new(cx, packet, key);
+                let asked = Millis(packet.deadline_ms().into());
+                if held.deadline == cx.now + asked {
+                    self.begin(cx, held);
+                    out.push(Action::ToUpstream(cx.addr()));
+                } else {
+                    self.forward(cx, held, out);
+                }
             }
             Next::Start => {
                 let held = Held::new(cx, packet, key);
@@ -229,7 +239,10 @@
             }
             Next::Queue => self.queue.push(Held::new(cx, packet, key)),
             Next::Refuse(code) => self.refuse(cx, &key, packet.header(), code, out),
-            Next::RefuseAgain => out.push(not_run(cx, packet.header(), Code::REFUSED_BEFORE)),
+            Next::RefuseAgain => {
+                let after = cx.cfg.come_back_ms;
+                out.push(not_run(packet.header(), Code::REFUSED_BEFORE, after));
+            }
             Next::Unknown(code) => out.push(unknown(cx, packet.header(), code)),
             Next::Ignore(code) => out.push(Action::Count(code)),
         }
@@ -250,7 +263,7 @@
         if self.phase == StewardPhase::Standby {
             return Next::Unknown(Code::STEWARD_CHANGING);
         }
-        match self.admission(cx) {
+        match self.admission(cx, deadline_of(cx, packet)) {
             Admission::Start => Next::Start,
             Admission::Wait => Next::Queue,
             Admission::Refuse => Next::Refuse(Code::BUSY),
@@ -289,28 +302,21 @@
     }
 
     fn forward(&mut self, cx: &StewardCx<'_>, held: Held, out: &mut Actions) {
-        self.note_started(cx, held.key, held.header(), held.deadline, held.idempotent);
-        if let Some(it) = self.in_flight.last_mut() {
-            it.arrived = held.arrived;
-        }
-        out.push(Action::HeldToUpstream(cx.addr(), held.bytes));
+        out.push(Action::HeldToUpstream(cx.addr(), held.with_time_left(cx.now)));
+        self.begin(cx, held);
     }
 
-    fn note_started(
-        &mut self,
-        cx: &StewardCx<'_>,
-        key: RecordKey,
-        header: Header,
-        deadline: Millis,
-        idempotent: bool,
-    ) {
+    /// Counts a request in that is sent to the upstream now.
+    fn begin(&mut self, cx: &StewardCx<'_>, held: Held) {
         self.in_flight.push(InFlight {
-            key,
-            header,
-            arrived: cx.now,
+            key: held.key,
+            header: held.header(),
+            arrived: held.arrived,
             started: cx.now,
-            deadline,
-            idempotent,
+            deadline: held.deadline,
+            idempotent: held.idempotent,
+            bytes: held.bytes,
+            retries: held.retries,
             parts_seen: Vec::new(),
             parts_left: None,
         });
@@ -331,24 +337,27 @@
             self.uncertain_until
         };
         let certain = cx.now >= until && self.records.get(key).is_none();
+        let after = self.come_back_after(cx);
         if !certain {
-            out.push(unknown(cx, header, code));
+            out.push(Action::Reply(reply(header, Kind::OutcomeUnknown, code, after)));
             return;
         }
         self.note_not_run(cx, key, header);
-        out.push(not_run(cx, header, code));
+        out.push(not_run(header, code, after));
     }
 
     /// Tells the caller that the upstream shed a request; an idempotent one may have run before.
     fn say_shed(&mut self, cx: &StewardCx<'_>, it: &InFlight, out: &mut Actions) {
         let ran = |it: &Record| it.state == RecordState::Answered;
         let unsure = it.idempotent && cx.now < self.uncertain_idempotent_until;
+        let after = self.come_back_after(cx);
+        let code = Code::UPSTREAM_SHED;
         if unsure || self.records.get(&it.key).is_some_and(ran) {
-            out.push(unknown(cx, it.header, Code::UPSTREAM_SHED));
+            out.push(Action::Reply(reply(it.header, Kind::OutcomeUnknown, code, after)));
             return;
         }
         self.note_not_run(cx, &it.key, it.header);
-        out.push(not_run(cx, it.header, Code::UPSTREAM_SHED));
+        out.push(not_run(it.header, code, after));
     }
 
     /// Remembers that a caller is told "not run" for as long as a copy of the request may arrive.
@@ -365,10 +374,11 @@
     /// The caller gave a request up.
     pub(crate) fn cancel(&mut self, cx: &StewardCx<'_>, packet: &Packet<'_>, out: &mut Actions) {
         let key = RecordKey { flow: packet.flow(), req: packet.req() };
-        if self.queue.remove(&key).is_some() {
-            self.refuse(cx, &key, packet.header(), Code::CANCELLED, out);
-        } else if self.in_flight.iter().any(|it| it.key == key) {
-            out.push(Action::ToUpstream(cx.addr()));
+        if let Some(held) = self.queue.remove(&key) {
+            self.drop_held(cx, &held, Code::CANCELLED, out);
+        } else if let Some(at) = self.in_flight.iter().position(|it| it.key == key) {
+            let it = self.in_flight.swap_remove(at);
+            self.abandon(cx, &it, Code::CANCELLED, out);
         }
     }
 
@@ -392,7 +402,9 @@
         if self.in_flight[at].parts_left == Some(0) {
             let it = self.in_flight.swap_remove(at);
             self.answered = Some((key.flow.service, cx.now.since(it.arrived)));
-            self.limit.answered(cx.now, cx.now.since(it.started), cx.pool.slow_after);
+            self.queue.note_service(cx.now.since(it.started));
+            cx.retries.answered(cx.now, cx.cfg.retry_percent);
+            self.limit.answered(cx.now, it.started, cx.pool.slow_after);
             self.note_ran(cx, &it);
             self.pump(cx, out);
         }
@@ -419,9 +431,8 @@
     fn time_out(&mut self, cx: &StewardCx<'_>, out: &mut Actions) {
         while let Some(at) = self.in_flight.iter().position(|it| it.deadline <= cx.now) {
             let it = self.in_flight.swap_remove(at);
-            self.limit.timed_out();
-            self.note_ran(cx, &it);
-            out.push(unknown(cx, it.header, Code::TIMED_OUT));
+            self.limit.timed_out(cx.now);
+            self.abandon(cx, &it, Code::TIMED_OUT, out);
         }
     }
 }
@@ -432,14 +443,14 @@
     cx.now + if asked == Millis(0) { max } else { asked.min(max) }
 }
 
-fn not_run(cx: &StewardCx<'_>, header: Header, code: Code) -> Action {
-    Action::Reply(reply(cx, header, Kind::NotRun, code))
+fn not_run(header: Header, code: Code, after: Millis) -> Action {
+    Action::Reply(reply(header, Kind::NotRun, code, after))
 }
 
 fn unknown(cx: &StewardCx<'_>, header: Header, code: Code) -> Action {
-    Action::Reply(reply(cx, header, Kind::OutcomeUnknown, code))
+    Action::Reply(reply(header, Kind::OutcomeUnknown, code, cx.cfg.come_back_ms))
 }
 
-fn reply(cx: &StewardCx<'_>, header: Header, kind: Kind, code: Code) -> Header {
-    header.kind(kind).code(code.0).retry_after_ms(cx.cfg.come_back_ms.as_u16())
+fn reply(header: Header, kind: Kind, code: Code, after: Millis) -> Header {
+    header.kind(kind).code(code.0).retry_after_ms(after.as_u16())
 }
--- a/crates/pomelorun-core/src/steward/succession.rs
+++ b/crates/pomelorun-core/src/steward/succession.rs
@@ -33,6 +33,7 @@
     pub(super) fn act_on_replica(&mut self, cx: &StewardCx<'_>, out: &mut Actions) {
         self.replica_of = None;
         self.phase = StewardPhase::Active;
+        self.limit.forget(cx.now);
         self.know_records(cx);
         let over = cx.now + cx.pool.max_deadline;
         self.foreign = vec![over; usize::from(cx.upstream.slots)];
@@ -54,6 +55,7 @@
     /// Acts without knowing what another steward may have started.
     pub(super) fn act_uncertain(&mut self, cx: &StewardCx<'_>) {
         self.phase = StewardPhase::Active;
+        self.limit.forget(cx.now);
         self.know_nothing(cx);
         let over = cx.now + cx.pool.max_deadline;
         self.foreign = vec![over; usize::from(cx.upstream.slots)];
@@ -145,7 +147,7 @@
             out.push(unknown(cx, held.header(), Code::STEWARD_CHANGING));
         }
         for held in self.queue.take() {
-            self.refuse(cx, &held.key, held.header(), Code::STEWARD_CHANGING, out);
+            self.drop_held(cx, &held, Code::STEWARD_CHANGING, out);
         }
         self.know_nothing(cx);
     }
@@ -245,7 +247,7 @@
         }
         if let Some(at) = self.recording.iter().position(|it| it.key == *key) {
             let held = self.recording.swap_remove(at);
-            self.forward(cx, held, out);
+            self.recorded(cx, held, out);
         }
     }
 
--- a/crates/pomelorun-core/tests/core/main.rs
+++ b/crates/pomelorun-core/tests/core/main.rs
@@ -4,6 +4,8 @@
 
 mod counts;
 mod explain;
+mod limits;
+mod load;
 mod mesh;
 mod path;
 mod requests;
--- a/crates/pomelorun-core/tests/core/mesh.rs
+++ b/crates/pomelorun-core/tests/core/mesh.rs
@@ -147,7 +147,19 @@
     pub(crate) ran: u64,
     pub(crate) shed: u64,
     pub(crate) overloads: u64,
+    /// Overloads by packets that were sent after a sign of the cold start had reached a host.
+    pub(crate) avoidable: u64,
+    /// Sequence number of the datagrams at the first sign of the cold start.
+    first_sign: u64,
+    /// Requests accepted while cold, whose answers are signs of it.
+    accepted_cold: BTreeSet<(FlowKey, u32)>,
     pub(crate) most_at_once: usize,
+    /// Share of requests that take longer than the service time, percent, and by how much.
+    pub(crate) noise: (u32, u64),
+    /// Sheds everything, whatever it runs.
+    pub(crate) sheds_all: bool,
+    /// Requests that arrived.
+    pub(crate) arrived: u64,
     /// When the last packet arrived.
     pub(crate) last_packet: Millis,
 }
@@ -160,6 +172,17 @@
     pub(crate) fn is_cold(&self) -> bool {
         self.served < WARM_AFTER
     }
+
+    /// Falls back into a cold start without warning.
+    pub(crate) fn fall_cold(&mut self) {
+        self.served = 0;
+        self.first_sign = u64::MAX;
+    }
+
+    /// Requests in progress.
+    pub(crate) fn running(&self) -> usize {
+        self.running.len()
+    }
 }
 
 /// How a request ended for its caller.
@@ -375,7 +398,13 @@
                 ran: 0,
                 shed: 0,
                 overloads: 0,
+                avoidable: 0,
+                first_sign: 0,
+                accepted_cold: BTreeSet::new(),
                 most_at_once: 0,
+                noise: (0, 0),
+                sheds_all: false,
+                arrived: 0,
                 last_packet: Millis(0),
             });
         }
@@ -520,12 +549,27 @@
             Place::Host(at) if self.hosts[at].frozen => {
                 self.hosts[at].inbox.push((it.from, it.bytes));
             }
-            Place::Host(at) => self.host_gets(at, it.from, &it.bytes),
-            Place::Upstream(addr) => self.upstream_gets(addr, it.from, &it.bytes),
+            Place::Host(at) => {
+                self.note_sign(it.from, &it.bytes);
+                self.host_gets(at, it.from, &it.bytes);
+            }
+            Place::Upstream(addr) => self.upstream_gets(addr, it.from, it.seq, &it.bytes),
             Place::Callers => self.caller_gets(&it.bytes),
         }
     }
 
+    /// A shed request, or the answer of one accepted while cold, tells a host of the cold start.
+    fn note_sign(&mut self, from: Place, bytes: &[u8]) {
+        let Place::Upstream(addr) = from else { return };
+        let packet = Packet::parse(bytes).expect("fakes send well-formed packets");
+        let seq = self.seq;
+        let it = self.upstreams.get_mut(&addr).expect("answers come from known upstreams");
+        let was_cold = it.accepted_cold.remove(&(packet.flow(), packet.req()));
+        if packet.kind() == Kind::Shed || (packet.kind() == Kind::Answer && was_cold) {
+            it.first_sign = it.first_sign.min(seq);
+        }
+    }
+
     fn host_gets(&mut self, at: usize, from: Place, bytes: &[u8]) {
         if let Some(body) = bytes.strip_prefix(PEER_MAGIC) {
             let envelope: Envelope = decode(body).expect("hosts send well-formed messages");
@@ -586,7 +630,7 @@
 
     // Upstreams.
 
-    fn upstream_gets(&mut self, addr: SocketAddrV4, from: Place, bytes: &[u8]) {
+    fn upstream_gets(&mut self, addr: SocketAddrV4, from: Place, seq: u64, bytes: &[u8]) {
         let packet = Packet::parse(bytes).expect("hosts forward well-formed packets");
         let flow = packet.flow();
         let key = (flow, packet.req());
@@ -610,19 +654,28 @@
             }
             Kind::Request if !it.sessions.contains(&flow) => Some(header.kind(Kind::Reset)),
             Kind::Request => {
+                it.arrived += 1;
                 let bears = if it.is_cold() { it.cold_slots } else { it.slots };
-                if it.running.len() >= bears {
+                let over = it.running.len() >= bears;
+                if over || it.sheds_all {
                     it.shed += 1;
-                    it.overloads += u64::from(it.is_cold());
+                    it.overloads += u64::from(over && it.is_cold());
+                    it.avoidable += u64::from(over && it.is_cold() && seq > it.first_sign);
                     Some(header.kind(Kind::Shed))
                 } else {
                     let factor = if it.is_cold() { COLD_FACTOR } else { 1 };
+                    if it.is_cold() {
+                        it.accepted_cold.insert(key);
+                    }
+                    let (percent, extra) = it.noise;
+                    let late = percent > 0 && self.rng.random_range(0..100) < percent;
+                    let service_ms = it.service_ms + if late { extra } else { 0 };
                     it.running.push(Running {
                         flow,
                         req: packet.req(),
                         header,
                         to: from,
-                        due: now + Millis(it.service_ms * factor),
+                        due: now + Millis(service_ms * factor),
                         deadline: now + Millis(packet.deadline_ms().into()),
                     });
                     it.ran += 1;
--- a/crates/pomelorun-wire/src/code.rs
+++ b/crates/pomelorun-wire/src/code.rs
@@ -81,6 +81,7 @@
     ANSWER_UNEXPECTED = 211, "answer_unexpected", "an answer to no request in progress was dropped", "none";
     STEWARD_CHANGING = 212, "steward_changing", "the upstream is being taken over by another host", "come back after the time given";
     REFUSED_BEFORE = 213, "refused_before", "an earlier copy of the request was refused and has not run", "come back under a new number";
+    RETRIED = 220, "retried", "the upstream shed the request, which is sent again", "none";
     // Membership.
     HOST_SUSPECT = 300, "host_suspect", "a host does not answer probes", "look at the host if it stays so";
     HOST_DEAD = 301, "host_dead", "a host is believed dead", "replace the host";
--- a/crates/pomelorun/src/settings.rs
+++ b/crates/pomelorun/src/settings.rs
@@ -184,6 +184,7 @@
             ("bounds.history", bounds.history as u64, 1, 1_000),
             ("bounds.probe_candidates", bounds.probe_candidates as u64, 1, 1_000),
             ("bounds.load_bound_percent", u64::from(bounds.load_bound_percent), 101, 1_000),
+            ("bounds.retry_percent", u64::from(bounds.retry_percent), 0, 10),
         ];
         for (path, value, least, most) in ranges {
             if value < least || value > most {
