--- a/crates/pomelorun-core/src/host.rs
+++ b/crates/pomelorun-core/src/host.rs
@@ -8,7 +8,7 @@
 
 use std::sync::Arc;
 
-use pomelorun_wire::{Code, FlowEntry, FlowKey, HostId, ZoneId};
+use pomelorun_wire::{Code, FlowEntry, FlowKey, HostId, Kind, Relay, ZoneId};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
@@ -34,6 +34,8 @@
 const INITIAL_BUCKETS: u32 = 1;
 /// Time after its announcement during which a leaving host is asked for flows.
 const ASK_LEAVING_FOR: Millis = Millis(1_000);
+/// Time after a late wake-up during which packets may come from the time of the sleep.
+const BACKLOG: Millis = Millis(200);
 /// Flows that a leaving host tells new keepers of on one timer event.
 const FLOWS_PER_MESSAGE: usize = 100;
 /// Flows that are given up on one timer event.
@@ -62,6 +64,8 @@
     /// When the last packet left for upstreams of a zone, sorted by zone.
     last_packets: Vec<(ZoneId, Millis)>,
     last_tick: Option<Millis>,
+    /// When the process last woke late.
+    woke: Option<Millis>,
     leaving: bool,
 }
 
@@ -94,6 +98,7 @@
             services: ServiceCounts::default(),
             last_packets: Vec::new(),
             last_tick: None,
+            woke: None,
             leaving: false,
         }
     }
@@ -107,6 +112,11 @@
             _ => None,
         };
         match event {
+            Event::Fabric(packet) | Event::Relayed(Relay { packet, .. })
+                if packet.kind() == Kind::Request && self.reads_backlog(now) =>
+            {
+                self.come_back(&packet, Code::WOKE_LATE, &mut out);
+            }
             Event::Fabric(packet) => self.fabric(now, &packet, &mut out),
             Event::Relayed(relay) => self.relayed(now, &relay, &mut out),
             Event::Upstream { from, packet } => self.upstream(now, from, &packet, &mut out),
@@ -184,6 +194,7 @@
             return;
         }
         self.last_tick = Some(now);
+        self.woke = Some(now);
         out.push(Action::Count(Code::WOKE_LATE));
         for at in 0..self.stewards.len() {
             let id = self.stewards[at].id();
@@ -192,6 +203,11 @@
         }
     }
 
+    /// Tells whether what arrives may have waited for longer than packets are bound to live.
+    fn reads_backlog(&self, now: Millis) -> bool {
+        self.woke.is_some_and(|it| now.since(it) < BACKLOG)
+    }
+
     fn tick(&mut self, now: Millis, out: &mut Actions) {
         self.last_tick = Some(now);
         let revision = self.revision();
--- a/crates/pomelorun-core/src/host/control.rs
+++ b/crates/pomelorun-core/src/host/control.rs
@@ -34,30 +34,37 @@
                 out.extend(sent.into_iter().map(|(to, msg)| Action::Peer { to, msg }));
                 self.refresh_view(now, out);
             }
-            PeerMsg::Record { upstream, entry } => self.with_role(now, *upstream, |it, cx| {
-                let msg = it.replica_record(cx, from, entry);
+            PeerMsg::Record(record) => self.with_role(now, record.upstream, |it, cx| {
+                let msg = it.replica_record(cx, from, record);
                 out.push(Action::Peer { to: from, msg });
             }),
-            PeerMsg::Replica { state } => self.with_role(now, state.upstream, |it, cx| {
-                let msg = it.replica(cx, from, state);
-                out.push(Action::Peer { to: from, msg });
+            PeerMsg::RecordAck(acked) => self.with_role(now, acked.upstream, |it, cx| {
+                it.record_acked(cx, from, acked, out);
             }),
-            PeerMsg::RecordAck { upstream, key, accepted } => {
+            PeerMsg::Replica { .. } if self.reads_backlog(now) => {}
+            PeerMsg::Replica { upstream, session, part } => {
                 self.with_role(now, *upstream, |it, cx| {
-                    it.record_acked(cx, from, key, *accepted, out);
+                    let msg = it.replica(cx, from, *session, part);
+                    out.push(Action::Peer { to: from, msg });
                 });
             }
-            PeerMsg::ReplicaAck { upstream, accepted } => {
+            PeerMsg::ReplicaAck { upstream, session, held, ack } => {
                 self.with_role(now, *upstream, |it, cx| {
-                    it.replica_acked(cx, from, *accepted, out);
+                    it.replica_acked(cx, from, *session, *held, *ack, out);
                 });
             }
-            PeerMsg::TakeOver { upstream } => {
+            PeerMsg::Release { upstream } => {
+                self.with_role(now, *upstream, |it, _| it.released(from));
+            }
+            PeerMsg::TakeOver { upstream, ask, have } => {
                 let leaving = self.leaving;
-                self.with_role(now, *upstream, |it, cx| it.asked(cx, from, leaving, out));
+                let question = (*ask, *have);
+                self.with_role(now, *upstream, |it, cx| it.asked(cx, from, question, leaving, out));
             }
-            PeerMsg::HandOver { upstream, verdict } => {
-                self.with_role(now, *upstream, |it, cx| it.answered(cx, from, verdict, out));
+            PeerMsg::HandOver { upstream, ask, verdict } => {
+                self.with_role(now, *upstream, |it, cx| {
+                    it.answered(cx, from, *ask, verdict, out);
+                });
             }
             PeerMsg::Flows { entries } => {
                 for it in entries {
--- a/crates/pomelorun-core/src/host/roles.rs
+++ b/crates/pomelorun-core/src/host/roles.rs
@@ -114,6 +114,7 @@
         let cx = StewardCx {
             now,
             me: self.me,
+            incarnation: self.members.me().incarnation,
             cfg: &self.cfg,
             upstream,
             pool: snapshot.pool_of(upstream),
--- a/crates/pomelorun-core/src/record.rs
+++ b/crates/pomelorun-core/src/record.rs
@@ -53,24 +53,43 @@
         self.entries.is_empty()
     }
 
-    /// Lists the non-idempotent requests as a hand-over carries them.
+    /// Lists what another steward has to know: all but idempotent requests that ran.
     pub fn export(&self, now: Millis) -> Vec<RecordEntry> {
         self.entries
             .iter()
-            .filter(|it| !it.idempotent)
-            .map(|it| RecordEntry {
-                key: it.key,
-                state: it.state,
-                keep_ms: u32::try_from(it.keep_until.since(now).0).unwrap_or(u32::MAX),
-            })
+            .filter(|it| !it.idempotent || it.state == RecordState::NotRun)
+            .map(|it| it.entry(now))
             .collect()
     }
 
-    /// Adds the records of a hand-over.
+    /// Adds the records of another host; what may have run is not replaced by "not run".
     pub fn import(&mut self, now: Millis, entries: &[RecordEntry]) {
         for it in entries {
-            let keep_until = now + Millis(u64::from(it.keep_ms));
-            self.put(Record { key: it.key, state: it.state, idempotent: false, keep_until });
+            if it.state != RecordState::NotRun || self.get(&it.key).is_none() {
+                self.put(Record::from_entry(now, it));
+            }
+        }
+    }
+}
+
+impl Record {
+    /// Reads a record as another host sends it.
+    pub fn from_entry(now: Millis, it: &RecordEntry) -> Record {
+        Record {
+            key: it.key,
+            state: it.state,
+            idempotent: it.idempotent,
+            keep_until: now + Millis(u64::from(it.keep_ms)),
+        }
+    }
+
+    /// Writes a record as it is sent to another host.
+    pub fn entry(&self, now: Millis) -> RecordEntry {
+        RecordEntry {
+            key: self.key,
+            state: self.state,
+            idempotent: self.idempotent,
+            keep_ms: u32::try_from(self.keep_until.since(now).0).unwrap_or(u32::MAX),
         }
     }
 }
--- a/crates/pomelorun-core/src/settings.rs
+++ b/crates/pomelorun-core/src/settings.rs
@@ -41,7 +41,7 @@
             suspect_ms: Millis(1_000),
             wake_gap_ms: Millis(1_000),
             queue_len: 16,
-            record_ack_ms: Millis(40),
+            record_ack_ms: Millis(100),
             take_over_ms: Millis(300),
             history: 8,
             probe_candidates: 12,
--- a/crates/pomelorun-core/src/steward.rs
+++ b/crates/pomelorun-core/src/steward.rs
@@ -1,14 +1,15 @@
 //! The steward of one upstream: the single place that counts its requests, runs its limit and
 //! remembers its non-idempotent requests.
 
+mod answers;
 mod queue;
+mod replica;
 mod succession;
 
 use std::net::SocketAddrV4;
 
 use pomelorun_wire::{
-    Code, Header, HostId, Kind, Packet, PeerMsg, RecordEntry, RecordKey, RecordState, ServiceAddr,
-    UpstreamId,
+    Code, HEADER_LEN, Header, HostId, Kind, Packet, RecordKey, RecordState, ServiceAddr, UpstreamId,
 };
 
 use crate::{
@@ -17,9 +18,13 @@
     record::{Record, Records},
     settings::CoreSettings,
     snapshot::{PoolView, UpstreamView},
-    steward::queue::{Admission, Held, Queue},
+    steward::{
+        answers::Answers,
+        queue::{Admission, Held, Queue},
+        replica::{Backup, Recording, Refusing, ReplicaOf},
+        succession::{Asking, HandedOver},
+    },
     time::Millis,
-    view::Ranked,
 };
 
 /// Whether this host acts as the steward.
@@ -28,12 +33,7 @@
     /// It does not; it may hold a replica of the steward's state.
     Standby,
     /// It waits for the steward before it to hand over.
-    Asking {
-        /// The hosts that have not answered.
-        waiting_for: Ranked,
-        /// When it asked.
-        since: Millis,
-    },
+    Asking(Asking),
     /// It acts.
     Active,
 }
@@ -60,6 +60,8 @@
 pub(crate) struct StewardCx<'a> {
     pub(crate) now: Millis,
     pub(crate) me: HostId,
+    /// Of this process.
+    pub(crate) incarnation: u64,
     pub(crate) cfg: &'a CoreSettings,
     pub(crate) upstream: &'a UpstreamView,
     pub(crate) pool: &'a PoolView,
@@ -77,13 +79,15 @@
 }
 
 /// What to do with a request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 enum Next {
     Start,
     Queue,
     Refuse(Code),
     /// An earlier copy was refused, so this one must not run either.
     RefuseAgain,
+    /// The first copy was answered, and this is the answer.
+    AnswerAgain(Box<[u8]>),
     Unknown(Code),
     Ignore(Code),
 }
@@ -97,6 +101,7 @@
     deadline: Millis,
     idempotent: bool,
     parts_seen: Vec<u64>,
+    parts: u16,
     parts_left: Option<u16>,
 }
 
@@ -104,9 +109,10 @@
     /// Notes a part; tells whether it is a new one.
     fn note_part(&mut self, packet: &Packet<'_>) -> bool {
         let parts = packet.parts().max(1);
-        if packet.part() >= parts {
+        if packet.part() >= parts || (self.parts != 0 && self.parts != parts) {
             return false;
         }
+        self.parts = parts;
         let left = self.parts_left.get_or_insert(parts);
         let (word, bit) = (usize::from(packet.part() / 64), packet.part() % 64);
         if self.parts_seen.len() <= word {
@@ -121,13 +127,6 @@
     }
 }
 
-#[derive(Debug, Clone, Copy)]
-struct Backup {
-    host: HostId,
-    synced: bool,
-    asked: Millis,
-}
-
 /// What one host knows of one upstream in its zone.
 #[derive(Debug)]
 pub struct Steward {
@@ -139,11 +138,20 @@
     foreign: Vec<Millis>,
     queue: Queue,
     /// Requests whose record is being replicated.
-    recording: Vec<Held>,
+    recording: Vec<Recording>,
+    /// Refusals that are replicated before callers are told "not run".
+    refusing: Vec<Refusing>,
     records: Records,
+    answers: Answers,
     backup: Option<Backup>,
-    /// The steward whose whole state is replicated here.
-    replica_of: Option<HostId>,
+    /// The steward whose state is replicated here, as far as it has come.
+    replica_of: Option<ReplicaOf>,
+    /// The host that was told last that it may act; only that one may be backed from here.
+    pledged_to: Option<HostId>,
+    /// What was handed over last, until the new steward has got it all.
+    handed_over: Option<HandedOver>,
+    /// Numbers given to questions, replications and records.
+    last_number: u64,
     /// When it last stopped acting.
     stood_down: Option<Millis>,
     /// Until then a request may have run at the word of another steward.
@@ -164,9 +172,14 @@
             foreign: Vec::new(),
             queue: Queue::default(),
             recording: Vec::new(),
+            refusing: Vec::new(),
             records: Records::default(),
+            answers: Answers::default(),
             backup: None,
             replica_of: None,
+            pledged_to: None,
+            handed_over: None,
+            last_number: 0,
             stood_down: None,
             uncertain_until: cx.now + cx.settle(),
             uncertain_idempotent_until: cx.now + cx.settle(),
@@ -198,7 +211,11 @@
 
     /// Tells whether nothing is in progress here.
     pub fn is_idle(&self) -> bool {
-        self.in_flight.is_empty() && self.recording.is_empty() && self.queue.is_empty()
+        self.in_flight.is_empty()
+            && self.recording.is_empty()
+            && self.refusing.is_empty()
+            && self.queue.is_empty()
+            && self.handed_over.as_ref().is_none_or(|it| it.done)
     }
 
     /// Takes the full answer that the last event brought, if any.
@@ -218,18 +235,19 @@
     pub(crate) fn request(&mut self, cx: &StewardCx<'_>, packet: &Packet<'_>, out: &mut Actions) {
         let key = RecordKey { flow: packet.flow(), req: packet.req() };
         match self.admit(cx, packet, &key) {
-            Next::Start if packet.is_idempotent() => {
+            Next::Start if packet.is_idempotent() && !is_beyond(cx, packet) => {
                 let left = deadline_of(cx, packet);
                 self.note_started(cx, key, packet.header(), left, true);
                 out.push(Action::ToUpstream(cx.addr()));
             }
-            Next::Start => {
-                let held = Held::new(cx, packet, key);
-                self.record(cx, held, out);
+            Next::Start if packet.is_idempotent() => {
+                self.forward(cx, Held::new(cx, packet, key), out);
             }
+            Next::Start => self.record(cx, Held::new(cx, packet, key), out),
             Next::Queue => self.queue.push(Held::new(cx, packet, key)),
             Next::Refuse(code) => self.refuse(cx, &key, packet.header(), code, out),
             Next::RefuseAgain => out.push(not_run(cx, packet.header(), Code::REFUSED_BEFORE)),
+            Next::AnswerAgain(answer) => out.push(Action::HeldToCaller(answer)),
             Next::Unknown(code) => out.push(unknown(cx, packet.header(), code)),
             Next::Ignore(code) => out.push(Action::Count(code)),
         }
@@ -242,10 +260,14 @@
         if self.records.get(key).is_some_and(|it| it.state == RecordState::NotRun) {
             return Next::RefuseAgain;
         }
-        if !packet.is_idempotent()
-            && (self.records.get(key).is_some() || cx.now < self.uncertain_until)
-        {
-            return Next::Unknown(Code::OUTCOME_UNKNOWN);
+        let asking = matches!(self.phase, StewardPhase::Asking(_));
+        if !packet.is_idempotent() {
+            if let Some(answer) = self.answers.get(key) {
+                return Next::AnswerAgain(answer.into());
+            }
+            if self.records.get(key).is_some() || (cx.now < self.uncertain_until && !asking) {
+                return Next::Unknown(Code::OUTCOME_UNKNOWN);
+            }
         }
         if self.phase == StewardPhase::Standby {
             return Next::Unknown(Code::STEWARD_CHANGING);
@@ -259,41 +281,22 @@
 
     fn is_in_progress(&self, key: &RecordKey) -> bool {
         self.in_flight.iter().any(|it| it.key == *key)
-            || self.recording.iter().any(|it| it.key == *key)
+            || self.recording.iter().any(|it| it.held.key == *key)
+            || self.refusing.iter().any(|it| it.key == *key)
             || self.queue.contains(key)
     }
 
-    /// Records a non-idempotent request, here and at the backup, before it is forwarded.
-    fn record(&mut self, cx: &StewardCx<'_>, held: Held, out: &mut Actions) {
-        let keep_until = held.deadline + cx.cfg.record_keep_ms;
-        let state = RecordState::Started;
-        self.records.put(Record { key: held.key, state, idempotent: false, keep_until });
-        let Some(backup) = self.backup else {
-            self.forward(cx, held, out);
-            return;
-        };
-        if backup.synced {
-            out.push(self.record_msg(cx, backup.host, &held));
-        }
-        self.recording.push(held);
-    }
-
-    fn record_msg(&self, cx: &StewardCx<'_>, to: HostId, held: &Held) -> Action {
-        let keep = (held.deadline + cx.cfg.record_keep_ms).since(cx.now);
-        let entry = RecordEntry {
-            key: held.key,
-            state: RecordState::Started,
-            keep_ms: u32::try_from(keep.0).unwrap_or(u32::MAX),
-        };
-        Action::Peer { to, msg: PeerMsg::Record { upstream: self.id, entry } }
-    }
-
+    /// Forwards a request that waited, with the time that it has left.
     fn forward(&mut self, cx: &StewardCx<'_>, held: Held, out: &mut Actions) {
-        self.note_started(cx, held.key, held.header(), held.deadline, held.idempotent);
+        let header = held.header();
+        self.note_started(cx, held.key, header, held.deadline, held.idempotent);
         if let Some(it) = self.in_flight.last_mut() {
             it.arrived = held.arrived;
         }
-        out.push(Action::HeldToUpstream(cx.addr(), held.bytes));
+        let left = held.deadline.since(cx.now).as_u16().max(1);
+        let mut bytes = held.bytes;
+        bytes[..HEADER_LEN].copy_from_slice(header.deadline_ms(left).as_bytes());
+        out.push(Action::HeldToUpstream(cx.addr(), bytes));
     }
 
     fn note_started(
@@ -312,6 +315,7 @@
             deadline,
             idempotent,
             parts_seen: Vec::new(),
+            parts: 0,
             parts_left: None,
         });
     }
@@ -336,7 +340,11 @@
             return;
         }
         self.note_not_run(cx, key, header);
-        out.push(not_run(cx, header, code));
+        if header.is_idempotent() {
+            out.push(not_run(cx, header, code));
+        } else {
+            self.replicate_refusal(cx, key, header, code, out);
+        }
     }
 
     /// Tells the caller that the upstream shed a request; an idempotent one may have run before.
@@ -389,6 +397,9 @@
             return;
         }
         out.push(Action::ToCaller);
+        if !self.in_flight[at].idempotent && packet.parts() <= 1 {
+            self.answers.keep(key, packet.bytes());
+        }
         if self.in_flight[at].parts_left == Some(0) {
             let it = self.in_flight.swap_remove(at);
             self.answered = Some((key.flow.service, cx.now.since(it.arrived)));
@@ -400,8 +411,9 @@
 
     /// Remembers that a request ran, so that no later refusal claims that it did not.
     fn note_ran(&mut self, cx: &StewardCx<'_>, it: &InFlight) {
+        let resent_for = Millis(u64::from(it.header.time_left_ms())) + cx.cfg.packet_life_ms;
         let keep = if it.idempotent { cx.settle() } else { cx.cfg.record_keep_ms };
-        let keep_until = cx.now + keep;
+        let keep_until = cx.now + keep.max(resent_for);
         let state = RecordState::Answered;
         self.records.put(Record { key: it.key, state, idempotent: it.idempotent, keep_until });
     }
@@ -412,7 +424,9 @@
         self.records.expire(cx.now);
         self.time_out(cx, out);
         self.drop_late(cx, out);
-        self.stop_asking(cx);
+        self.resend_records(cx, out);
+        self.ask_again(cx, out);
+        self.drop_handed_over(cx);
         self.pump(cx, out);
     }
 
@@ -432,6 +446,12 @@
     cx.now + if asked == Millis(0) { max } else { asked.min(max) }
 }
 
+/// Tells whether a request names no deadline, or one that is longer than the pool admits.
+fn is_beyond(cx: &StewardCx<'_>, packet: &Packet<'_>) -> bool {
+    let asked = Millis(u64::from(packet.deadline_ms()));
+    asked == Millis(0) || asked > cx.pool.max_deadline
+}
+
 fn not_run(cx: &StewardCx<'_>, header: Header, code: Code) -> Action {
     Action::Reply(reply(cx, header, Kind::NotRun, code))
 }
--- a/crates/pomelorun-core/src/steward/queue.rs
+++ b/crates/pomelorun-core/src/steward/queue.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     action::Actions,
-    steward::{InFlight, Steward, StewardCx, StewardPhase, deadline_of, unknown},
+    steward::{InFlight, Steward, StewardCx, StewardPhase, deadline_of},
     time::Millis,
 };
 
@@ -16,7 +16,6 @@
     pub(super) key: RecordKey,
     pub(super) bytes: Box<[u8]>,
     pub(super) arrived: Millis,
-    pub(super) since: Millis,
     pub(super) deadline: Millis,
     pub(super) idempotent: bool,
 }
@@ -27,7 +26,6 @@
             key,
             bytes: packet.bytes().into(),
             arrived: cx.now,
-            since: cx.now,
             deadline: deadline_of(cx, packet),
             idempotent: packet.is_idempotent(),
         }
@@ -127,10 +125,5 @@
         while let Some(held) = self.queue.pop_late(cx.now) {
             self.refuse(cx, &held.key, held.header(), Code::BUSY, out);
         }
-        let late = |it: &Held| cx.now.since(it.since) >= cx.cfg.record_ack_ms;
-        while let Some(at) = self.recording.iter().position(late) {
-            let held = self.recording.swap_remove(at);
-            out.push(unknown(cx, held.header(), Code::NOT_RECORDED));
-        }
     }
 }
--- /dev/null
+++ b/crates/pomelorun-core/src/steward/replica.rs
@@ -0,0 +1,343 @@
+//! Records and their replica at the backup, which must hold a record before its request is
+//! forwarded, and a refusal before its caller is told "not run".
+
+use pomelorun_wire::{
+    Ack, Code, Header, HostId, PeerMsg, RecordAck, RecordEntry, RecordKey, RecordMsg, RecordState,
+    StatePart,
+};
+
+use crate::{
+    action::{Action, Actions},
+    choice::rendezvous_score,
+    record::Record,
+    steward::{Steward, StewardCx, StewardPhase, not_run, queue::Held, unknown},
+    time::Millis,
+};
+
+/// Records in one message; a datagram holds them in any case.
+pub(super) const RECORDS_PER_MESSAGE: usize = 400;
+/// Time after which a message that was not answered is sent again.
+pub(super) const RESEND_AFTER: Millis = Millis(20);
+
+/// The backup, and how far the replica there has come.
+#[derive(Debug, Clone)]
+pub(super) struct Backup {
+    host: HostId,
+    session: u32,
+    /// The records at the start of the replication.
+    state: Vec<RecordEntry>,
+    held: u32,
+    synced: bool,
+    sent: Millis,
+}
+
+/// The steward whose state is replicated here.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct ReplicaOf {
+    pub(super) steward: HostId,
+    session: u32,
+    held: u32,
+    pub(super) whole: bool,
+}
+
+/// A request whose record is being replicated.
+#[derive(Debug, Clone)]
+pub(super) struct Recording {
+    pub(super) held: Held,
+    since: Millis,
+    seq: u32,
+    sent: Option<Millis>,
+}
+
+/// A refusal that is being replicated.
+#[derive(Debug, Clone)]
+pub(super) struct Refusing {
+    pub(super) key: RecordKey,
+    pub(super) header: Header,
+    code: Code,
+    since: Millis,
+    seq: u32,
+    sent: Option<Millis>,
+}
+
+impl Steward {
+    /// Records a non-idempotent request, here and at the backup, before it is forwarded.
+    pub(super) fn record(&mut self, cx: &StewardCx<'_>, held: Held, out: &mut Actions) {
+        let resent_for = Millis(u64::from(held.header().time_left_ms())) + cx.cfg.packet_life_ms;
+        let keep_until = held.deadline + cx.cfg.record_keep_ms.max(resent_for);
+        let state = RecordState::Started;
+        self.records.put(Record { key: held.key, state, idempotent: false, keep_until });
+        if self.backup.is_none() {
+            self.forward(cx, held, out);
+            return;
+        }
+        let seq = self.number(cx);
+        self.recording.push(Recording { held, since: cx.now, seq, sent: None });
+        self.send_records(cx, out);
+    }
+
+    /// Replicates a refusal, so that a steward after this one does not run a copy either.
+    pub(super) fn replicate_refusal(
+        &mut self,
+        cx: &StewardCx<'_>,
+        key: &RecordKey,
+        header: Header,
+        code: Code,
+        out: &mut Actions,
+    ) {
+        if self.backup.is_none() {
+            out.push(not_run(cx, header, code));
+            return;
+        }
+        let seq = self.number(cx);
+        self.refusing.push(Refusing { key: *key, header, code, since: cx.now, seq, sent: None });
+        self.send_records(cx, out);
+    }
+
+    /// Sends the records that the backup has not acknowledged, new ones and old ones.
+    fn send_records(&mut self, cx: &StewardCx<'_>, out: &mut Actions) {
+        let Some(backup) = self.backup.as_ref().filter(|it| it.synced) else { return };
+        let due = |sent: Option<Millis>| sent.is_none_or(|it| cx.now.since(it) >= RESEND_AFTER);
+        let mut send = |key: &RecordKey, seq: u32| {
+            let Some(record) = self.records.get(key) else { return };
+            let (upstream, session, entry) = (self.id, backup.session, record.entry(cx.now));
+            let msg = PeerMsg::Record(RecordMsg { upstream, session, seq, entry });
+            out.push(Action::Peer { to: backup.host, msg });
+        };
+        for it in self.recording.iter_mut().filter(|it| due(it.sent)) {
+            it.sent = Some(cx.now);
+            send(&it.held.key, it.seq);
+        }
+        for it in self.refusing.iter_mut().filter(|it| due(it.sent)) {
+            it.sent = Some(cx.now);
+            send(&it.key, it.seq);
+        }
+    }
+
+    /// Sends again what was not acknowledged, and gives up what has waited for too long.
+    pub(super) fn resend_records(&mut self, cx: &StewardCx<'_>, out: &mut Actions) {
+        let records = &self.records;
+        self.answers.retain(|key| records.get(key).is_some());
+        self.send_records(cx, out);
+        let is_late = |since: Millis| cx.now.since(since) >= cx.cfg.record_ack_ms;
+        while let Some(at) = self.recording.iter().position(|it| is_late(it.since)) {
+            let it = self.recording.swap_remove(at);
+            out.push(unknown(cx, it.held.header(), Code::NOT_RECORDED));
+        }
+        while let Some(at) = self.refusing.iter().position(|it| is_late(it.since)) {
+            let it = self.refusing.swap_remove(at);
+            out.push(unknown(cx, it.header, it.code));
+        }
+    }
+
+    /// Gives up everything whose replication is under way.
+    pub(super) fn drop_recording(&mut self, cx: &StewardCx<'_>, code: Code, out: &mut Actions) {
+        for it in std::mem::take(&mut self.recording) {
+            out.push(unknown(cx, it.held.header(), code));
+        }
+        for it in std::mem::take(&mut self.refusing) {
+            out.push(unknown(cx, it.header, it.code));
+        }
+    }
+
+    /// The backup has answered a record.
+    pub(crate) fn record_acked(
+        &mut self,
+        cx: &StewardCx<'_>,
+        from: HostId,
+        acked: &RecordAck,
+        out: &mut Actions,
+    ) {
+        let ours = |it: &&mut Backup| it.host == from && it.session == acked.session;
+        let Some(backup) = self.backup.as_mut().filter(ours) else { return };
+        match acked.ack {
+            Ack::Acting => self.contested(cx, from, out),
+            Ack::NoReplica if backup.synced => self.replicate_to(cx, from, out),
+            Ack::NoReplica => {}
+            Ack::Kept => self.record_kept(cx, acked.seq, out),
+        }
+    }
+
+    fn record_kept(&mut self, cx: &StewardCx<'_>, seq: u32, out: &mut Actions) {
+        if let Some(at) = self.recording.iter().position(|it| it.seq == seq) {
+            let it = self.recording.swap_remove(at);
+            self.forward(cx, it.held, out);
+        } else if let Some(at) = self.refusing.iter().position(|it| it.seq == seq) {
+            let it = self.refusing.swap_remove(at);
+            out.push(not_run(cx, it.header, it.code));
+        }
+    }
+
+    /// Names the host that is next in rank; the whole state goes there first.
+    pub(crate) fn set_backup(
+        &mut self,
+        cx: &StewardCx<'_>,
+        host: Option<HostId>,
+        out: &mut Actions,
+    ) {
+        if self.phase != StewardPhase::Active {
+            return;
+        }
+        let before = self.backup.as_ref().map(|it| it.host);
+        if before != host
+            && let Some(to) = before
+        {
+            out.push(Action::Peer { to, msg: PeerMsg::Release { upstream: self.id } });
+        }
+        match host {
+            Some(host) if before != Some(host) => self.replicate_to(cx, host, out),
+            Some(_) => self.resend_replica(cx, out),
+            None => self.act_without_backup(cx, out),
+        }
+    }
+
+    fn act_without_backup(&mut self, cx: &StewardCx<'_>, out: &mut Actions) {
+        self.backup = None;
+        for it in std::mem::take(&mut self.recording) {
+            self.forward(cx, it.held, out);
+        }
+        for it in std::mem::take(&mut self.refusing) {
+            out.push(not_run(cx, it.header, it.code));
+        }
+    }
+
+    /// Starts the replication anew.
+    fn replicate_to(&mut self, cx: &StewardCx<'_>, host: HostId, out: &mut Actions) {
+        let session = self.number(cx);
+        let state = self.records.export(cx.now);
+        for it in &mut self.recording {
+            it.sent = None;
+        }
+        for it in &mut self.refusing {
+            it.sent = None;
+        }
+        self.backup = Some(Backup { host, session, state, held: 0, synced: false, sent: cx.now });
+        self.send_replica(cx, out);
+    }
+
+    fn resend_replica(&mut self, cx: &StewardCx<'_>, out: &mut Actions) {
+        let late = |it: &Backup| !it.synced && cx.now.since(it.sent) >= RESEND_AFTER;
+        if self.backup.as_ref().is_some_and(late) {
+            self.send_replica(cx, out);
+        }
+    }
+
+    fn send_replica(&mut self, cx: &StewardCx<'_>, out: &mut Actions) {
+        let Some(backup) = &self.backup else { return };
+        let part = self.part(cx, &backup.state, backup.held);
+        let msg = PeerMsg::Replica { upstream: self.id, session: backup.session, part };
+        out.push(Action::Peer { to: backup.host, msg });
+        if let Some(backup) = &mut self.backup {
+            backup.sent = cx.now;
+        }
+    }
+
+    /// The part of a list of records that starts at a position.
+    pub(super) fn part(
+        &self,
+        cx: &StewardCx<'_>,
+        records: &[RecordEntry],
+        first: u32,
+    ) -> StatePart {
+        let total = u32::try_from(records.len()).unwrap_or(u32::MAX);
+        let from = (first as usize).min(records.len());
+        let to = records.len().min(from + RECORDS_PER_MESSAGE);
+        StatePart {
+            limit: self.limit.current(),
+            in_flight_ms: self.in_flight_ms(cx),
+            first,
+            total,
+            records: records[from..to].to_vec(),
+        }
+    }
+
+    /// The backup has answered a part of the state.
+    pub(crate) fn replica_acked(
+        &mut self,
+        cx: &StewardCx<'_>,
+        from: HostId,
+        session: u32,
+        held: u32,
+        ack: Ack,
+        out: &mut Actions,
+    ) {
+        let ours = |it: &&mut Backup| it.host == from && it.session == session && !it.synced;
+        let Some(backup) = self.backup.as_mut().filter(ours) else { return };
+        if ack == Ack::Acting {
+            self.contested(cx, from, out);
+            return;
+        }
+        backup.held = held;
+        if held as usize >= backup.state.len() {
+            backup.synced = true;
+            backup.state = Vec::new();
+            self.send_records(cx, out);
+        } else {
+            self.send_replica(cx, out);
+        }
+    }
+
+    /// The steward sends a part of its state.
+    pub(crate) fn replica(
+        &mut self,
+        cx: &StewardCx<'_>,
+        from: HostId,
+        session: u32,
+        part: &StatePart,
+    ) -> PeerMsg {
+        let upstream = self.id;
+        if !self.may_back(from) {
+            return PeerMsg::ReplicaAck { upstream, session, held: 0, ack: Ack::Acting };
+        }
+        let same = |it: &ReplicaOf| it.steward == from && it.session == session;
+        let known = self.replica_of.filter(same);
+        let held = known.map_or(0, |it| it.held);
+        let held = if part.first <= held { held.max(part.end()) } else { held };
+        if part.first <= held {
+            self.import(cx, part);
+        }
+        let whole = known.is_some_and(|it| it.whole) || held >= part.total;
+        self.replica_of = Some(ReplicaOf { steward: from, session, held, whole });
+        PeerMsg::ReplicaAck { upstream, session, held, ack: Ack::Kept }
+    }
+
+    /// The steward sends one record.
+    pub(crate) fn replica_record(
+        &mut self,
+        cx: &StewardCx<'_>,
+        from: HostId,
+        msg: &RecordMsg,
+    ) -> PeerMsg {
+        let same = |it: ReplicaOf| it.whole && it.steward == from && it.session == msg.session;
+        let ack = match (self.may_back(from), self.replica_of.is_some_and(same)) {
+            (true, true) => Ack::Kept,
+            (true, false) => Ack::NoReplica,
+            (false, _) => Ack::Acting,
+        };
+        if ack == Ack::Kept {
+            self.records.put(Record::from_entry(cx.now, &msg.entry));
+        }
+        let (session, seq) = (msg.session, msg.seq);
+        PeerMsg::RecordAck(RecordAck { upstream: self.id, session, seq, ack })
+    }
+
+    /// Tells whether this host may be the backup of another: it does not act itself, and has not
+    /// told a third one that it may.
+    fn may_back(&self, steward: HostId) -> bool {
+        self.phase == StewardPhase::Standby && self.pledged_to.is_none_or(|it| it == steward)
+    }
+
+    /// The steward no longer replicates to this host.
+    pub(crate) fn released(&mut self, from: HostId) {
+        if self.replica_of.is_some_and(|it| it.steward == from) {
+            self.replica_of = None;
+        }
+    }
+
+    /// A number that this process and those before it on this host have not used.
+    pub(super) fn number(&mut self, cx: &StewardCx<'_>) -> u32 {
+        self.last_number += 1;
+        let process = cx.incarnation.wrapping_add(cx.now.0);
+        (rendezvous_score(process, self.last_number) >> 32) as u32
+    }
+}
--- a/crates/pomelorun-core/src/steward/succession.rs
+++ b/crates/pomelorun-core/src/steward/succession.rs
@@ -1,14 +1,44 @@
-//! Taking the role over, handing it over, and the replica that makes it safe.
+//! Taking the role over and handing it over.
 
-use pomelorun_wire::{Code, HostId, PeerMsg, RecordEntry, RecordKey, StewardState, Verdict};
+use pomelorun_wire::{Code, HostId, PeerMsg, RecordEntry, RecordState, StatePart, Verdict};
 
 use crate::{
     action::{Action, Actions},
-    steward::{Backup, Steward, StewardCx, StewardPhase, unknown},
+    steward::{Steward, StewardCx, StewardPhase, replica::RESEND_AFTER, unknown},
     time::Millis,
     view::{Ranked, steward_score},
 };
 
+/// The question to other hosts what they know of an upstream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Asking {
+    /// Number of the question; answers to earlier ones are ignored.
+    ask: u32,
+    /// The hosts that have not answered in full, with the records that they sent so far.
+    waiting_for: Vec<(HostId, u32)>,
+    /// When the last answer arrived.
+    since: Millis,
+    sent: Millis,
+    /// All that a steward before knew is or was in the answers.
+    certain: bool,
+    /// A steward before has handed over what it was running.
+    handed_over: bool,
+}
+
+/// What was handed over, for as long as the new steward may ask for it again.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct HandedOver {
+    to: HostId,
+    ask: u32,
+    acted: bool,
+    at: Millis,
+    in_flight_ms: Vec<u32>,
+    limit: u16,
+    records: Vec<RecordEntry>,
+    /// The last part was sent.
+    pub(super) done: bool,
+}
+
 impl Steward {
     /// Takes the role; `others` are the hosts of the zone by rank that may have held it.
     pub(crate) fn take_role(
@@ -22,59 +52,103 @@
         if self.phase != StewardPhase::Standby || self.stood_down.is_some_and(lately) {
             return;
         }
-        if self.replica_of.is_some_and(is_dead) {
-            self.act_on_replica(cx, out);
-            return;
-        }
-        self.ask(cx, others, out);
+        let certain = self.replica_of.is_some_and(|it| it.whole && is_dead(it.steward));
+        self.ask(cx, others, certain, out);
     }
 
-    /// The steward before is dead and every record it acted on is here.
-    pub(super) fn act_on_replica(&mut self, cx: &StewardCx<'_>, out: &mut Actions) {
+    /// Asks what other hosts know; `certain` when the steward before is dead and all its records
+    /// are here, unless it has changed its backup since.
+    fn ask(&mut self, cx: &StewardCx<'_>, others: Ranked, certain: bool, out: &mut Actions) {
         self.replica_of = None;
-        self.phase = StewardPhase::Active;
-        self.know_records(cx);
-        let over = cx.now + cx.pool.max_deadline;
-        self.foreign = vec![over; usize::from(cx.upstream.slots)];
-        self.pump(cx, out);
+        self.pledged_to = None;
+        let ask = self.number(cx);
+        let waiting_for = others.into_iter().map(|it| (it, 0)).collect();
+        let asking =
+            Asking { ask, waiting_for, since: cx.now, sent: cx.now, certain, handed_over: false };
+        self.know_nothing(cx);
+        self.phase = StewardPhase::Asking(asking);
+        self.send_asks(cx, out);
+        self.all_answered(cx, out);
     }
 
-    pub(super) fn ask(&mut self, cx: &StewardCx<'_>, others: Ranked, out: &mut Actions) {
-        self.replica_of = None;
-        if others.is_empty() {
-            self.act_uncertain(cx);
+    fn send_asks(&mut self, cx: &StewardCx<'_>, out: &mut Actions) {
+        let upstream = self.id;
+        let StewardPhase::Asking(asking) = &mut self.phase else { return };
+        asking.sent = cx.now;
+        for &(to, have) in &asking.waiting_for {
+            let msg = PeerMsg::TakeOver { upstream, ask: asking.ask, have };
+            out.push(Action::Peer { to, msg });
+        }
+    }
+
+    /// Asks again what was not answered, and acts without an answer after a while.
+    pub(super) fn ask_again(&mut self, cx: &StewardCx<'_>, out: &mut Actions) {
+        let StewardPhase::Asking(asking) = &self.phase else { return };
+        if cx.now.since(asking.since) >= cx.cfg.take_over_ms {
+            self.act_uncertain(cx, out);
+        } else if cx.now.since(asking.sent) >= RESEND_AFTER {
+            self.send_asks(cx, out);
+        }
+    }
+
+    fn all_answered(&mut self, cx: &StewardCx<'_>, out: &mut Actions) {
+        let StewardPhase::Asking(asking) = &self.phase else { return };
+        if !asking.waiting_for.is_empty() {
             return;
         }
-        for &to in &others {
-            out.push(Action::Peer { to, msg: PeerMsg::TakeOver { upstream: self.id } });
+        if asking.handed_over {
+            self.act_certain(cx, out);
+        } else if asking.certain {
+            self.assume_full(cx);
+            self.act_certain(cx, out);
+        } else {
+            self.act_uncertain(cx, out);
         }
-        self.phase = StewardPhase::Asking { waiting_for: others, since: cx.now };
     }
 
-    /// Acts without knowing what another steward may have started.
-    pub(super) fn act_uncertain(&mut self, cx: &StewardCx<'_>) {
+    /// Acts on the records of the steward before.
+    fn act_certain(&mut self, cx: &StewardCx<'_>, out: &mut Actions) {
         self.phase = StewardPhase::Active;
-        self.know_nothing(cx);
-        let over = cx.now + cx.pool.max_deadline;
-        self.foreign = vec![over; usize::from(cx.upstream.slots)];
+        self.know_records(cx);
+        for held in self.queue.take() {
+            let noted = self.records.get(&held.key);
+            match noted.map(|it| it.state) {
+                Some(RecordState::NotRun) => {
+                    self.refuse(cx, &held.key, held.header(), Code::REFUSED_BEFORE, out);
+                }
+                Some(_) if !held.idempotent => {
+                    out.push(unknown(cx, held.header(), Code::OUTCOME_UNKNOWN));
+                }
+                _ => self.queue.push(held),
+            }
+        }
+        self.pump(cx, out);
     }
 
-    pub(super) fn stop_asking(&mut self, cx: &StewardCx<'_>) {
-        if let StewardPhase::Asking { since, .. } = &self.phase
-            && cx.now.since(*since) >= cx.cfg.take_over_ms
-        {
-            self.act_uncertain(cx);
+    /// Acts without knowing what another steward may have started; what waits cannot start
+    /// before its deadline, since the upstream counts as full until then.
+    fn act_uncertain(&mut self, cx: &StewardCx<'_>, out: &mut Actions) {
+        self.phase = StewardPhase::Active;
+        self.know_nothing(cx);
+        self.assume_full(cx);
+        for held in self.queue.take() {
+            out.push(unknown(cx, held.header(), Code::STEWARD_CHANGING));
         }
     }
 
+    /// The upstream may be running as much as it can on behalf of a steward before.
+    fn assume_full(&mut self, cx: &StewardCx<'_>) {
+        let over = cx.now + cx.pool.max_deadline;
+        self.foreign = vec![over; usize::from(cx.upstream.slots)];
+    }
+
     /// Checks its place again after the process has slept.
     pub(crate) fn woke(&mut self, cx: &StewardCx<'_>, others: Ranked, out: &mut Actions) {
         self.backup = None;
-        for held in std::mem::take(&mut self.recording) {
-            out.push(unknown(cx, held.header(), Code::OUTCOME_UNKNOWN));
-        }
+        self.handed_over = None;
+        self.drop_recording(cx, Code::OUTCOME_UNKNOWN, out);
         if self.phase != StewardPhase::Standby {
-            self.ask(cx, others, out);
+            self.ask(cx, others, false, out);
         }
         self.replica_of = None;
     }
@@ -84,24 +158,53 @@
         &mut self,
         cx: &StewardCx<'_>,
         from: HostId,
+        (ask, have): (u32, u32),
         leaving: bool,
         out: &mut Actions,
     ) {
-        let outranked = leaving || steward_score(from, self.id) > steward_score(cx.me, self.id);
-        let verdict = match self.phase {
-            StewardPhase::Standby => Verdict::Nothing,
-            _ if !outranked => Verdict::Mine,
-            StewardPhase::Asking { .. } => {
-                self.step_down(cx, out);
-                Verdict::Nothing
-            }
-            StewardPhase::Active => {
-                let state = self.export(cx);
-                self.step_down(cx, out);
-                Verdict::Yours(state)
+        let again = |it: &HandedOver| it.to == from && it.ask == ask;
+        if !self.handed_over.as_ref().is_some_and(again) {
+            let outranked = leaving || steward_score(from, self.id) > steward_score(cx.me, self.id);
+            if self.phase != StewardPhase::Standby && !outranked {
+                self.send_verdict(from, ask, Verdict::Mine, out);
+                return;
             }
-        };
-        out.push(Action::Peer { to: from, msg: PeerMsg::HandOver { upstream: self.id, verdict } });
+            self.hand_over(cx, from, ask, out);
+        }
+        let Some(mut it) = self.handed_over.take() else { return };
+        let mut part = self.part(cx, &it.records, have);
+        part.limit = it.limit;
+        part.in_flight_ms.clone_from(&it.in_flight_ms);
+        it.done |= part.end() >= part.total;
+        let verdict = if it.acted { Verdict::Yours(part) } else { Verdict::Nothing(part) };
+        self.handed_over = Some(it);
+        self.send_verdict(from, ask, verdict, out);
+    }
+
+    fn send_verdict(&self, to: HostId, ask: u32, verdict: Verdict, out: &mut Actions) {
+        let msg = PeerMsg::HandOver { upstream: self.id, ask, verdict };
+        out.push(Action::Peer { to, msg });
+    }
+
+    /// Stops acting and sets aside what another host has to know.
+    fn hand_over(&mut self, cx: &StewardCx<'_>, to: HostId, ask: u32, out: &mut Actions) {
+        let acted = self.phase == StewardPhase::Active;
+        if self.phase != StewardPhase::Standby {
+            self.step_down(cx, out);
+        }
+        // From now on no other host may use this one as its backup.
+        self.replica_of = None;
+        self.pledged_to = Some(to);
+        self.handed_over = Some(HandedOver {
+            to,
+            ask,
+            acted,
+            at: cx.now,
+            in_flight_ms: self.in_flight_ms(cx),
+            limit: self.limit.current(),
+            records: self.records.export(cx.now),
+            done: false,
+        });
     }
 
     /// A host that was asked has answered.
@@ -109,172 +212,115 @@
         &mut self,
         cx: &StewardCx<'_>,
         from: HostId,
+        ask: u32,
         verdict: &Verdict,
         out: &mut Actions,
     ) {
-        let StewardPhase::Asking { waiting_for, .. } = &mut self.phase else { return };
+        let StewardPhase::Asking(asking) = &self.phase else { return };
+        if asking.ask != ask {
+            return;
+        }
         match verdict {
-            Verdict::Mine => self.step_down(cx, out),
-            Verdict::Yours(state) => {
-                self.import(cx, state);
-                self.know_records(cx);
-                self.phase = StewardPhase::Active;
-                self.pump(cx, out);
-            }
-            Verdict::Nothing => {
-                waiting_for.retain(|it| *it != from);
-                if waiting_for.is_empty() {
-                    self.act_uncertain(cx);
-                }
+            Verdict::Mine => {
+                self.know_nothing(cx);
+                self.step_down(cx, out);
             }
+            Verdict::Yours(part) => self.answered_part(cx, from, part, true, out),
+            Verdict::Nothing(part) => self.answered_part(cx, from, part, false, out),
+        }
+    }
+
+    fn answered_part(
+        &mut self,
+        cx: &StewardCx<'_>,
+        from: HostId,
+        part: &StatePart,
+        acted: bool,
+        out: &mut Actions,
+    ) {
+        let StewardPhase::Asking(asking) = &mut self.phase else { return };
+        let Some(at) = asking.waiting_for.iter().position(|it| it.0 == from) else { return };
+        let (_, have) = &mut asking.waiting_for[at];
+        if part.first > *have {
+            return;
+        }
+        *have = part.end().max(*have);
+        asking.since = cx.now;
+        let complete = *have >= part.total;
+        if complete {
+            asking.waiting_for.swap_remove(at);
+            asking.handed_over |= acted;
+        }
+        self.records.import(cx.now, &part.records);
+        if acted {
+            self.inherit(cx, part);
+        }
+        if complete {
+            self.all_answered(cx, out);
+        } else {
+            self.send_asks(cx, out);
         }
     }
 
     /// Another host regards itself as the steward; settle with it who is.
     pub(super) fn contested(&mut self, cx: &StewardCx<'_>, other: HostId, out: &mut Actions) {
+        self.know_nothing(cx);
         self.step_down(cx, out);
-        self.ask(cx, Ranked::from_slice(&[other]), out);
+        self.ask(cx, Ranked::from_slice(&[other]), false, out);
     }
 
     /// Stops acting; what waits is refused, what is in progress is still answered.
-    pub(crate) fn step_down(&mut self, cx: &StewardCx<'_>, out: &mut Actions) {
+    ///
+    /// Nothing is replicated any more, so a non-idempotent request is not said not to have run.
+    fn step_down(&mut self, cx: &StewardCx<'_>, out: &mut Actions) {
         self.phase = StewardPhase::Standby;
         self.stood_down = Some(cx.now);
+        self.drop_recording(cx, Code::STEWARD_CHANGING, out);
         self.backup = None;
-        for held in std::mem::take(&mut self.recording) {
-            out.push(unknown(cx, held.header(), Code::STEWARD_CHANGING));
-        }
         for held in self.queue.take() {
-            self.refuse(cx, &held.key, held.header(), Code::STEWARD_CHANGING, out);
+            if held.idempotent {
+                self.refuse(cx, &held.key, held.header(), Code::STEWARD_CHANGING, out);
+            } else {
+                out.push(unknown(cx, held.header(), Code::STEWARD_CHANGING));
+            }
         }
         self.know_nothing(cx);
     }
 
     /// Another steward may have started any request.
-    pub(super) fn know_nothing(&mut self, cx: &StewardCx<'_>) {
+    fn know_nothing(&mut self, cx: &StewardCx<'_>) {
         self.uncertain_until = cx.now + cx.settle();
         self.uncertain_idempotent_until = self.uncertain_until;
     }
 
     /// Every non-idempotent request that another steward started is recorded here.
-    pub(super) fn know_records(&mut self, cx: &StewardCx<'_>) {
+    fn know_records(&mut self, cx: &StewardCx<'_>) {
         self.uncertain_until = cx.now;
         self.uncertain_idempotent_until = cx.now + cx.settle();
     }
 
-    pub(super) fn export(&self, cx: &StewardCx<'_>) -> StewardState {
+    pub(super) fn in_flight_ms(&self, cx: &StewardCx<'_>) -> Vec<u32> {
         let ends = self.in_flight.iter().map(|it| it.deadline);
         let ends = ends.chain(self.foreign.iter().copied());
-        StewardState {
-            upstream: self.id,
-            limit: self.limit.current(),
-            in_flight_ms: ends
-                .map(|it| u32::try_from(it.since(cx.now).0).unwrap_or(u32::MAX))
-                .collect(),
-            records: self.records.export(cx.now),
-        }
-    }
-
-    pub(super) fn import(&mut self, cx: &StewardCx<'_>, state: &StewardState) {
-        self.limit.inherit(cx.now, state.limit);
-        self.foreign =
-            state.in_flight_ms.iter().map(|it| cx.now + Millis(u64::from(*it))).collect();
-        self.records.import(cx.now, &state.records);
-    }
-
-    /// Names the host that is next in rank; the whole state goes there first.
-    pub(crate) fn set_backup(
-        &mut self,
-        cx: &StewardCx<'_>,
-        host: Option<HostId>,
-        out: &mut Actions,
-    ) {
-        if self.phase != StewardPhase::Active {
-            return;
-        }
-        let Some(host) = host else {
-            self.backup = None;
-            for held in std::mem::take(&mut self.recording) {
-                self.forward(cx, held, out);
-            }
-            return;
-        };
-        let resend = |it: Backup| !it.synced && cx.now.since(it.asked) >= cx.cfg.record_ack_ms;
-        if self.backup.is_some_and(|it| it.host == host && !resend(it)) {
-            return;
-        }
-        self.backup = Some(Backup { host, synced: false, asked: cx.now });
-        let msg = PeerMsg::Replica { state: self.export(cx) };
-        out.push(Action::Peer { to: host, msg });
+        ends.map(|it| u32::try_from(it.since(cx.now).0).unwrap_or(u32::MAX)).collect()
     }
 
-    /// The backup has answered that it holds the whole state, or that it is the steward itself.
-    pub(crate) fn replica_acked(
-        &mut self,
-        cx: &StewardCx<'_>,
-        from: HostId,
-        accepted: bool,
-        out: &mut Actions,
-    ) {
-        let Some(backup) = self.backup.as_mut().filter(|it| it.host == from) else { return };
-        if !accepted {
-            self.contested(cx, from, out);
-            return;
-        }
-        backup.synced = true;
-        for held in &self.recording {
-            out.push(self.record_msg(cx, from, held));
-        }
+    /// Takes a part of another host's state in.
+    pub(super) fn import(&mut self, cx: &StewardCx<'_>, part: &StatePart) {
+        self.inherit(cx, part);
+        self.records.import(cx.now, &part.records);
     }
 
-    /// The backup has answered that it holds a record.
-    pub(crate) fn record_acked(
-        &mut self,
-        cx: &StewardCx<'_>,
-        from: HostId,
-        key: &RecordKey,
-        accepted: bool,
-        out: &mut Actions,
-    ) {
-        if self.backup.is_none_or(|it| it.host != from) {
-            return;
-        }
-        if !accepted {
-            self.contested(cx, from, out);
-            return;
-        }
-        if let Some(at) = self.recording.iter().position(|it| it.key == *key) {
-            let held = self.recording.swap_remove(at);
-            self.forward(cx, held, out);
-        }
-    }
-
-    /// The steward sends its whole state.
-    pub(crate) fn replica(
-        &mut self,
-        cx: &StewardCx<'_>,
-        from: HostId,
-        state: &StewardState,
-    ) -> PeerMsg {
-        let accepted = self.phase == StewardPhase::Standby;
-        if accepted {
-            self.import(cx, state);
-            self.replica_of = Some(from);
-        }
-        PeerMsg::ReplicaAck { upstream: self.id, accepted }
+    fn inherit(&mut self, cx: &StewardCx<'_>, part: &StatePart) {
+        self.limit.inherit(cx.now, part.limit);
+        self.foreign = part.in_flight_ms.iter().map(|it| cx.now + Millis(u64::from(*it))).collect();
     }
 
-    /// The steward sends one record.
-    pub(crate) fn replica_record(
-        &mut self,
-        cx: &StewardCx<'_>,
-        from: HostId,
-        entry: &RecordEntry,
-    ) -> PeerMsg {
-        let accepted = self.phase == StewardPhase::Standby && self.replica_of == Some(from);
-        if accepted {
-            self.records.import(cx.now, std::slice::from_ref(entry));
+    /// Forgets what the new steward will no longer ask for.
+    pub(super) fn drop_handed_over(&mut self, cx: &StewardCx<'_>) {
+        let kept_for = cx.cfg.take_over_ms;
+        if self.handed_over.as_ref().is_some_and(|it| cx.now.since(it.at) >= kept_for + kept_for) {
+            self.handed_over = None;
         }
-        PeerMsg::RecordAck { upstream: self.id, key: entry.key, accepted }
     }
 }
--- a/crates/pomelorun-core/tests/core/main.rs
+++ b/crates/pomelorun-core/tests/core/main.rs
@@ -7,3 +7,4 @@
 mod mesh;
 mod path;
 mod requests;
+mod succession;
--- a/crates/pomelorun-wire/src/message.rs
+++ b/crates/pomelorun-wire/src/message.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::id::{FlowKey, HostId, UpstreamId, ZoneId};
+use crate::id::{FlowKey, HostId, ServiceAddr, UpstreamId, ZoneId};
 
 /// What a host says of itself or has heard of another.
 ///
@@ -56,18 +56,130 @@
     NotRun,
 }
 
-/// A recorded non-idempotent request.
+/// A recorded request.
+///
+/// Travels as an array without field names, since each non-idempotent request costs one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
+#[serde(from = "PackedEntry", into = "PackedEntry")]
 pub struct RecordEntry {
     /// Which request.
     pub key: RecordKey,
     /// How far it has come.
     pub state: RecordState,
+    /// It may run more than once; only its refusal is of interest.
+    pub idempotent: bool,
     /// Time after which the record may be forgotten, milliseconds from now.
     pub keep_ms: u32,
 }
 
+/// Caller's address and port, service's address and port, request, state, time to keep.
+type PackedEntry = (u32, u16, u32, u16, u32, u8, u32);
+
+const STATE_STARTED: u8 = 0;
+const STATE_ANSWERED: u8 = 1;
+const STATE_NOT_RUN: u8 = 2;
+const STATE_IDEMPOTENT: u8 = 4;
+
+impl From<PackedEntry> for RecordEntry {
+    fn from((caller_ip, caller_port, ip, port, req, state, keep_ms): PackedEntry) -> RecordEntry {
+        let flow = FlowKey { caller_ip, caller_port, service: ServiceAddr { ip, port } };
+        RecordEntry {
+            key: RecordKey { flow, req },
+            state: match state & !STATE_IDEMPOTENT {
+                STATE_ANSWERED => RecordState::Answered,
+                STATE_NOT_RUN => RecordState::NotRun,
+                // Anything unknown counts as started, which never runs again.
+                _ => RecordState::Started,
+            },
+            idempotent: state & STATE_IDEMPOTENT != 0,
+            keep_ms,
+        }
+    }
+}
+
+impl From<RecordEntry> for PackedEntry {
+    fn from(it: RecordEntry) -> PackedEntry {
+        let state = match it.state {
+            RecordState::Started => STATE_STARTED,
+            RecordState::Answered => STATE_ANSWERED,
+            RecordState::NotRun => STATE_NOT_RUN,
+        };
+        let state = state | if it.idempotent { STATE_IDEMPOTENT } else { 0 };
+        let flow = it.key.flow;
+        let service = flow.service;
+        let (caller, req) = ((flow.caller_ip, flow.caller_port), it.key.req);
+        (caller.0, caller.1, service.ip, service.port, req, state, it.keep_ms)
+    }
+}
+
+/// A record on its way to the backup; travels as an array without field names.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "PackedRecord", into = "PackedRecord")]
+pub struct RecordMsg {
+    /// The upstream that the request is for.
+    pub upstream: UpstreamId,
+    /// The replication that the record belongs to.
+    pub session: u32,
+    /// Echoed by the answer.
+    pub seq: u32,
+    /// The record.
+    pub entry: RecordEntry,
+}
+
+type PackedRecord = (UpstreamId, u32, u32, RecordEntry);
+
+impl From<PackedRecord> for RecordMsg {
+    fn from((upstream, session, seq, entry): PackedRecord) -> RecordMsg {
+        RecordMsg { upstream, session, seq, entry }
+    }
+}
+
+impl From<RecordMsg> for PackedRecord {
+    fn from(it: RecordMsg) -> PackedRecord {
+        (it.upstream, it.session, it.seq, it.entry)
+    }
+}
+
+/// What became of a record or of a part of the state.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Ack {
+    /// It is held.
+    Kept,
+    /// The sender holds no whole replica of this replication.
+    NoReplica,
+    /// The sender regards itself or a third host as the steward.
+    Acting,
+}
+
+/// Answer to a record; travels as an array without field names.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "PackedAck", into = "PackedAck")]
+pub struct RecordAck {
+    /// From the record.
+    pub upstream: UpstreamId,
+    /// From the record.
+    pub session: u32,
+    /// From the record.
+    pub seq: u32,
+    /// What became of it.
+    pub ack: Ack,
+}
+
+type PackedAck = (UpstreamId, u32, u32, Ack);
+
+impl From<PackedAck> for RecordAck {
+    fn from((upstream, session, seq, ack): PackedAck) -> RecordAck {
+        RecordAck { upstream, session, seq, ack }
+    }
+}
+
+impl From<RecordAck> for PackedAck {
+    fn from(it: RecordAck) -> PackedAck {
+        (it.upstream, it.session, it.seq, it.ack)
+    }
+}
+
 /// Where a flow lives.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -78,28 +190,37 @@
     pub upstream: UpstreamId,
 }
 
-/// What the steward of an upstream hands to its successor.
+/// A part of what a host knows of an upstream; one datagram cannot carry it all.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
-pub struct StewardState {
-    /// Which upstream.
-    pub upstream: UpstreamId,
+pub struct StatePart {
     /// Limit in force, requests at a time.
     pub limit: u16,
     /// Time left until the last request in progress is over, milliseconds; empty when none is.
     pub in_flight_ms: Vec<u32>,
-    /// Non-idempotent requests that were recorded.
+    /// Position of the first record of this part among all.
+    pub first: u32,
+    /// Number of records in all parts.
+    pub total: u32,
+    /// Requests that were recorded.
     pub records: Vec<RecordEntry>,
 }
 
+impl StatePart {
+    /// Position after the last record of this part; parts are complete when it is the total.
+    pub fn end(&self) -> u32 {
+        self.first.saturating_add(u32::try_from(self.records.len()).unwrap_or(u32::MAX))
+    }
+}
+
 /// Answer to the question who is the steward of an upstream.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Verdict {
     /// The sender was the steward and is no longer; this is what it knew.
-    Yours(StewardState),
-    /// The sender was not the steward.
-    Nothing,
+    Yours(StatePart),
+    /// The sender was not the steward; this is what it knows all the same.
+    Nothing(StatePart),
     /// The sender ranks higher and is the steward.
     Mine,
 }
@@ -134,44 +255,51 @@
         target: HostId,
     },
     /// Steward to the next host in rank: keep this record before I forward the request.
-    Record {
-        /// The upstream that the request is for.
-        upstream: UpstreamId,
-        /// The request.
-        entry: RecordEntry,
-    },
+    Record(RecordMsg),
     /// Answers `Record`.
-    RecordAck {
-        /// From the record.
-        upstream: UpstreamId,
-        /// From the record.
-        key: RecordKey,
-        /// False when the sender does not regard the receiver as the steward.
-        accepted: bool,
-    },
-    /// New steward to the one before it: hand the upstream over.
+    RecordAck(RecordAck),
+    /// New steward to those that may have been it: hand the upstream over.
     TakeOver {
         /// Which upstream.
         upstream: UpstreamId,
+        /// Number of the question, echoed by the answer.
+        ask: u32,
+        /// Records that the asker has got in answer to this question.
+        have: u32,
     },
     /// Answers `TakeOver`.
     HandOver {
         /// Which upstream.
         upstream: UpstreamId,
+        /// From the question.
+        ask: u32,
         /// What became of the question.
         verdict: Verdict,
     },
     /// Steward to the next host in rank: what it must know to take the upstream over.
     Replica {
-        /// The whole state, once, when the receiver becomes the next in rank.
-        state: StewardState,
+        /// Which upstream.
+        upstream: UpstreamId,
+        /// Number of this replication; records carry it.
+        session: u32,
+        /// One part of the state; the next follows once this is acknowledged.
+        part: StatePart,
     },
     /// Answers `Replica`.
     ReplicaAck {
         /// Which upstream.
         upstream: UpstreamId,
-        /// False when the sender does not regard the receiver as the steward.
-        accepted: bool,
+        /// From the replica.
+        session: u32,
+        /// Records held so far.
+        held: u32,
+        /// What became of the part.
+        ack: Ack,
+    },
+    /// Steward to a host that is no longer the next in rank: its replica is no longer whole.
+    Release {
+        /// Which upstream.
+        upstream: UpstreamId,
     },
     /// Tells the receiver where flows live for which it may become the keeper.
     Flows {
