--- a/crates/pomelorun-core/src/settings.rs
+++ b/crates/pomelorun-core/src/settings.rs
@@ -26,7 +26,7 @@
     pub probe_candidates: usize,
     /// Upstreams that are tried for a flow that no host asked knows.
     pub probe_upstreams: usize,
-    /// Flows that a leaving host tells new keepers of on one timer event.
+    /// Flows that a leaving host tells new keepers of on one timer event, 0 for none: they ask it.
     pub hand_over_flows: usize,
     /// Time that the caller is told to wait before it comes back after a fault, milliseconds.
     pub come_back_ms: Millis,
@@ -50,9 +50,9 @@
             record_ack_ms: Millis(100),
             take_over_ms: Millis(300),
             history: 8,
-            probe_candidates: 12,
+            probe_candidates: 4,
             probe_upstreams: 32,
-            hand_over_flows: 100,
+            hand_over_flows: 0,
             come_back_ms: Millis(200),
             record_keep_ms: Millis(60_000),
             packet_life_ms: Millis(2_000),
--- a/crates/pomelorun/src/settings.rs
+++ b/crates/pomelorun/src/settings.rs
@@ -187,6 +187,8 @@
             ("bounds.come_back_ms", bounds.come_back_ms.0, 1, 60_000),
             ("bounds.record_keep_ms", bounds.record_keep_ms.0, 1_000, 3_600_000),
             ("bounds.packet_life_ms", bounds.packet_life_ms.0, 1, 60_000),
+            ("bounds.probe_upstreams", bounds.probe_upstreams as u64, 1, 1_000),
+            ("bounds.hand_over_flows", bounds.hand_over_flows as u64, 0, 10_000),
             ("bounds.load_bound_percent", u64::from(bounds.load_bound_percent), 101, 1_000),
             ("bounds.retry_percent", u64::from(bounds.retry_percent), 0, 10),
         ];
