--- a/crates/pomelorun/src/settings.rs
+++ b/crates/pomelorun/src/settings.rs
@@ -184,6 +184,7 @@
             ("bounds.queue_len", bounds.queue_len as u64, 0, 100_000),
             ("bounds.history", bounds.history as u64, 1, 1_000),
             ("bounds.probe_candidates", bounds.probe_candidates as u64, 1, 1_000),
+            ("bounds.probe_upstreams", bounds.probe_upstreams as u64, 1, 1_000),
             ("bounds.come_back_ms", bounds.come_back_ms.0, 1, 60_000),
             ("bounds.record_keep_ms", bounds.record_keep_ms.0, 1_000, 3_600_000),
             ("bounds.packet_life_ms", bounds.packet_life_ms.0, 1, 60_000),
