Show that flows lost by upstreams are counted as broken

A test of its own: upstreams forget their sessions, and the flows counted as broken equal those that callers saw end.

--- a/crates/pomelorun-core/tests/core/counts.rs
+++ b/crates/pomelorun-core/tests/core/counts.rs
@@ -99,3 +99,22 @@
     mesh.run_for(200);
     assert!(mesh.hosts.iter().all(|it| it.core.services().entries().is_empty()));
 }
+
+#[test]
+fn flows_that_their_upstreams_lost_are_broken() {
+    let mut mesh = Mesh::new(&Shape::consorcio(), 66);
+    mesh.open_flows(0, 50);
+    mesh.run_for(200);
+    for upstream in mesh.upstreams.values_mut() {
+        upstream.sessions.clear();
+    }
+    for flow in 0..50 {
+        mesh.request(flow, true);
+        mesh.run_for(5);
+    }
+    mesh.run_for(1_000);
+    let counted = counted(&mesh);
+    assert!(!mesh.callers.ended.is_empty());
+    assert_eq!(counted.broken, mesh.callers.ended.len() as u64);
+    assert_eq!(counted.given_up, 0);
+}
