--- a/crates/pomelorun-core/src/host.rs
+++ b/crates/pomelorun-core/src/host.rs
@@ -7,6 +7,7 @@
 mod keeper;
 mod lookup;
 mod roles;
+mod zones;
 
 use std::sync::Arc;
 
@@ -62,6 +63,9 @@
     attempts: Attempts,
     /// When each bucket last came to another keeper.
     moved: Vec<Millis>,
+    /// The newest configuration as it was published.
+    published: Option<Arc<Snapshot>>,
+    zones_out: zones::ZonesOut,
     /// By name of pool, sorted.
     retries: Vec<(String, RetryBudget)>,
     give_up: Vec<FlowKey>,
@@ -103,6 +107,8 @@
             lookups: Lookups::default(),
             attempts: Attempts::default(),
             moved: Vec::new(),
+            published: None,
+            zones_out: zones::ZonesOut::default(),
             retries: Vec::new(),
             give_up: Vec::new(),
             hand_over: Vec::new(),
--- a/crates/pomelorun-core/src/host/control.rs
+++ b/crates/pomelorun-core/src/host/control.rs
@@ -30,6 +30,11 @@
         match &envelope.msg {
             PeerMsg::Ping { .. } | PeerMsg::Pong { .. } | PeerMsg::PingReq { .. } => {
                 let revision = self.revision();
+                if let PeerMsg::Ping { revision, .. } | PeerMsg::Pong { revision, .. } =
+                    &envelope.msg
+                {
+                    self.tell_zones_out(from, *revision, out);
+                }
                 let sent = self.members.message(now, from, &envelope.msg, revision);
                 out.extend(sent.into_iter().map(|(to, msg)| Action::Peer { to, msg }));
                 self.refresh_view(now, out);
@@ -69,6 +74,9 @@
                     it.answered(cx, from, *ask, verdict, out);
                 });
             }
+            PeerMsg::ZonesOut { revision, zones } => {
+                self.hear_zones_out(now, *revision, zones, out);
+            }
             PeerMsg::Flows { entries } => {
                 for it in entries {
                     if self.flows.insert(now, &it.flow, it.upstream).is_none() {
@@ -84,6 +92,12 @@
             out.push(Action::Count(Code::CONFIG_REGRESSION));
             return;
         }
+        self.published = Some(Arc::clone(&snapshot));
+        let snapshot = self.zones_out.apply(&snapshot);
+        self.put_in_force(now, snapshot, out);
+    }
+
+    pub(super) fn put_in_force(&mut self, now: Millis, snapshot: Arc<Snapshot>, out: &mut Actions) {
         self.services.follow(&snapshot);
         self.flows.rebucket(snapshot.buckets);
         self.history.insert(0, Arc::clone(&snapshot));
@@ -106,6 +120,7 @@
                 it.resize(upstream);
             }
         }
+        self.give_up_requests(now, out);
         self.rebuild_view(now, out);
     }
 
--- a/crates/pomelorun-core/src/host/entry.rs
+++ b/crates/pomelorun-core/src/host/entry.rs
@@ -115,6 +115,10 @@
             Some(steward) => {
                 self.relay(steward, Stage::Steward, hops, |it| it.upstream(id), packet, out);
             }
+            None if self.is_out(id) => {
+                let header = packet.header().kind(Kind::GivenUp).code(Code::ZONE_OUT.0);
+                out.push(Action::Reply(header));
+            }
             None => self.come_back(packet, Code::ZONE_CUT, out),
         }
     }
--- a/crates/pomelorun-core/src/steward/queue.rs
+++ b/crates/pomelorun-core/src/steward/queue.rs
@@ -286,6 +286,22 @@
         self.refuse(cx, &held.key, held.header(), code, out);
     }
 
+    /// Ends all requests and stops acting; nothing more is sent to the upstream.
+    pub(crate) fn give_up(&mut self, cx: &StewardCx<'_>, code: Code, out: &mut Actions) {
+        for it in std::mem::take(&mut self.in_flight) {
+            self.foreign.push(it.deadline);
+            self.note_ran(cx, &it);
+            out.push(unknown(cx, it.header, code));
+        }
+        for held in std::mem::take(&mut self.recording) {
+            out.push(unknown(cx, held.header(), code));
+        }
+        for held in self.queue.take() {
+            self.drop_held(cx, &held, code, out);
+        }
+        self.step_down(cx, out);
+    }
+
     /// Ends a request in progress whose outcome is not known: the upstream is told to stop it, and
     /// its slot counts as taken until it must have.
     pub(super) fn abandon(
--- a/crates/pomelorun-core/tests/core/limits.rs
+++ b/crates/pomelorun-core/tests/core/limits.rs
@@ -1,14 +1,17 @@
 //! What an upstream is given to run: cold starts, noise, queues, balance.
 
+use pomelorun_core::Millis;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
 use crate::{
     load::{Load, seen, total},
-    mesh::{Mesh, Shape},
+    mesh::{Mesh, Outcome, Shape},
 };
 
 const FLOWS: u32 = 300;
+/// Longest way of a request to its steward and of the refusal back.
+const AT_ONCE: Millis = Millis(30);
 
 fn warm(shape: &Shape, seed: u64) -> Mesh {
     let mut mesh = Mesh::new(shape, seed);
@@ -61,7 +64,9 @@
     for seed in 20..26 {
         let mut mesh = warm(&Shape::consorcio(), seed);
         let mut load = Load::new(seed, FLOWS, 1_500);
-        load.run(&mut mesh, 300);
+        // A new backup gets a replica that says that the upstreams are warm.
+        mesh.join("bog-a-9", "bog-a");
+        load.run(&mut mesh, 3_000);
         for it in mesh.upstreams.values_mut() {
             it.fall_cold();
         }
@@ -126,3 +131,82 @@
     assert_eq!(seen.pending, 0);
     assert!(seen.answered * 1_000 >= seen.asked * 995, "{seen:?}");
 }
+
+#[test]
+fn what_cannot_make_its_deadline_is_refused_at_once_with_a_turn_of_its_own() {
+    let shape = Shape { service_ms: 100, ..Shape::consorcio() };
+    let mut mesh = warm(&shape, 51);
+    // Three times what 30 slots can bear.
+    let mut load = Load::new(51, FLOWS, 900);
+    let since = mesh.now;
+    load.run(&mut mesh, 2_000);
+    mesh.run_for(1_000);
+    let refused: Vec<_> = mesh
+        .callers
+        .asked
+        .values()
+        .filter(|it| it.sent >= since && it.outcome == Outcome::NotRun)
+        .collect();
+    assert!(refused.len() > 500, "{} refused", refused.len());
+    let held: Vec<Millis> =
+        refused.iter().map(|it| it.ended.since(it.sent)).filter(|it| *it > AT_ONCE).collect();
+    assert!(held.is_empty(), "{} held, the longest {:?}", held.len(), held.iter().max());
+    let mut told: Vec<u16> = refused.iter().map(|it| it.retry_after).collect();
+    told.sort_unstable();
+    told.dedup();
+    assert!(told[0] > 0 && told.len() > 100, "{} times to come back", told.len());
+}
+
+#[test]
+fn a_pool_that_sheds_is_not_stormed_by_retries() {
+    for (seed, shedding) in [(52, 15), (53, 7), (54, 1)] {
+        let mut mesh = warm(&Shape::consorcio(), seed);
+        let mut load = Load::new(seed, FLOWS, 1_500);
+        load.run(&mut mesh, 500);
+        for it in mesh.upstreams.values_mut().take(shedding) {
+            it.sheds_all = true;
+        }
+        let (asked, arrived) = (mesh.callers.asked.len(), total(&mesh, |it| it.arrived));
+        load.run(&mut mesh, 5_000);
+        mesh.run_for(500);
+        let demand = (mesh.callers.asked.len() - asked) as f64;
+        let share = (total(&mesh, |it| it.arrived) - arrived) as f64 / demand;
+        assert!(share <= 1.1, "seed {seed}: {share:.3} arrivals for a request");
+        assert_eq!(mesh.callers.count(Outcome::Pending), 0);
+    }
+}
+
+#[test]
+fn a_request_that_is_shed_once_is_answered_all_the_same() {
+    let mut mesh = warm(&Shape::consorcio(), 55);
+    let since = mesh.now;
+    for flow in 0..20 {
+        for it in mesh.upstreams.values_mut() {
+            it.sheds_all = true;
+        }
+        mesh.request(flow, flow % 2 == 0);
+        mesh.run_for(8);
+        for it in mesh.upstreams.values_mut() {
+            it.sheds_all = false;
+        }
+        mesh.run_for(400);
+    }
+    let seen = seen(&mesh, since, mesh.now);
+    assert_eq!((seen.asked, seen.answered), (20, 20), "{seen:?}");
+    assert!(total(&mesh, |it| it.shed) > 0);
+}
+
+#[test]
+fn a_cancelled_request_ends_at_once_for_its_caller_and_at_the_upstream() {
+    let shape = Shape { service_ms: 200, ..Shape::consorcio() };
+    let mut mesh = Mesh::new(&shape, 56);
+    mesh.open_flows(0, FLOWS);
+    mesh.run_for(100);
+    let req = mesh.request(0, true);
+    mesh.run_for(20);
+    assert_eq!(mesh.upstreams.values().map(|it| it.running()).sum::<usize>(), 1);
+    mesh.cancel(0, req);
+    mesh.run_for(20);
+    assert_eq!(mesh.callers.count(Outcome::Unknown), 1);
+    assert_eq!(mesh.upstreams.values().map(|it| it.running()).sum::<usize>(), 0);
+}
--- a/crates/pomelorun-core/tests/core/main.rs
+++ b/crates/pomelorun-core/tests/core/main.rs
@@ -13,3 +13,4 @@
 mod requests;
 mod routing;
 mod succession;
+mod zones;
--- a/crates/pomelorun-core/tests/core/mesh.rs
+++ b/crates/pomelorun-core/tests/core/mesh.rs
@@ -204,6 +204,8 @@
     /// When the outcome became known.
     pub(crate) ended: Millis,
     pub(crate) code: u16,
+    /// When the caller was told to come back, milliseconds after the outcome.
+    pub(crate) retry_after: u16,
     pub(crate) runs: u32,
     parts: BTreeSet<u16>,
 }
@@ -468,6 +470,7 @@
             outcome: Outcome::Pending,
             ended: Millis(0),
             code: 0,
+            retry_after: 0,
             runs: 0,
             parts: BTreeSet::new(),
         };
@@ -476,6 +479,11 @@
         req
     }
 
+    /// Gives a request up.
+    pub(crate) fn cancel(&mut self, flow: u32, req: u32) {
+        self.send_from_caller(&Header::new(Kind::Cancel, &Mesh::flow(flow)).req(req));
+    }
+
     /// Sends a request's packet, for the first time or again.
     pub(crate) fn send_request(&mut self, flow: u32, req: u32) {
         let key = Mesh::flow(flow);
@@ -758,6 +766,9 @@
                     assert_eq!(it.runs, 0, "told not run, but {key:?} ran: {}", packet.code());
                 }
                 self.callers.end(now, key, Outcome::NotRun, packet.code());
+                if let Some(it) = self.callers.asked.get_mut(&key) {
+                    it.retry_after = packet.retry_after_ms();
+                }
             }
             Kind::OutcomeUnknown => {
                 self.callers.end(now, (flow, packet.req()), Outcome::Unknown, packet.code());
--- a/crates/pomelorun-wire/src/message.rs
+++ b/crates/pomelorun-wire/src/message.rs
@@ -301,6 +301,13 @@
         /// Which upstream.
         upstream: UpstreamId,
     },
+    /// Tells the receiver, which has an older revision in force, which zones are out.
+    ZonesOut {
+        /// Revision that takes them out.
+        revision: u64,
+        /// All zones that are out by it.
+        zones: Vec<ZoneId>,
+    },
     /// Tells the receiver where flows live for which it may become the keeper.
     Flows {
         /// The flows.
