--- a/crates/pomelorun-core/src/host.rs
+++ b/crates/pomelorun-core/src/host.rs
@@ -1,9 +1,11 @@
 //! One host: the roles of entry, keeper and steward behind a single entry point.
 
+mod attempt;
 mod control;
 mod entry;
 mod explain;
 mod keeper;
+mod lookup;
 mod roles;
 
 use std::sync::Arc;
@@ -16,7 +18,9 @@
     action::{Action, Actions, Event},
     choice::Chooser,
     flow_table::FlowTable,
+    host::{attempt::Attempts, lookup::Lookups},
     members::Members,
+    retry::RetryBudget,
     service_counts::ServiceCounts,
     settings::CoreSettings,
     snapshot::Snapshot,
@@ -56,6 +60,12 @@
     chooser: Chooser,
     /// Sorted by upstream.
     stewards: Vec<Steward>,
+    lookups: Lookups,
+    attempts: Attempts,
+    /// When each bucket last came to another keeper.
+    moved: Vec<Millis>,
+    /// By name of pool, sorted.
+    retries: Vec<(String, RetryBudget)>,
     give_up: Vec<FlowKey>,
     /// Flows whose new keepers cannot find them by themselves, to be told on leaving.
     hand_over: Vec<FlowEntry>,
@@ -92,6 +102,10 @@
             flows: FlowTable::new(INITIAL_BUCKETS),
             chooser: Chooser::default(),
             stewards: Vec::new(),
+            lookups: Lookups::default(),
+            attempts: Attempts::default(),
+            moved: Vec::new(),
+            retries: Vec::new(),
             give_up: Vec::new(),
             hand_over: Vec::new(),
             stats: Stats::default(),
@@ -225,6 +239,8 @@
                 it.set_backup(cx, backup, out);
             });
         }
+        self.lookups.expire(now);
+        self.attempts.expire(now);
         self.give_up_some(out);
         self.hand_over_some(out);
     }
@@ -232,7 +248,7 @@
     fn tally(&mut self, now: Millis, out: &Actions) {
         for action in out {
             match action {
-                Action::Relay { .. } => self.stats.relayed += 1,
+                Action::Relay { .. } | Action::HeldRelay { .. } => self.stats.relayed += 1,
                 Action::ToUpstream(_) | Action::HeldToUpstream(..) => {
                     self.stats.to_upstream += 1;
                     self.note_packet_to_zone(now);
--- a/crates/pomelorun-core/src/host/roles.rs
+++ b/crates/pomelorun-core/src/host/roles.rs
@@ -7,6 +7,7 @@
 use crate::{
     action::{Action, Actions},
     host::HostCore,
+    retry::RetryBudget,
     steward::{Steward, StewardCx},
     time::Millis,
     view::{Ranked, steward_score},
@@ -40,6 +41,9 @@
             out.push(Action::ToUpstream(addr));
             return;
         }
+        if packet.kind() == Kind::Request {
+            self.hold_attempt(now, packet, id);
+        }
         self.with_role(now, id, |it, cx| {
             it.doubt(cx, &flow, known);
             match packet.kind() {
@@ -56,6 +60,10 @@
         packet: &Packet<'_>,
         out: &mut Actions,
     ) {
+        if packet.kind() == Kind::Reset {
+            self.reset(now, from, packet, out);
+            return;
+        }
         let flow = packet.flow();
         let id = self.flows.get(&flow).filter(|&it| self.upstream_addr(it) == Some(from));
         let Some(id) = id else {
@@ -66,12 +74,12 @@
             self.with_role(now, id, |it, _| it.settle_doubt(&flow));
         }
         match packet.kind() {
-            Kind::Opened => out.push(Action::ToCaller),
-            Kind::Reset => {
-                self.forget(&flow);
+            Kind::Opened => {
+                self.confirm(&flow);
                 out.push(Action::ToCaller);
             }
             Kind::Answer | Kind::Shed => {
+                self.confirm(&flow);
                 self.with_role(now, id, |it, cx| it.answer(cx, packet, out));
             }
             _ => out.push(Action::Count(Code::PACKET_MALFORMED)),
@@ -118,13 +126,22 @@
     ) {
         let Some(snapshot) = self.history.first() else { return };
         let Some(upstream) = snapshot.upstream(id) else { return };
+        let pool = snapshot.pool_of(upstream);
+        let at = match self.retries.binary_search_by(|it| it.0.as_str().cmp(&pool.name)) {
+            Ok(at) => at,
+            Err(at) => {
+                self.retries.insert(at, (pool.name.clone(), RetryBudget::default()));
+                at
+            }
+        };
         let cx = StewardCx {
             now,
             me: self.me,
             incarnation: self.members.me().incarnation,
             cfg: &self.cfg,
             upstream,
-            pool: snapshot.pool_of(upstream),
+            pool,
+            retries: &self.retries[at].1,
         };
         let at = match self.stewards.binary_search_by_key(&id, Steward::id) {
             Ok(at) => at,
--- a/crates/pomelorun-core/src/steward.rs
+++ b/crates/pomelorun-core/src/steward.rs
@@ -9,14 +9,14 @@
 use std::net::SocketAddrV4;
 
 use pomelorun_wire::{
-    Code, FlowKey, HEADER_LEN, Header, HostId, Kind, Packet, RecordKey, RecordState, ServiceAddr,
-    UpstreamId,
+    Code, FlowKey, Header, HostId, Kind, Packet, RecordKey, RecordState, ServiceAddr, UpstreamId,
 };
 
 use crate::{
     action::{Action, Actions},
     limit::{Limit, LimitReason},
     record::{Record, Records},
+    retry::RetryBudget,
     settings::CoreSettings,
     snapshot::{PoolView, UpstreamView},
     steward::{
@@ -66,6 +66,7 @@
     pub(crate) cfg: &'a CoreSettings,
     pub(crate) upstream: &'a UpstreamView,
     pub(crate) pool: &'a PoolView,
+    pub(crate) retries: &'a RetryBudget,
 }
 
 impl StewardCx<'_> {
@@ -101,6 +102,9 @@
     started: Millis,
     deadline: Millis,
     idempotent: bool,
+    /// The request, to send it again if it is shed.
+    bytes: Box<[u8]>,
+    retries: u8,
     parts_seen: Vec<u64>,
     parts: u16,
     parts_left: Option<u16>,
@@ -242,10 +246,15 @@
     pub(crate) fn request(&mut self, cx: &StewardCx<'_>, packet: &Packet<'_>, out: &mut Actions) {
         let key = RecordKey { flow: packet.flow(), req: packet.req() };
         match self.admit(cx, packet, &key) {
-            Next::Start if packet.is_idempotent() && !is_beyond(cx, packet) => {
-                let left = deadline_of(cx, packet);
-                self.note_started(cx, key, packet.header(), left, true);
-                out.push(Action::ToUpstream(cx.addr()));
+            Next::Start if packet.is_idempotent() => {
+                let held = Held::new(cx, packet, key);
+                let asked = Millis(packet.deadline_ms().into());
+                if held.deadline == cx.now + asked {
+                    self.begin(cx, held);
+                    out.push(Action::ToUpstream(cx.addr()));
+                } else {
+                    self.forward(cx, held, out);
+                }
             }
             Next::Start if packet.is_idempotent() => {
                 self.forward(cx, Held::new(cx, packet, key), out);
@@ -253,7 +262,10 @@
             Next::Start => self.record(cx, Held::new(cx, packet, key), out),
             Next::Queue => self.queue.push(Held::new(cx, packet, key)),
             Next::Refuse(code) => self.refuse(cx, &key, packet.header(), code, out),
-            Next::RefuseAgain => out.push(not_run(cx, packet.header(), Code::REFUSED_BEFORE)),
+            Next::RefuseAgain => {
+                let after = self.come_back_after(cx);
+                out.push(not_run(packet.header(), Code::REFUSED_BEFORE, after));
+            }
             Next::AnswerAgain(answer) => out.push(Action::HeldToCaller(answer)),
             Next::Unknown(code) => out.push(unknown(cx, packet.header(), code)),
             Next::Ignore(code) => out.push(Action::Count(code)),
@@ -279,7 +291,7 @@
         if self.phase == StewardPhase::Standby {
             return Next::Unknown(Code::STEWARD_CHANGING);
         }
-        match self.admission(cx) {
+        match self.admission(cx, deadline_of(cx, packet)) {
             Admission::Start => Next::Start,
             Admission::Wait => Next::Queue,
             Admission::Refuse => Next::Refuse(Code::BUSY),
@@ -295,32 +307,21 @@
 
     /// Forwards a request that waited, with the time that it has left.
     fn forward(&mut self, cx: &StewardCx<'_>, held: Held, out: &mut Actions) {
-        let header = held.header();
-        self.note_started(cx, held.key, header, held.deadline, held.idempotent);
-        if let Some(it) = self.in_flight.last_mut() {
-            it.arrived = held.arrived;
-        }
-        let left = held.deadline.since(cx.now).as_u16().max(1);
-        let mut bytes = held.bytes;
-        bytes[..HEADER_LEN].copy_from_slice(header.deadline_ms(left).as_bytes());
-        out.push(Action::HeldToUpstream(cx.addr(), bytes));
+        out.push(Action::HeldToUpstream(cx.addr(), held.with_time_left(cx.now)));
+        self.begin(cx, held);
     }
 
-    fn note_started(
-        &mut self,
-        cx: &StewardCx<'_>,
-        key: RecordKey,
-        header: Header,
-        deadline: Millis,
-        idempotent: bool,
-    ) {
+    /// Counts a request in that is sent to the upstream now.
+    fn begin(&mut self, cx: &StewardCx<'_>, held: Held) {
         self.in_flight.push(InFlight {
-            key,
-            header,
-            arrived: cx.now,
+            key: held.key,
+            header: held.header(),
+            arrived: held.arrived,
             started: cx.now,
-            deadline,
-            idempotent,
+            deadline: held.deadline,
+            idempotent: held.idempotent,
+            bytes: held.bytes,
+            retries: held.retries,
             parts_seen: Vec::new(),
             parts: 0,
             parts_left: None,
@@ -343,15 +344,16 @@
         };
         let proved = self.unproved.binary_search_by_key(&key.flow, |it| it.0).is_err();
         let certain = proved && cx.now >= until && self.records.get(key).is_none();
+        let after = self.come_back_after(cx);
         if !certain {
-            out.push(unknown(cx, header, code));
+            out.push(Action::Reply(reply(header, Kind::OutcomeUnknown, code, after)));
             return;
         }
         self.note_not_run(cx, key, header);
         if header.is_idempotent() {
-            out.push(not_run(cx, header, code));
+            out.push(not_run(header, code, after));
         } else {
-            self.replicate_refusal(cx, key, header, code, out);
+            self.replicate_refusal(cx, key, header, (code, after), out);
         }
     }
 
@@ -376,12 +378,14 @@
     fn say_shed(&mut self, cx: &StewardCx<'_>, it: &InFlight, out: &mut Actions) {
         let ran = |it: &Record| it.state == RecordState::Answered;
         let unsure = it.idempotent && cx.now < self.uncertain_idempotent_until;
+        let after = self.come_back_after(cx);
+        let code = Code::UPSTREAM_SHED;
         if unsure || self.records.get(&it.key).is_some_and(ran) {
-            out.push(unknown(cx, it.header, Code::UPSTREAM_SHED));
+            out.push(Action::Reply(reply(it.header, Kind::OutcomeUnknown, code, after)));
             return;
         }
         self.note_not_run(cx, &it.key, it.header);
-        out.push(not_run(cx, it.header, Code::UPSTREAM_SHED));
+        out.push(not_run(it.header, code, after));
     }
 
     /// Remembers that a caller is told "not run" for as long as a copy of the request may arrive.
@@ -398,10 +402,11 @@
     /// The caller gave a request up.
     pub(crate) fn cancel(&mut self, cx: &StewardCx<'_>, packet: &Packet<'_>, out: &mut Actions) {
         let key = RecordKey { flow: packet.flow(), req: packet.req() };
-        if self.queue.remove(&key).is_some() {
-            self.refuse(cx, &key, packet.header(), Code::CANCELLED, out);
-        } else if self.in_flight.iter().any(|it| it.key == key) {
-            out.push(Action::ToUpstream(cx.addr()));
+        if let Some(held) = self.queue.remove(&key) {
+            self.drop_held(cx, &held, Code::CANCELLED, out);
+        } else if let Some(at) = self.in_flight.iter().position(|it| it.key == key) {
+            let it = self.in_flight.swap_remove(at);
+            self.abandon(cx, &it, Code::CANCELLED, out);
         }
     }
 
@@ -414,7 +419,7 @@
         };
         if packet.kind() == Kind::Shed {
             let it = self.in_flight.swap_remove(at);
-            self.shed(cx, &it, out);
+            self.shed(cx, it, out);
             return;
         }
         if !self.in_flight[at].note_part(packet) {
@@ -428,12 +433,23 @@
         if self.in_flight[at].parts_left == Some(0) {
             let it = self.in_flight.swap_remove(at);
             self.answered = Some((key.flow.service, cx.now.since(it.arrived)));
-            self.limit.answered(cx.now, cx.now.since(it.started), cx.pool.slow_after);
+            self.queue.note_service(cx.now.since(it.started));
+            cx.retries.answered(cx.now, cx.cfg.retry_percent);
+            self.limit.answered(cx.now, it.started, cx.pool.slow_after);
             self.note_ran(cx, &it);
             self.pump(cx, out);
         }
     }
 
+    /// The upstream does not know the flow, so the request has not run there.
+    pub(crate) fn not_known(&mut self, cx: &StewardCx<'_>, key: &RecordKey, out: &mut Actions) {
+        if let Some(at) = self.in_flight.iter().position(|it| it.key == *key) {
+            self.in_flight.swap_remove(at);
+            self.records.forget_started(key);
+            self.pump(cx, out);
+        }
+    }
+
     /// Remembers that a request ran, so that no later refusal claims that it did not.
     fn note_ran(&mut self, cx: &StewardCx<'_>, it: &InFlight) {
         let resent_for = Millis(u64::from(it.header.time_left_ms())) + cx.cfg.packet_life_ms;
@@ -459,9 +475,8 @@
     fn time_out(&mut self, cx: &StewardCx<'_>, out: &mut Actions) {
         while let Some(at) = self.in_flight.iter().position(|it| it.deadline <= cx.now) {
             let it = self.in_flight.swap_remove(at);
-            self.limit.timed_out();
-            self.note_ran(cx, &it);
-            out.push(unknown(cx, it.header, Code::TIMED_OUT));
+            self.limit.timed_out(cx.now);
+            self.abandon(cx, &it, Code::TIMED_OUT, out);
         }
     }
 }
@@ -472,20 +487,14 @@
     cx.now + if asked == Millis(0) { max } else { asked.min(max) }
 }
 
-/// Tells whether a request names no deadline, or one that is longer than the pool admits.
-fn is_beyond(cx: &StewardCx<'_>, packet: &Packet<'_>) -> bool {
-    let asked = Millis(u64::from(packet.deadline_ms()));
-    asked == Millis(0) || asked > cx.pool.max_deadline
-}
-
-fn not_run(cx: &StewardCx<'_>, header: Header, code: Code) -> Action {
-    Action::Reply(reply(cx, header, Kind::NotRun, code))
+fn not_run(header: Header, code: Code, after: Millis) -> Action {
+    Action::Reply(reply(header, Kind::NotRun, code, after))
 }
 
 fn unknown(cx: &StewardCx<'_>, header: Header, code: Code) -> Action {
-    Action::Reply(reply(cx, header, Kind::OutcomeUnknown, code))
+    Action::Reply(reply(header, Kind::OutcomeUnknown, code, cx.cfg.come_back_ms))
 }
 
-fn reply(cx: &StewardCx<'_>, header: Header, kind: Kind, code: Code) -> Header {
-    header.kind(kind).code(code.0).retry_after_ms(cx.cfg.come_back_ms.as_u16())
+fn reply(header: Header, kind: Kind, code: Code, after: Millis) -> Header {
+    header.kind(kind).code(code.0).retry_after_ms(after.as_u16())
 }
--- a/crates/pomelorun-core/src/steward/replica.rs
+++ b/crates/pomelorun-core/src/steward/replica.rs
@@ -54,7 +54,7 @@
 #[derive(Debug, Clone)]
 pub(super) struct Recording {
     pub(super) held: Held,
-    since: Millis,
+    pub(super) since: Millis,
     seq: u32,
     sent: Option<Millis>,
 }
@@ -65,6 +65,8 @@
     pub(super) key: RecordKey,
     pub(super) header: Header,
     code: Code,
+    /// When the caller may come back.
+    after: Millis,
     since: Millis,
     seq: u32,
     sent: Option<Millis>,
@@ -92,15 +94,23 @@
         cx: &StewardCx<'_>,
         key: &RecordKey,
         header: Header,
-        code: Code,
+        (code, after): (Code, Millis),
         out: &mut Actions,
     ) {
         if self.backup.is_none() {
-            out.push(not_run(cx, header, code));
+            out.push(not_run(header, code, after));
             return;
         }
         let seq = self.number(cx);
-        self.refusing.push(Refusing { key: *key, header, code, since: cx.now, seq, sent: None });
+        self.refusing.push(Refusing {
+            key: *key,
+            header,
+            code,
+            after,
+            since: cx.now,
+            seq,
+            sent: None,
+        });
         self.send_records(cx, out);
     }
 
@@ -171,10 +181,10 @@
     fn record_kept(&mut self, cx: &StewardCx<'_>, seq: u32, out: &mut Actions) {
         if let Some(at) = self.recording.iter().position(|it| it.seq == seq) {
             let it = self.recording.swap_remove(at);
-            self.forward(cx, it.held, out);
+            self.recorded(cx, it.held, out);
         } else if let Some(at) = self.refusing.iter().position(|it| it.seq == seq) {
             let it = self.refusing.swap_remove(at);
-            out.push(not_run(cx, it.header, it.code));
+            out.push(not_run(it.header, it.code, it.after));
         }
     }
 
@@ -228,7 +238,7 @@
             self.forward(cx, it.held, out);
         }
         for it in std::mem::take(&mut self.refusing) {
-            out.push(not_run(cx, it.header, it.code));
+            out.push(not_run(it.header, it.code, it.after));
         }
     }
 
--- a/crates/pomelorun-core/src/steward/succession.rs
+++ b/crates/pomelorun-core/src/steward/succession.rs
@@ -17,7 +17,7 @@
     /// The hosts that have not answered in full, with the records that they sent so far.
     waiting_for: Vec<(HostId, u32)>,
     /// When the last answer arrived.
-    since: Millis,
+    pub(super) since: Millis,
     sent: Millis,
     /// All that a steward before knew is or was in the answers.
     certain: bool,
@@ -99,6 +99,7 @@
         if asking.handed_over {
             self.act_certain(cx, out);
         } else if asking.certain {
+            self.limit.forget(cx.now);
             self.assume_full(cx);
             self.act_certain(cx, out);
         } else {
@@ -109,6 +110,7 @@
     /// Acts on the records of the steward before.
     fn act_certain(&mut self, cx: &StewardCx<'_>, out: &mut Actions) {
         self.phase = StewardPhase::Active;
+        self.limit.forget(cx.now);
         self.know_records(cx);
         for held in self.queue.take() {
             let noted = self.records.get(&held.key);
@@ -129,7 +131,9 @@
     /// before its deadline, since the upstream counts as full until then.
     fn act_uncertain(&mut self, cx: &StewardCx<'_>, out: &mut Actions) {
         self.phase = StewardPhase::Active;
+        self.limit.forget(cx.now);
         self.know_nothing(cx);
+        self.limit.forget(cx.now);
         self.assume_full(cx);
         for held in self.queue.take() {
             out.push(unknown(cx, held.header(), Code::STEWARD_CHANGING));
--- a/crates/pomelorun-core/tests/core/handover.rs
+++ b/crates/pomelorun-core/tests/core/handover.rs
@@ -269,6 +269,7 @@
     it.peer(third, hand_over(it.upstream, ask, Verdict::Nothing(part)));
     assert!(it.is_active());
     assert_eq!(replies(&it.relayed(&hold(1, 1)))[0].0, Kind::OutcomeUnknown);
+    it.relayed(&Header::new(Kind::Open, &flow_key(2)));
     let said = replies(&it.relayed(&hold(2, 1)));
     assert!(said.iter().all(|it| it.0 != Kind::OutcomeUnknown), "what ran is known: {said:?}");
 }
--- a/crates/pomelorun-core/tests/core/main.rs
+++ b/crates/pomelorun-core/tests/core/main.rs
@@ -5,8 +5,11 @@
 mod counts;
 mod explain;
 mod handover;
+mod limits;
+mod load;
 mod mesh;
 mod one_host;
 mod path;
 mod requests;
+mod routing;
 mod succession;
