--- a/crates/pomelorun-core/src/host.rs
+++ b/crates/pomelorun-core/src/host.rs
@@ -143,6 +143,7 @@
             }
             Event::Leave => self.leave(now, &mut out),
         }
+        self.doubt_refusals(&mut out);
         self.tally(now, &out);
         self.services.tally(answer, &out);
         out
@@ -245,6 +246,20 @@
         self.hand_over_some(out);
     }
 
+    /// Turns "not run" into "outcome unknown" for flows whose home is not certain.
+    ///
+    /// A steward knows what its own upstream has run. Where that upstream has not answered for the
+    /// flow yet, a copy of the request may have gone to another one.
+    fn doubt_refusals(&self, out: &mut Actions) {
+        for action in out {
+            let Action::Reply(header) = action else { continue };
+            let flow = header.flow();
+            if header.is_not_run_request() && !self.flows.is_confirmed(&flow) {
+                *header = header.kind(Kind::OutcomeUnknown);
+            }
+        }
+    }
+
     fn tally(&mut self, now: Millis, out: &Actions) {
         for action in out {
             match action {
--- a/crates/pomelorun-core/src/host/roles.rs
+++ b/crates/pomelorun-core/src/host/roles.rs
@@ -32,8 +32,7 @@
             out.push(Action::ToUpstream(addr));
             return;
         }
-        let known = self.flows.touch(now, &flow) == Some(id);
-        if !known {
+        if self.flows.touch(now, &flow) != Some(id) {
             self.flows.insert(now, &flow, id);
             self.chooser.add(id);
         }
@@ -44,12 +43,9 @@
         if packet.kind() == Kind::Request {
             self.hold_attempt(now, packet, id);
         }
-        self.with_role(now, id, |it, cx| {
-            it.doubt(cx, &flow, known);
-            match packet.kind() {
-                Kind::Cancel => it.cancel(cx, packet, out),
-                _ => it.request(cx, packet, out),
-            }
+        self.with_role(now, id, |it, cx| match packet.kind() {
+            Kind::Cancel => it.cancel(cx, packet, out),
+            _ => it.request(cx, packet, out),
         });
     }
 
@@ -70,9 +66,6 @@
             out.push(Action::Count(Code::ANSWER_UNEXPECTED));
             return;
         };
-        if matches!(packet.kind(), Kind::Opened | Kind::Answer | Kind::Shed) {
-            self.with_role(now, id, |it, _| it.settle_doubt(&flow));
-        }
         match packet.kind() {
             Kind::Opened => {
                 self.confirm(&flow);
--- a/crates/pomelorun-core/src/steward.rs
+++ b/crates/pomelorun-core/src/steward.rs
@@ -9,7 +9,7 @@
 use std::net::SocketAddrV4;
 
 use pomelorun_wire::{
-    Code, FlowKey, Header, HostId, Kind, Packet, RecordKey, RecordState, ServiceAddr, UpstreamId,
+    Code, Header, HostId, Kind, Packet, RecordKey, RecordState, ServiceAddr, UpstreamId,
 };
 
 use crate::{
@@ -158,11 +158,10 @@
     handed_over: Option<HandedOver>,
     /// Numbers given to questions, replications and records.
     last_number: u64,
+    /// When the process last woke; times that began before say nothing of the upstream.
+    woke_at: Option<Millis>,
     /// When it last stopped acting.
     stood_down: Option<Millis>,
-    /// Flows that were relayed here without proof that they live at this upstream, sorted, with the
-    /// time of their last packet.
-    unproved: Vec<(FlowKey, Millis)>,
     /// Until then a request may have run at the word of another steward.
     uncertain_until: Millis,
     /// The same for idempotent requests, whose records are not handed over.
@@ -190,8 +189,8 @@
             pledged_to: None,
             handed_over: None,
             last_number: 0,
+            woke_at: None,
             stood_down: None,
-            unproved: Vec::new(),
             uncertain_until: cx.now + cx.settle(),
             uncertain_idempotent_until: cx.now + cx.settle(),
             answered: None,
@@ -246,15 +245,9 @@
     pub(crate) fn request(&mut self, cx: &StewardCx<'_>, packet: &Packet<'_>, out: &mut Actions) {
         let key = RecordKey { flow: packet.flow(), req: packet.req() };
         match self.admit(cx, packet, &key) {
-            Next::Start if packet.is_idempotent() => {
-                let held = Held::new(cx, packet, key);
-                let asked = Millis(packet.deadline_ms().into());
-                if held.deadline == cx.now + asked {
-                    self.begin(cx, held);
-                    out.push(Action::ToUpstream(cx.addr()));
-                } else {
-                    self.forward(cx, held, out);
-                }
+            Next::Start if packet.is_idempotent() && !is_beyond(cx, packet) => {
+                self.begin(cx, Held::new(cx, packet, key));
+                out.push(Action::ToUpstream(cx.addr()));
             }
             Next::Start if packet.is_idempotent() => {
                 self.forward(cx, Held::new(cx, packet, key), out);
@@ -263,7 +256,7 @@
             Next::Queue => self.queue.push(Held::new(cx, packet, key)),
             Next::Refuse(code) => self.refuse(cx, &key, packet.header(), code, out),
             Next::RefuseAgain => {
-                let after = self.come_back_after(cx);
+                let after = cx.cfg.come_back_ms;
                 out.push(not_run(packet.header(), Code::REFUSED_BEFORE, after));
             }
             Next::AnswerAgain(answer) => out.push(Action::HeldToCaller(answer)),
@@ -342,35 +335,18 @@
         } else {
             self.uncertain_until
         };
-        let proved = self.unproved.binary_search_by_key(&key.flow, |it| it.0).is_err();
-        let certain = proved && cx.now >= until && self.records.get(key).is_none();
-        let after = self.come_back_after(cx);
+        let certain = cx.now >= until && self.records.get(key).is_none();
         if !certain {
+            let after = self.come_back_after(cx);
             out.push(Action::Reply(reply(header, Kind::OutcomeUnknown, code, after)));
             return;
         }
         self.note_not_run(cx, key, header);
         if header.is_idempotent() {
+            let after = self.come_back_after(cx);
             out.push(not_run(header, code, after));
         } else {
-            self.replicate_refusal(cx, key, header, (code, after), out);
-        }
-    }
-
-    /// Notes a packet of a flow that may live at another upstream, whose steward alone knows its
-    /// requests; `known` when this host has known the flow before the packet.
-    pub(crate) fn doubt(&mut self, cx: &StewardCx<'_>, flow: &FlowKey, known: bool) {
-        match self.unproved.binary_search_by_key(flow, |it| it.0) {
-            Ok(at) => self.unproved[at].1 = cx.now,
-            Err(at) if !known => self.unproved.insert(at, (*flow, cx.now)),
-            Err(_) => {}
-        }
-    }
-
-    /// The upstream has shown that it knows the flow.
-    pub(crate) fn settle_doubt(&mut self, flow: &FlowKey) {
-        if let Ok(at) = self.unproved.binary_search_by_key(flow, |it| it.0) {
-            self.unproved.remove(at);
+            self.replicate_refusal(cx, key, header, code, out);
         }
     }
 
@@ -433,7 +409,9 @@
         if self.in_flight[at].parts_left == Some(0) {
             let it = self.in_flight.swap_remove(at);
             self.answered = Some((key.flow.service, cx.now.since(it.arrived)));
-            self.queue.note_service(cx.now.since(it.started));
+            if self.woke_at.is_none_or(|woke| it.started > woke) {
+                self.queue.note_service(cx.now.since(it.started));
+            }
             cx.retries.answered(cx.now, cx.cfg.retry_percent);
             self.limit.answered(cx.now, it.started, cx.pool.slow_after);
             self.note_ran(cx, &it);
@@ -463,7 +441,6 @@
     pub(crate) fn tick(&mut self, cx: &StewardCx<'_>, out: &mut Actions) {
         self.foreign.retain(|it| *it > cx.now);
         self.records.expire(cx.now);
-        self.unproved.retain(|it| cx.now.since(it.1) < cx.cfg.record_keep_ms);
         self.time_out(cx, out);
         self.drop_late(cx, out);
         self.resend_records(cx, out);
@@ -487,6 +464,12 @@
     cx.now + if asked == Millis(0) { max } else { asked.min(max) }
 }
 
+/// Tells whether a request names no deadline, or one that is longer than the pool admits.
+fn is_beyond(cx: &StewardCx<'_>, packet: &Packet<'_>) -> bool {
+    let asked = Millis(u64::from(packet.deadline_ms()));
+    asked == Millis(0) || asked > cx.pool.max_deadline
+}
+
 fn not_run(header: Header, code: Code, after: Millis) -> Action {
     Action::Reply(reply(header, Kind::NotRun, code, after))
 }
--- a/crates/pomelorun-core/src/steward/replica.rs
+++ b/crates/pomelorun-core/src/steward/replica.rs
@@ -65,8 +65,6 @@
     pub(super) key: RecordKey,
     pub(super) header: Header,
     code: Code,
-    /// When the caller may come back.
-    after: Millis,
     since: Millis,
     seq: u32,
     sent: Option<Millis>,
@@ -94,23 +92,16 @@
         cx: &StewardCx<'_>,
         key: &RecordKey,
         header: Header,
-        (code, after): (Code, Millis),
+        code: Code,
         out: &mut Actions,
     ) {
         if self.backup.is_none() {
+            let after = self.come_back_after(cx);
             out.push(not_run(header, code, after));
             return;
         }
         let seq = self.number(cx);
-        self.refusing.push(Refusing {
-            key: *key,
-            header,
-            code,
-            after,
-            since: cx.now,
-            seq,
-            sent: None,
-        });
+        self.refusing.push(Refusing { key: *key, header, code, since: cx.now, seq, sent: None });
         self.send_records(cx, out);
     }
 
@@ -184,7 +175,8 @@
             self.recorded(cx, it.held, out);
         } else if let Some(at) = self.refusing.iter().position(|it| it.seq == seq) {
             let it = self.refusing.swap_remove(at);
-            out.push(not_run(it.header, it.code, it.after));
+            let after = self.come_back_after(cx);
+            out.push(not_run(it.header, it.code, after));
         }
     }
 
@@ -235,10 +227,11 @@
     fn act_without_backup(&mut self, cx: &StewardCx<'_>, out: &mut Actions) {
         self.backup = None;
         for it in std::mem::take(&mut self.recording) {
-            self.forward(cx, it.held, out);
+            self.recorded(cx, it.held, out);
         }
         for it in std::mem::take(&mut self.refusing) {
-            out.push(not_run(it.header, it.code, it.after));
+            let after = self.come_back_after(cx);
+            out.push(not_run(it.header, it.code, after));
         }
     }
 
--- a/crates/pomelorun-core/src/steward/succession.rs
+++ b/crates/pomelorun-core/src/steward/succession.rs
@@ -110,7 +110,6 @@
     /// Acts on the records of the steward before.
     fn act_certain(&mut self, cx: &StewardCx<'_>, out: &mut Actions) {
         self.phase = StewardPhase::Active;
-        self.limit.forget(cx.now);
         self.know_records(cx);
         for held in self.queue.take() {
             let noted = self.records.get(&held.key);
@@ -133,7 +132,6 @@
         self.phase = StewardPhase::Active;
         self.limit.forget(cx.now);
         self.know_nothing(cx);
-        self.limit.forget(cx.now);
         self.assume_full(cx);
         for held in self.queue.take() {
             out.push(unknown(cx, held.header(), Code::STEWARD_CHANGING));
@@ -148,6 +146,7 @@
 
     /// Checks its place again after the process has slept.
     pub(crate) fn woke(&mut self, cx: &StewardCx<'_>, others: Ranked, out: &mut Actions) {
+        self.woke_at = Some(cx.now);
         self.backup = None;
         self.releasing = None;
         self.handed_over = None;
--- a/crates/pomelorun-core/tests/core/handover.rs
+++ b/crates/pomelorun-core/tests/core/handover.rs
@@ -2,8 +2,8 @@
 
 use pomelorun_core::{Action, Millis};
 use pomelorun_wire::{
-    Ack, Code, Envelope, Header, HostId, Kind, MemberInfo, MemberState, PeerMsg, RecordAck,
-    RecordEntry, RecordKey, RecordMsg, RecordState, StatePart, Verdict, ZoneId, encode,
+    Ack, Code, Envelope, HostId, Kind, MemberInfo, MemberState, PeerMsg, RecordAck, RecordEntry,
+    RecordKey, RecordMsg, RecordState, StatePart, Verdict, ZoneId, encode,
 };
 
 use crate::one_host::{OneHost, ask_of, empty_part, flow_key, forwarded, hand_over, hold, replies};
@@ -129,7 +129,7 @@
     let sent = it.relayed(&hold(1, 1));
     it.ack_records(&sent);
     for flow in 2..40 {
-        it.relayed(&Header::new(Kind::Open, &flow_key(flow)));
+        it.open(flow);
         let sent = it.relayed(&hold(flow, 1));
         if sent.iter().find_map(record_of).is_none() {
             assert!(replies(&sent).is_empty());
@@ -269,7 +269,22 @@
     it.peer(third, hand_over(it.upstream, ask, Verdict::Nothing(part)));
     assert!(it.is_active());
     assert_eq!(replies(&it.relayed(&hold(1, 1)))[0].0, Kind::OutcomeUnknown);
-    it.relayed(&Header::new(Kind::Open, &flow_key(2)));
+    it.open(2);
     let said = replies(&it.relayed(&hold(2, 1)));
     assert!(said.iter().all(|it| it.0 != Kind::OutcomeUnknown), "what ran is known: {said:?}");
 }
+
+#[test]
+fn not_run_is_never_said_of_a_flow_that_its_upstream_has_not_confirmed() {
+    let mut it = OneHost::acting();
+    let sent = it.relayed(&hold(1, 1));
+    it.ack_records(&sent);
+    let mut refused = 0;
+    for flow in 2..40 {
+        let sent = it.relayed(&hold(flow, 1));
+        let said = [replies(&sent), replies(&it.ack_records(&sent))].concat();
+        assert!(said.iter().all(|it| it.0 != Kind::NotRun), "{said:?}");
+        refused += said.len();
+    }
+    assert!(refused > 0, "nothing was refused");
+}
--- a/crates/pomelorun-core/tests/core/one_host.rs
+++ b/crates/pomelorun-core/tests/core/one_host.rs
@@ -88,6 +88,13 @@
         self.core.handle(self.now, Event::Relayed(relay)).into_vec()
     }
 
+    /// Opens a flow here and lets the upstream confirm it.
+    pub(crate) fn open(&mut self, flow: u32) {
+        let open = Header::new(Kind::Open, &flow_key(flow));
+        self.relayed(&open);
+        self.upstream_says(open.kind(Kind::Opened).as_bytes());
+    }
+
     pub(crate) fn upstream_says(&mut self, bytes: &[u8]) -> Vec<Action> {
         let packet = Packet::parse(bytes).expect("the packet is well formed");
         let from = self.addr;
--- a/crates/pomelorun-core/tests/core/path.rs
+++ b/crates/pomelorun-core/tests/core/path.rs
@@ -11,9 +11,14 @@
     let mut mesh = Mesh::new(&Shape::consorcio(), 1);
     mesh.warm_up(100);
     assert_eq!(mesh.callers.opened.len(), 100);
+    let before = mesh.callers.count(Outcome::Answered);
+    for at in 0..2_000 {
+        mesh.request(at % 100, at % 10 != 0);
+        mesh.run_for(1);
+    }
+    mesh.run_for(500);
     assert_eq!(mesh.callers.count(Outcome::Pending), 0);
-    let answered = mesh.callers.count(Outcome::Answered);
-    assert!(answered > 5_900, "{answered} of 6000 answered");
+    assert_eq!(mesh.callers.count(Outcome::Answered) - before, 2_000);
     assert!(mesh.callers.ended.is_empty());
 }
 
--- a/crates/pomelorun-core/tests/core/succession.rs
+++ b/crates/pomelorun-core/tests/core/succession.rs
@@ -168,7 +168,10 @@
         }
         self.mesh.run_for(600);
         let answered = self.mesh.callers.count(Outcome::Answered) - before;
-        assert!(answered * 10 >= self.flows.len() * 8, "{what:?}: {answered} answered");
+        let last = &self.asked[self.asked.len() - self.flows.len()..];
+        let code = |it: &(u32, u32)| self.mesh.callers.asked[&(Mesh::flow(it.0), it.1)].code;
+        let codes: Vec<u16> = last.iter().map(code).collect();
+        assert!(answered * 10 >= self.flows.len() * 8, "{what:?}: answers with codes {codes:?}");
     }
 }
 
--- a/crates/pomelorun-wire/src/packet.rs
+++ b/crates/pomelorun-wire/src/packet.rs
@@ -166,6 +166,20 @@
         self
     }
 
+    /// The flow that the packet belongs to.
+    pub fn flow(&self) -> FlowKey {
+        FlowKey {
+            caller_ip: self.caller_ip.get(),
+            caller_port: self.caller_port.get(),
+            service: ServiceAddr { ip: self.service_ip.get(), port: self.service_port.get() },
+        }
+    }
+
+    /// Tells whether this says of a request that it has not run.
+    pub fn is_not_run_request(&self) -> bool {
+        self.kind == Kind::NotRun as u8 && self.req.get() != 0
+    }
+
     /// Tells whether the request may run more than once.
     pub fn is_idempotent(&self) -> bool {
         self.flags & FLAG_NON_IDEMPOTENT == 0
@@ -230,14 +244,7 @@
 
     /// The flow that the packet belongs to.
     pub fn flow(&self) -> FlowKey {
-        FlowKey {
-            caller_ip: self.header.caller_ip.get(),
-            caller_port: self.header.caller_port.get(),
-            service: ServiceAddr {
-                ip: self.header.service_ip.get(),
-                port: self.header.service_port.get(),
-            },
-        }
+        self.header.flow()
     }
 
     /// Number of the request within its flow.
