Check the view after a start or a sleep, and keep membership's cost flat

The first incarnation heard of each listed host was spread as news and crowded deaths out; an accuser that had not heard from a host yet named incarnation 0, which all others ignored; a host list was merged with a quadratic search; suspects were searched on each timer event.

Change: members are four numbers on the wire; news goes to one random host at once, at most every 60 ms; suspects and listed dead hosts are kept in lists of their own; each message repeats one member in turn; a host that joined or woke asks others for all that is not live, and decides nothing as a keeper before one has answered or 500 ms have passed.

Without the call of Members::woke three tests of core members fail (blames_no_other, learns_of_a_death, refuses_to_decide).

--- a/crates/pomelorun-core/src/host.rs
+++ b/crates/pomelorun-core/src/host.rs
@@ -10,7 +10,7 @@
 
 use std::sync::Arc;
 
-use pomelorun_wire::{Code, FlowEntry, FlowKey, HostId, ZoneId};
+use pomelorun_wire::{Code, FlowEntry, FlowKey, HostId, Stage, ZoneId};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
@@ -121,6 +121,12 @@
             _ => None,
         };
         match event {
+            Event::Fabric(packet) if self.is_settling() => {
+                self.come_back(&packet, Code::VIEW_UNCHECKED, &mut out);
+            }
+            Event::Relayed(relay) if self.is_settling() && asks_keeper(relay.stage()) => {
+                self.come_back(&relay.packet, Code::VIEW_UNCHECKED, &mut out);
+            }
             Event::Fabric(packet) => self.fabric(now, &packet, &mut out),
             Event::Relayed(relay) => self.relayed(now, &relay, &mut out),
             Event::Upstream { from, packet } => self.upstream(now, from, &packet, &mut out),
@@ -168,6 +174,11 @@
         &self.members
     }
 
+    /// Tells whether the host list should be read early, since it lacks a live host.
+    pub fn take_list_wanted(&mut self) -> bool {
+        self.members.take_list_wanted()
+    }
+
     /// Flows known here.
     pub fn flows(&self) -> &FlowTable {
         &self.flows
@@ -192,6 +203,11 @@
         self.hand_over.is_empty() && self.stewards.iter().all(done)
     }
 
+    /// Tells whether a configuration is in force but the view of the other hosts is unchecked.
+    fn is_settling(&self) -> bool {
+        !self.history.is_empty() && !self.members.is_settled()
+    }
+
     fn check_awake(&mut self, now: Millis, out: &mut Actions) {
         let Some(last) = self.last_tick else { return };
         if now.since(last) < self.cfg.wake_gap_ms {
@@ -199,6 +215,7 @@
         }
         self.last_tick = Some(now);
         out.push(Action::Count(Code::WOKE_LATE));
+        self.members.woke(now);
         for at in 0..self.stewards.len() {
             let id = self.stewards[at].id();
             let others = self.previous_stewards(id);
@@ -257,3 +274,8 @@
         }
     }
 }
+
+/// Stages at which the receiver decides as a keeper.
+fn asks_keeper(stage: Stage) -> bool {
+    matches!(stage, Stage::Keeper | Stage::ProbeMissed)
+}
--- a/crates/pomelorun-core/src/host/control.rs
+++ b/crates/pomelorun-core/src/host/control.rs
@@ -28,7 +28,12 @@
     pub(super) fn peer(&mut self, now: Millis, envelope: &Envelope, out: &mut Actions) {
         let from = envelope.from;
         match &envelope.msg {
-            PeerMsg::Ping { .. } | PeerMsg::Pong { .. } | PeerMsg::PingReq { .. } => {
+            PeerMsg::Ping { .. }
+            | PeerMsg::Pong { .. }
+            | PeerMsg::PingReq { .. }
+            | PeerMsg::Gossip { .. }
+            | PeerMsg::Refresh
+            | PeerMsg::View { .. } => {
                 let revision = self.revision();
                 let sent = self.members.message(now, from, &envelope.msg, revision);
                 out.extend(sent.into_iter().map(|(to, msg)| Action::Peer { to, msg }));
@@ -107,7 +112,7 @@
 
     pub(super) fn rebuild_view(&mut self, now: Millis, out: &mut Actions) {
         let Some(snapshot) = self.history.first().cloned() else { return };
-        if !self.members.list_was_read() {
+        if !self.members.is_settled() && self.view.hosts().is_empty() {
             return;
         }
         let mut hosts: Vec<ViewHost> = self
--- a/crates/pomelorun-core/src/members.rs
+++ b/crates/pomelorun-core/src/members.rs
@@ -4,18 +4,21 @@
 //! is suspected, and believed dead when it does not object in time. Changes travel on the probes.
 //! The cost of a host does not depend on the number of hosts.
 
+mod probing;
+mod rumours;
+mod settling;
+
+use std::collections::VecDeque;
+
 use pomelorun_wire::{HostId, MemberInfo, MemberState, PeerMsg, ZoneId};
-use rand::{Rng, RngExt};
 use rand_chacha::ChaCha8Rng;
 
-use crate::{action::ListedHost, settings::CoreSettings, time::Millis};
-
-/// Changes of membership on one probe.
-const GOSSIP_PER_MESSAGE: usize = 6;
-/// Hosts asked to probe on behalf of another.
-const INDIRECT_PROBES: usize = 2;
-/// One probe in this many goes to a host that is believed dead but still listed.
-const DEAD_PROBE_EVERY: u64 = 4;
+use crate::{
+    action::ListedHost,
+    members::{probing::Probing, rumours::Rumours, settling::Settling},
+    settings::CoreSettings,
+    time::Millis,
+};
 
 /// One host as seen from here.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -54,41 +57,23 @@
     }
 }
 
-#[derive(Debug, Clone, Copy)]
-struct Probe {
-    seq: u64,
-    target: HostId,
-    sent: Millis,
-    indirect: bool,
-}
-
-/// A probe that is carried out for another host.
-#[derive(Debug, Clone, Copy)]
-struct Errand {
-    seq: u64,
-    requester: HostId,
-    their_seq: u64,
-    sent: Millis,
-}
-
-#[derive(Debug, Clone, Copy)]
-struct Rumour {
-    host: HostId,
-    sends_left: u32,
-}
-
 /// The hosts known here, and the probing of them.
 #[derive(Debug)]
 pub struct Members {
     me: MemberInfo,
+    /// Sorted by host.
     members: Vec<Member>,
-    rumours: Vec<Rumour>,
-    ring: Vec<HostId>,
-    probe: Option<Probe>,
-    errands: Vec<Errand>,
-    next_probe: Millis,
-    seq: u64,
+    rumours: Rumours,
+    probing: Probing,
+    settling: Settling,
+    /// Suspected hosts with the time since when, the oldest first.
+    suspects: VecDeque<(Millis, HostId)>,
+    /// Listed hosts that are believed dead, sorted.
+    dead: Vec<HostId>,
+    /// Next member to repeat to others.
+    repeat: usize,
     list_read: bool,
+    list_wanted: bool,
     changed: bool,
 }
 
@@ -101,13 +86,14 @@
         Members {
             me: MemberInfo { host, zone, incarnation, state: MemberState::Live },
             members: Vec::new(),
-            rumours: Vec::new(),
-            ring: Vec::new(),
-            probe: None,
-            errands: Vec::new(),
-            next_probe: Millis(0),
-            seq: 0,
+            rumours: Rumours::default(),
+            probing: Probing::default(),
+            settling: Settling::default(),
+            suspects: VecDeque::new(),
+            dead: Vec::new(),
+            repeat: 0,
             list_read: false,
+            list_wanted: false,
             changed: true,
         }
     }
@@ -122,17 +108,17 @@
         &self.members
     }
 
-    /// Tells whether the platform's host list was read; before that no other host is known.
-    pub(crate) fn list_was_read(&self) -> bool {
-        self.list_read
-    }
-
     /// Finds another host.
     pub fn get(&self, host: HostId) -> Option<&Member> {
         let at = self.members.binary_search_by_key(&host, |it| it.host).ok()?;
         Some(&self.members[at])
     }
 
+    /// Tells whether the host list should be read early, since it lacks a live host.
+    pub(crate) fn take_list_wanted(&mut self) -> bool {
+        std::mem::take(&mut self.list_wanted)
+    }
+
     /// Tells whether a state has changed since the last call.
     pub(crate) fn take_changed(&mut self) -> bool {
         std::mem::take(&mut self.changed)
@@ -161,39 +147,51 @@
     /// The first list read is believed; a host that appears later counts as dead until heard.
     pub(crate) fn host_list(&mut self, now: Millis, hosts: &[ListedHost]) {
         let first = !std::mem::replace(&mut self.list_read, true);
+        let me = self.me.host;
+        let mut rows: Vec<&ListedHost> = hosts.iter().filter(|it| it.host != me).collect();
+        rows.sort_by_key(|it| it.host);
+        rows.dedup_by_key(|it| it.host);
         for member in &mut self.members {
-            member.listed = hosts.iter().any(|it| it.host == member.host);
+            member.listed = rows.binary_search_by_key(&member.host, |it| it.host).is_ok();
             self.changed |= member.listed && !member.reachable;
             member.reachable |= member.listed;
         }
-        let me = self.me.host;
-        for it in hosts.iter().filter(|it| it.host != me) {
-            let state = match (it.leaving, first) {
-                (true, _) => MemberState::Leaving,
-                (false, true) => MemberState::Live,
-                (false, false) => MemberState::Dead,
-            };
-            match self.members.binary_search_by_key(&it.host, |m| m.host) {
-                Ok(at) if it.leaving && self.members[at].state < MemberState::Leaving => {
-                    self.set_state(now, at, MemberState::Leaving);
-                }
-                Ok(_) => {}
-                Err(at) => {
-                    let member = Member {
-                        host: it.host,
-                        zone: it.zone,
-                        incarnation: 0,
-                        state,
-                        since: now,
-                        listed: true,
-                        reachable: true,
-                    };
-                    self.members.insert(at, member);
-                    self.changed = true;
-                }
-            }
+        for it in rows {
+            self.list_row(now, it, first);
         }
         self.members.retain(|it| it.listed || it.state != MemberState::Dead);
+        let dead = self.members.iter().filter(|it| it.listed && it.state == MemberState::Dead);
+        self.dead = dead.map(|it| it.host).collect();
+        if first {
+            self.settling.begin(now, self.members.is_empty());
+        }
+    }
+
+    fn list_row(&mut self, now: Millis, row: &ListedHost, first: bool) {
+        let state = match (row.leaving, first) {
+            (true, _) => MemberState::Leaving,
+            (false, true) => MemberState::Live,
+            (false, false) => MemberState::Dead,
+        };
+        match self.members.binary_search_by_key(&row.host, |it| it.host) {
+            Ok(at) if row.leaving && self.members[at].state < MemberState::Leaving => {
+                self.set_state(now, at, MemberState::Leaving);
+            }
+            Ok(_) => {}
+            Err(at) => {
+                let member = Member {
+                    host: row.host,
+                    zone: row.zone,
+                    incarnation: 0,
+                    state,
+                    since: now,
+                    listed: true,
+                    reachable: true,
+                };
+                self.members.insert(at, member);
+                self.changed = true;
+            }
+        }
     }
 
     /// Probes the next host when its time has come.
@@ -206,26 +204,9 @@
     ) -> Outbox {
         let mut out = Outbox::new();
         self.bury(now, cfg);
-        self.errands.retain(|it| now.since(it.sent) < cfg.probe_period_ms);
-        if let Some(probe) = self.probe {
-            let waited = now.since(probe.sent);
-            if !probe.indirect && waited.0 * 2 >= cfg.probe_period_ms.0 {
-                self.probe = Some(Probe { indirect: true, ..probe });
-                self.ask_others(probe, rng, &mut out);
-            }
-        }
-        if now < self.next_probe {
-            return out;
-        }
-        self.next_probe = now + cfg.probe_period_ms;
-        if let Some(probe) = self.probe.take() {
-            self.suspect(now, probe.target);
-        }
-        if let Some(target) = self.next_target(rng) {
-            let msg = self.ping(target, revision);
-            self.probe = Some(Probe { seq: self.seq, target, sent: now, indirect: false });
-            out.push((target, msg));
-        }
+        self.ask_for_views(now, cfg, rng, &mut out);
+        self.probe(now, cfg, revision, rng, &mut out);
+        self.push_rumours(now, rng, &mut out);
         out
     }
 
@@ -245,51 +226,46 @@
             }
             PeerMsg::Pong { seq, members, .. } => {
                 self.merge_all(now, members);
-                if self.probe.is_some_and(|it| it.seq == *seq) {
-                    self.probe = None;
-                }
-                let Some(at) = self.errands.iter().position(|it| it.seq == *seq) else {
-                    return Outbox::new();
-                };
-                let errand = self.errands.swap_remove(at);
-                let members = members.clone();
-                vec![(errand.requester, PeerMsg::Pong { seq: errand.their_seq, revision, members })]
+                self.answered(*seq, revision, members)
             }
             PeerMsg::PingReq { seq, target } => {
-                let msg = self.ping(*target, revision);
-                self.errands.push(Errand {
-                    seq: self.seq,
-                    requester: from,
-                    their_seq: *seq,
-                    sent: now,
-                });
-                vec![(*target, msg)]
+                vec![(*target, self.errand(now, from, *seq, *target, revision))]
+            }
+            PeerMsg::Gossip { members } => {
+                self.merge_all(now, members);
+                Outbox::new()
+            }
+            PeerMsg::Refresh => self.views(from),
+            PeerMsg::View { settled, members } => {
+                self.merge_all(now, members);
+                self.view_came(now, *settled);
+                Outbox::new()
             }
             _ => Outbox::new(),
         }
     }
 
     fn ping(&mut self, to: HostId, revision: u64) -> PeerMsg {
-        self.seq += 1;
-        PeerMsg::Ping { seq: self.seq, revision, members: self.gossip(to) }
+        let seq = self.probing.next_seq();
+        PeerMsg::Ping { seq, revision, members: self.gossip(to) }
     }
 
-    /// The sender first, then the receiver where it has cause to object, then rumours.
+    /// The sender first, then the receiver where it has cause to object, then rumours, then one
+    /// member in turn, which mends what lost rumours left wrong.
     fn gossip(&mut self, to: HostId) -> Vec<MemberInfo> {
         let mut infos = vec![self.me];
         if let Some(it) = self.get(to).filter(|it| it.state != MemberState::Live) {
             infos.push(it.info());
         }
-        self.rumours.sort_by_key(|it| std::cmp::Reverse(it.sends_left));
-        for at in 0..self.rumours.len().min(GOSSIP_PER_MESSAGE) {
-            let rumour = &mut self.rumours[at];
-            rumour.sends_left -= 1;
-            let host = rumour.host;
+        for host in self.rumours.take_batch() {
             if let Some(it) = self.get(host) {
                 infos.push(it.info());
             }
         }
-        self.rumours.retain(|it| it.sends_left > 0);
+        self.repeat = if self.repeat + 1 < self.members.len() { self.repeat + 1 } else { 0 };
+        if let Some(it) = self.members.get(self.repeat).filter(|it| it.incarnation > 0) {
+            infos.push(it.info());
+        }
         infos
     }
 
@@ -313,7 +289,7 @@
     fn merge(&mut self, now: Millis, it: &MemberInfo) {
         let at = match self.members.binary_search_by_key(&it.host, |m| m.host) {
             Ok(at) => at,
-            Err(_) if it.state == MemberState::Dead => return,
+            Err(_) if it.state >= MemberState::Leaving => return,
             Err(at) => {
                 let member = Member {
                     host: it.host,
@@ -329,14 +305,19 @@
             }
         };
         let old = self.members[at];
+        let it = &believed(it, old.incarnation);
         let newer = it.incarnation > old.incarnation
             || (it.incarnation == old.incarnation && it.state > old.state);
         if !newer {
             return;
         }
+        self.list_wanted |= it.state == MemberState::Live && !old.reachable;
         self.members[at].incarnation = it.incarnation;
         self.members[at].zone = it.zone;
-        self.set_state(now, at, it.state);
+        // The first incarnation heard of a host that was listed as live is no news to others.
+        if old.incarnation > 0 || old.state != it.state {
+            self.set_state(now, at, it.state);
+        }
     }
 
     fn suspect(&mut self, now: Millis, host: HostId) {
@@ -349,65 +330,45 @@
     }
 
     fn bury(&mut self, now: Millis, cfg: &CoreSettings) {
-        for at in 0..self.members.len() {
+        while let Some(&(since, host)) = self.suspects.front() {
+            if now.since(since) < cfg.suspect_ms {
+                return;
+            }
+            self.suspects.pop_front();
+            let Ok(at) = self.members.binary_search_by_key(&host, |it| it.host) else { continue };
             let it = self.members[at];
-            if it.state == MemberState::Suspect && now.since(it.since) >= cfg.suspect_ms {
+            if it.state == MemberState::Suspect && it.since == since {
                 self.set_state(now, at, MemberState::Dead);
             }
         }
     }
 
     fn set_state(&mut self, now: Millis, at: usize, state: MemberState) {
-        let sends_left = 3 * (self.members.len() as u32 + 2).ilog2();
+        let known = self.members.len();
         let member = &mut self.members[at];
         self.changed |= member.state != state;
         member.state = state;
         member.since = now;
-        let host = member.host;
-        self.rumours.retain(|it| it.host != host);
-        self.rumours.push(Rumour { host, sends_left });
-    }
-
-    fn ask_others(&self, probe: Probe, rng: &mut ChaCha8Rng, out: &mut Outbox) {
-        let mut helpers: Vec<HostId> = self
-            .members
-            .iter()
-            .filter(|it| it.state == MemberState::Live && it.host != probe.target)
-            .map(|it| it.host)
-            .collect();
-        for _ in 0..INDIRECT_PROBES.min(helpers.len()) {
-            let helper = helpers.swap_remove(rng.random_range(0..helpers.len()));
-            out.push((helper, PeerMsg::PingReq { seq: probe.seq, target: probe.target }));
-        }
-    }
-
-    fn next_target(&mut self, rng: &mut ChaCha8Rng) -> Option<HostId> {
-        if rng.next_u64().is_multiple_of(DEAD_PROBE_EVERY)
-            && let Some(it) = self.random_dead(rng)
-        {
-            return Some(it);
+        let (host, listed) = (member.host, member.listed);
+        if state == MemberState::Suspect {
+            self.suspects.push_back((now, host));
         }
-        while let Some(host) = self.ring.pop() {
-            if self.get(host).is_some_and(|it| it.state != MemberState::Dead) {
-                return Some(host);
+        match self.dead.binary_search(&host) {
+            Ok(at) if state != MemberState::Dead => {
+                self.dead.remove(at);
             }
+            Err(at) if state == MemberState::Dead && listed => self.dead.insert(at, host),
+            _ => {}
         }
-        self.ring.extend(
-            self.members.iter().filter(|it| it.state != MemberState::Dead).map(|it| it.host),
-        );
-        for at in (1..self.ring.len()).rev() {
-            self.ring.swap(at, rng.random_range(0..=at));
-        }
-        self.ring.pop().or_else(|| self.random_dead(rng))
+        self.rumours.add(host, known);
     }
+}
 
-    fn random_dead(&self, rng: &mut ChaCha8Rng) -> Option<HostId> {
-        let dead: Vec<HostId> = self
-            .members
-            .iter()
-            .filter(|it| it.state == MemberState::Dead && it.listed)
-            .map(|it| it.host)
-            .collect();
-        if dead.is_empty() { None } else { Some(dead[rng.random_range(0..dead.len())]) }
+/// An accuser that never heard from a host does not know its incarnation: its word is taken as a
+/// suspicion of the one known here, which the host may refute.
+fn believed(it: &MemberInfo, known: u64) -> MemberInfo {
+    if it.incarnation > 0 || known == 0 {
+        return *it;
     }
+    MemberInfo { incarnation: known, state: it.state.min(MemberState::Suspect), ..*it }
 }
--- a/crates/pomelorun-core/src/settings.rs
+++ b/crates/pomelorun-core/src/settings.rs
@@ -14,6 +14,9 @@
     pub suspect_ms: Millis,
     /// Gap between two timer events after which the process counts as having slept, milliseconds.
     pub wake_gap_ms: Millis,
+    /// Longest time that a host which joined or slept waits for others to confirm its view of them,
+    /// milliseconds.
+    pub settle_ms: Millis,
     /// Requests that may wait for one upstream.
     pub queue_len: usize,
     /// Time to wait for the replica of a record before the request is refused, milliseconds.
@@ -44,6 +47,7 @@
             probe_period_ms: Millis(250),
             suspect_ms: Millis(1_000),
             wake_gap_ms: Millis(1_000),
+            settle_ms: Millis(500),
             queue_len: 16,
             record_ack_ms: Millis(40),
             take_over_ms: Millis(300),
--- a/crates/pomelorun-core/tests/core/main.rs
+++ b/crates/pomelorun-core/tests/core/main.rs
@@ -4,8 +4,10 @@
 
 mod counts;
 mod explain;
+mod fleet;
 mod limits;
 mod load;
+mod members;
 mod mesh;
 mod path;
 mod requests;
--- a/crates/pomelorun-wire/src/code.rs
+++ b/crates/pomelorun-wire/src/code.rs
@@ -87,4 +87,5 @@
     HOST_DEAD = 301, "host_dead", "a host is believed dead", "replace the host";
     WOKE_LATE = 302, "woke_late", "the process slept and checks its views before it acts", "look for an overloaded or frozen machine";
     CONFIG_STALE = 303, "config_stale", "the config service does not answer", "look at the service; the last revision stays in force";
+    VIEW_UNCHECKED = 304, "view_unchecked", "the host has joined or slept and checks its view of the others", "none: the caller is told to come back";
 }
--- a/crates/pomelorun-wire/src/message.rs
+++ b/crates/pomelorun-wire/src/message.rs
@@ -20,9 +20,9 @@
     Dead,
 }
 
-/// One host in a membership message.
+/// One host in a membership message; an array of four numbers on the wire.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
+#[serde(into = "MemberRow", try_from = "MemberRow")]
 pub struct MemberInfo {
     /// Which host.
     pub host: HostId,
@@ -34,6 +34,30 @@
     pub state: MemberState,
 }
 
+/// Host, availability zone, incarnation and state.
+type MemberRow = (HostId, ZoneId, u64, u8);
+
+impl From<MemberInfo> for MemberRow {
+    fn from(it: MemberInfo) -> MemberRow {
+        (it.host, it.zone, it.incarnation, it.state as u8)
+    }
+}
+
+impl TryFrom<MemberRow> for MemberInfo {
+    type Error = String;
+
+    fn try_from((host, zone, incarnation, state): MemberRow) -> Result<MemberInfo, String> {
+        let state = match state {
+            0 => MemberState::Live,
+            1 => MemberState::Suspect,
+            2 => MemberState::Leaving,
+            3 => MemberState::Dead,
+            other => return Err(format!("{other} is no member state")),
+        };
+        Ok(MemberInfo { host, zone, incarnation, state })
+    }
+}
+
 /// Names a request: its flow and its number within the flow.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -133,6 +157,20 @@
         /// Whom to ping.
         target: HostId,
     },
+    /// Carries new changes of membership; not answered.
+    Gossip {
+        /// Changes of membership, the sender's own state first.
+        members: Vec<MemberInfo>,
+    },
+    /// Asks for all that the receiver knows of hosts that are not live.
+    Refresh,
+    /// Answers `Refresh`, in one or several messages.
+    View {
+        /// The sender's own view was checked.
+        settled: bool,
+        /// Hosts that are not live, after the sender's own state.
+        members: Vec<MemberInfo>,
+    },
     /// Steward to the next host in rank: keep this record before I forward the request.
     Record {
         /// The upstream that the request is for.
