Read the configuration service with two hosts a zone, and say how a shutdown ended

Cause: every host watched the configuration service and read the host list each second, a watch that got an answer with nothing new asked again at once, each retry in an outage wrote a log line, and a restarted host beside a stale service would put an older revision in force. A shutdown did not say what it left.

Change: which hosts read, whom to ask and what to accept are decided in the core (revisions.rs). Other hosts hear of a newer revision on probes and ask a host that has it, over WebSocket with CBOR; each verifies every chunk. A host that starts waits for what others have in force. The host list is read at 1 KB a second at most, sooner for a live host that it lacks. Outages are logged by age. A shutdown logs requests finished, flows handed over and what is left; exit status 3 if time ran out.

Shown failing first: with asking other hosts switched off, standins failures a_revision_comes_into_force_everywhere fails (revision 2 not within 9 s). The two shutdown tests failed first by a fault of their own: a new steward counts its slots as taken for the longest deadline, so the request came to the upstream late; they now wait that long.

--- a/crates/pomelorun-core/src/host.rs
+++ b/crates/pomelorun-core/src/host.rs
@@ -21,6 +21,7 @@
     host::{attempt::Attempts, lookup::Lookups},
     members::Members,
     retry::RetryBudget,
+    revisions::{Claims, ReadRole, read_role},
     service_counts::ServiceCounts,
     settings::CoreSettings,
     snapshot::Snapshot,
@@ -51,6 +52,7 @@
     cfg: CoreSettings,
     rng: ChaCha8Rng,
     members: Members,
+    claims: Claims,
     /// Remembered configurations, newest first; the first is in force.
     history: Vec<Arc<Snapshot>>,
     view: View,
@@ -93,6 +95,7 @@
             cfg,
             rng: ChaCha8Rng::seed_from_u64(seed),
             members: Members::new(host, zone, incarnation),
+            claims: Claims::default(),
             history: Vec::new(),
             view: View::default(),
             flows: FlowTable::new(INITIAL_BUCKETS),
@@ -154,6 +157,21 @@
         self.history.first().map_or(0, |it| it.revision)
     }
 
+    /// How this host takes part in reading the configuration service.
+    pub fn read_role(&self) -> ReadRole {
+        read_role(self.me, self.zone, &self.members)
+    }
+
+    /// The highest revision above the one in force that others said they have, and who has it.
+    pub fn newer_revision(&self) -> Option<(u64, Vec<HostId>)> {
+        self.claims.highest(self.revision())
+    }
+
+    /// Forgets that a host has a newer revision, since it does not give it.
+    pub fn forget_claim(&mut self, host: HostId) {
+        self.claims.forget(host);
+    }
+
     /// Configuration in force.
     pub fn in_force(&self) -> Option<&Arc<Snapshot>> {
         self.history.first()
@@ -195,6 +213,11 @@
         self.stewards.iter().map(Steward::status).collect()
     }
 
+    /// Flows that a leaving host has yet to tell new keepers of.
+    pub fn flows_to_hand_over(&self) -> usize {
+        self.hand_over.len()
+    }
+
     /// Tells whether a leaving host has nothing in progress and every role is taken over.
     pub fn is_drained(&self) -> bool {
         let successor = self.view.hosts().iter().any(|it| it.zone == self.zone);
--- a/crates/pomelorun-core/src/host/control.rs
+++ b/crates/pomelorun-core/src/host/control.rs
@@ -35,6 +35,9 @@
             | PeerMsg::Refresh
             | PeerMsg::View { .. } => {
                 let revision = self.revision();
+                if let Some(theirs) = envelope.msg.revision() {
+                    self.claims.heard(from, theirs, revision);
+                }
                 let sent = self.members.message(now, from, &envelope.msg, revision);
                 out.extend(sent.into_iter().map(|(to, msg)| Action::Peer { to, msg }));
                 self.refresh_view(now, out);
--- a/crates/pomelorun-core/src/lib.rs
+++ b/crates/pomelorun-core/src/lib.rs
@@ -12,6 +12,7 @@
 mod members;
 mod record;
 mod retry;
+mod revisions;
 mod service_counts;
 mod settings;
 mod snapshot;
@@ -28,6 +29,7 @@
     limit::{Limit, LimitReason},
     members::{Member, Members},
     record::{Record, Records},
+    revisions::{Judgement, ReadRole, judge, read_role},
     service_counts::{Outcomes, ServiceCounts},
     settings::CoreSettings,
     snapshot::{PoolView, ServiceView, Snapshot, UpstreamView, ZoneView},
--- a/crates/pomelorun-core/src/members.rs
+++ b/crates/pomelorun-core/src/members.rs
@@ -235,8 +235,8 @@
                 self.merge_all(now, members);
                 Outbox::new()
             }
-            PeerMsg::Refresh => self.views(from),
-            PeerMsg::View { settled, members } => {
+            PeerMsg::Refresh => self.views(from, revision),
+            PeerMsg::View { settled, members, .. } => {
                 self.merge_all(now, members);
                 self.view_came(now, *settled);
                 Outbox::new()
--- a/crates/pomelorun-core/src/members/settling.rs
+++ b/crates/pomelorun-core/src/members/settling.rs
@@ -81,7 +81,7 @@
     }
 
     /// What is not as the host list says, the newest changes first.
-    pub(super) fn views(&self, to: HostId) -> Outbox {
+    pub(super) fn views(&self, to: HostId, revision: u64) -> Outbox {
         let mut found: Vec<_> =
             self.members.iter().filter(|it| it.state != MemberState::Live).collect();
         found.sort_by_key(|it| (it.host != to, std::cmp::Reverse(it.since)));
@@ -89,7 +89,8 @@
         let mut infos: Vec<MemberInfo> = found.into_iter().map(|it| it.info()).collect();
         infos.insert(0, self.me);
         let settled = self.is_settled();
-        let view = |it: &[MemberInfo]| (to, PeerMsg::View { settled, members: it.to_vec() });
+        let view =
+            |it: &[MemberInfo]| (to, PeerMsg::View { settled, revision, members: it.to_vec() });
         infos.chunks(PER_MESSAGE).map(view).collect()
     }
 
--- a/crates/pomelorun-core/tests/core/main.rs
+++ b/crates/pomelorun-core/tests/core/main.rs
@@ -11,4 +11,5 @@
 mod mesh;
 mod path;
 mod requests;
+mod revisions;
 mod routing;
--- a/crates/pomelorun-standins/src/demo.rs
+++ b/crates/pomelorun-standins/src/demo.rs
@@ -245,6 +245,7 @@
                     name: it.name.clone(),
                     zone: it.zone.clone(),
                     packets: self.layout.link(at, number_of(it, all)),
+                    peers: self.layout.peers(number_of(it, all)),
                     leaving: false,
                 })
                 .collect();
--- a/crates/pomelorun-standins/src/deployment.rs
+++ b/crates/pomelorun-standins/src/deployment.rs
@@ -84,6 +84,7 @@
 
 const HOST_PORT: u16 = 7_000;
 const LINK_PORT: u16 = 7_100;
+const PEERS_PORT: u16 = 7_090;
 const ADMIN_PORT: u16 = 7_900;
 
 impl Layout {
@@ -103,6 +104,11 @@
         self.addr(host as u8 + 1, HOST_PORT)
     }
 
+    /// Stream by which the host with this number gives its configuration to others.
+    pub fn peers(self, host: usize) -> SocketAddrV4 {
+        self.addr(host as u8 + 1, PEERS_PORT)
+    }
+
     /// Admin service of the host with this number.
     pub fn admin(self, host: usize) -> SocketAddrV4 {
         self.addr(host as u8 + 1, ADMIN_PORT)
--- a/crates/pomelorun-standins/src/harness.rs
+++ b/crates/pomelorun-standins/src/harness.rs
@@ -42,7 +42,10 @@
 }
 
 /// Builds the daemon where cargo runs this program, and finds it beside this program.
-pub(crate) fn build_daemon() -> Result<PathBuf, HarnessError> {
+///
+/// # Errors
+/// A daemon that does not build or is not there.
+pub fn build_daemon() -> Result<PathBuf, HarnessError> {
     if let Some(cargo) = std::env::var_os("CARGO") {
         progress("building the daemon");
         let mut command = std::process::Command::new(cargo);
@@ -104,6 +107,7 @@
         "host": plan.name,
         "zone": plan.zone,
         "packets": layout.host(number),
+        "peers": layout.peers(number),
         "admin": layout.admin(number),
         "fabric": layout.fabric(),
         "config_service": platform_url(layout, &format!("/z/{}", plan.zone)),
--- a/crates/pomelorun-standins/src/lib.rs
+++ b/crates/pomelorun-standins/src/lib.rs
@@ -21,7 +21,7 @@
     child::{Child, ChildError},
     demo::{DemoError, DemoOptions, DemoReport, run_demo},
     deployment::{Deployment, HostPlan, Layout, ServiceLoad, load_deployment},
-    harness::HarnessError,
+    harness::{HarnessError, build_daemon},
     line::{Lines, Polled, say},
     network::{LinkPlan, NetworkCommand, NetworkPlan, NetworkReport, run_network},
     platform::{Fault, HostRow, PlatformPlan, run_platform},
--- a/crates/pomelorun-standins/src/platform.rs
+++ b/crates/pomelorun-standins/src/platform.rs
@@ -36,6 +36,8 @@
     pub zone: String,
     /// Address of its packet socket as the reading zone reaches it.
     pub packets: SocketAddrV4,
+    /// Address at which it gives its configuration to other hosts.
+    pub peers: SocketAddrV4,
     /// It is leaving.
     pub leaving: bool,
 }
--- a/crates/pomelorun-standins/src/throughput.rs
+++ b/crates/pomelorun-standins/src/throughput.rs
@@ -179,6 +179,7 @@
         name: plan.name.clone(),
         zone: plan.zone.clone(),
         packets: layout.host(0),
+        peers: layout.peers(0),
         leaving: false,
     };
     let path = format!("/control/hosts/{}", plan.zone);
--- a/crates/pomelorun-standins/tests/standins/main.rs
+++ b/crates/pomelorun-standins/tests/standins/main.rs
@@ -3,3 +3,4 @@
 #![allow(missing_docs, reason = "tests")]
 
 mod demo;
+mod failures;
--- a/crates/pomelorun-wire/src/lib.rs
+++ b/crates/pomelorun-wire/src/lib.rs
@@ -16,8 +16,8 @@
     codec::{CodecError, decode, encode},
     id::{FlowKey, HostId, ServiceAddr, UpstreamId, ZoneId, stable_hash},
     message::{
-        Envelope, FlowEntry, MemberInfo, MemberState, PeerMsg, RecordEntry, RecordKey, RecordState,
-        StewardState, Verdict,
+        ConfigAnswer, ConfigQuestion, Envelope, FlowEntry, MemberInfo, MemberState, PeerMsg,
+        RecordEntry, RecordKey, RecordState, StewardState, Verdict,
     },
     packet::{HEADER_LEN, Header, Kind, MAX_DATAGRAM, Packet, PacketError},
     relay::{RELAY_LEN, Relay, RelayHeader, Stage},
--- a/crates/pomelorun-wire/src/message.rs
+++ b/crates/pomelorun-wire/src/message.rs
@@ -168,6 +168,8 @@
     View {
         /// The sender's own view was checked.
         settled: bool,
+        /// Revision in force at the sender.
+        revision: u64,
         /// Hosts that are not live, after the sender's own state.
         members: Vec<MemberInfo>,
     },
@@ -218,6 +220,41 @@
     },
 }
 
+impl PeerMsg {
+    /// Revision in force at the sender, where the message names it.
+    pub fn revision(&self) -> Option<u64> {
+        match self {
+            PeerMsg::Ping { revision, .. }
+            | PeerMsg::Pong { revision, .. }
+            | PeerMsg::View { revision, .. } => Some(*revision),
+            _ => None,
+        }
+    }
+}
+
+/// A question on the stream between two hosts that carries configuration.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ConfigQuestion {
+    /// The manifest in force.
+    Manifest,
+    /// A chunk that it names.
+    Chunk {
+        /// SHA-256 of the chunk, hexadecimal.
+        sha256: String,
+    },
+}
+
+/// Answer to a [`ConfigQuestion`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ConfigAnswer {
+    /// The text asked for.
+    Text(String),
+    /// It is not in force here.
+    Missing,
+}
+
 /// A control message with its sender.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/pomelorun/src/config.rs
+++ b/crates/pomelorun/src/config.rs
@@ -1,42 +1,64 @@
-//! The service `config`: reads and watches the configuration service.
+//! The service `config`: brings the newest revision in force, from other hosts or from the
+//! configuration service.
+//!
+//! A few hosts of each zone watch the service. All others hear of a newer revision on the control
+//! messages between hosts and ask one that has it in force, and look at the service now and then.
 
-use std::{sync::Arc, time::Duration};
+pub(crate) mod outage;
+pub(crate) mod peers;
+mod source;
+pub(crate) mod store;
+
+use std::{
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use actix::Recipient;
 use pomelorun_config::{Manifest, compile, join_chunks};
-use pomelorun_core::Snapshot;
-use pomelorun_wire::Code;
+use pomelorun_core::{Judgement, ReadRole, Snapshot, judge};
+use pomelorun_wire::{Code, ConfigQuestion};
 use rand::RngExt;
 use spdlog::prelude::*;
-use thiserror::Error;
-use tokio::{task::JoinHandle, time::Instant};
+use tokio::task::JoinHandle;
 
 use crate::{
+    config::{
+        outage::{Notice, Outage},
+        peers::PeerStream,
+        source::{ConfigService, ReadError, Source},
+        store::{SharedStore, Store},
+    },
     control::Control,
     kernel::{Registry, Service, StartError, Stopped},
     packets::PACKETS,
+    plan::{Plan, PlanRx},
     settings::Settings,
 };
 
 const CONFIG: &str = "config";
-/// Key of the manifest in the configuration service.
-const MANIFEST_KEY: &str = "manifest";
-/// Longest time that one watch waits at the service, milliseconds.
-const WATCH_MS: u64 = 10_000;
-/// Time allowed to an answer beyond the watch.
-const ANSWER_TIME: Duration = Duration::from_secs(5);
+/// Longest time that one watch waits at the service.
+const WATCH: Duration = Duration::from_secs(10);
 /// Shortest and longest pause after a failure, milliseconds.
 const PAUSE_MS: std::ops::Range<u64> = 200..2_000;
+/// Longest time that a host which starts waits for what other hosts have in force.
+const START_WAIT: Duration = Duration::from_secs(2);
+/// Longest time for which a host that starts prefers a newer revision that it cannot get from
+/// other hosts to an older one at the service.
+const PREFER_NEWER: Duration = Duration::from_secs(5);
 
 /// The service.
 pub(crate) struct ConfigReader {
     base: String,
+    store: SharedStore,
+    plan: PlanRx,
     task: Option<JoinHandle<()>>,
 }
 
 impl ConfigReader {
-    pub(crate) fn new(settings: &Settings) -> ConfigReader {
-        ConfigReader { base: settings.config_service.clone(), task: None }
+    pub(crate) fn new(settings: &Settings, store: SharedStore, plan: PlanRx) -> ConfigReader {
+        ConfigReader { base: settings.config_service.clone(), store, plan, task: None }
     }
 }
 
@@ -47,15 +69,20 @@
 
     fn start(&mut self, registry: &Registry) -> Result<Option<Recipient<Control>>, StartError> {
         let packets = registry.need(PACKETS, CONFIG)?;
-        let watch = Watch {
-            base: self.base.clone(),
-            client: awc::Client::default(),
+        let service = ConfigService { base: self.base.clone(), client: awc::Client::default() };
+        let reader = Reader {
+            service,
             packets,
-            chunks: Vec::new(),
-            seen: None,
+            store: Rc::clone(&self.store),
+            plan: self.plan.clone(),
+            outage: Outage::default(),
+            refused: None,
+            started: Instant::now(),
             answered: Instant::now(),
+            looked: None,
+            check: false,
         };
-        self.task = Some(actix_rt::spawn(watch.run()));
+        self.task = Some(actix_rt::spawn(reader.run()));
         Ok(None)
     }
 
@@ -70,45 +97,44 @@
     }
 }
 
-/// Why a reading of the configuration service brought nothing.
-#[derive(Debug, Error)]
-enum ReadError {
-    #[error("{0}")]
-    Http(String),
-    #[error("{code}: {detail}")]
-    Content { code: Code, detail: String },
-}
-
-/// What to do after a reading.
+/// What to do next.
 enum Next {
-    /// Nothing newer is there.
-    Unchanged,
-    /// A newer manifest is there.
-    Fetch(Manifest),
-    /// It must not come into force.
-    Refuse(Code, String),
+    /// Ask a host that has a newer revision.
+    Peer,
+    /// Ask the service, from this revision on, and wait there for so long.
+    Service { after: u64, wait: Duration },
+    /// Wait for the core to want something else, at most so long.
+    Wait(Duration),
 }
 
-struct Watch {
-    base: String,
-    client: awc::Client,
+struct Reader {
+    service: ConfigService,
     packets: Recipient<Control>,
-    /// Texts of the chunks in force, sorted by hash.
-    chunks: Vec<(String, String)>,
-    /// Revision and content hash in force.
-    seen: Option<(u64, String)>,
+    store: SharedStore,
+    plan: PlanRx,
+    outage: Outage,
+    /// The revision and code that were refused last, so that each is logged once.
+    refused: Option<(u64, Code)>,
+    started: Instant,
+    /// When the service last answered.
     answered: Instant,
+    /// When a spare reader last looked at the service.
+    looked: Option<Instant>,
+    /// The next watch is to show the manifest even if its revision is the one in force.
+    check: bool,
 }
 
-impl Watch {
+impl Reader {
     async fn run(mut self) {
+        self.wait_settled().await;
         loop {
-            match self.step().await {
-                Ok(()) => self.answered = Instant::now(),
-                Err(e) => {
-                    warn!("configuration service", kv: { error = e.to_string() });
-                    let pause = rand::rng().random_range(PAUSE_MS);
-                    tokio::time::sleep(Duration::from_millis(pause)).await;
+            let plan = self.plan.borrow_and_update().clone();
+            match self.next(&plan) {
+                Next::Peer => self.ask_peer(&plan).await,
+                Next::Service { after, wait } => self.ask_service(&plan, after, wait).await,
+                // A sender that is gone means that the daemon stops.
+                Next::Wait(time) => {
+                    let _ = tokio::time::timeout(time, self.plan.changed()).await;
                 }
             }
             let age = u64::try_from(self.answered.elapsed().as_millis()).unwrap_or(u64::MAX);
@@ -116,82 +142,190 @@
         }
     }
 
-    async fn step(&mut self) -> Result<(), ReadError> {
-        let after = self.seen.as_ref().map_or(0, |it| it.0);
-        let url =
-            format!("{}/v1/values/{MANIFEST_KEY}?after={after}&wait_ms={WATCH_MS}", self.base);
-        let Some(text) = self.get(&url).await? else { return Ok(()) };
-        let manifest: Manifest = serde_json::from_str(&text)
-            .map_err(|e| ReadError::Content { code: Code::CONFIG_JSON, detail: e.to_string() })?;
-        match self.judge(manifest) {
-            Next::Unchanged => Ok(()),
-            Next::Refuse(code, detail) => Err(ReadError::Content { code, detail }),
-            Next::Fetch(manifest) => self.fetch(&manifest, text.len()).await,
+    /// Waits until other hosts have said what they have in force.
+    async fn wait_settled(&mut self) {
+        let settled = self.plan.wait_for(|it| it.settled);
+        let _ = tokio::time::timeout(START_WAIT, settled).await;
+    }
+
+    fn revision(&self) -> u64 {
+        self.store.borrow().in_force.as_ref().map_or(0, |it| it.0)
+    }
+
+    fn next(&mut self, plan: &Plan) -> Next {
+        let revision = self.revision();
+        if plan.newer > revision && !plan.sources.is_empty() {
+            return Next::Peer;
+        }
+        let ReadRole::Spare { every } = plan.role else {
+            // Every other watch shows whether the revision in force still has its content.
+            self.check = !self.check && revision > 0;
+            let after = if self.check { revision - 1 } else { revision };
+            let wait = if self.check { Duration::ZERO } else { WATCH };
+            return Next::Service { after, wait };
+        };
+        let every = Duration::from_millis(every.0);
+        let since = self.looked.map_or(Duration::MAX, |it| it.elapsed());
+        if since < every {
+            return Next::Wait(every - since);
         }
+        self.looked = Some(Instant::now());
+        Next::Service { after: revision, wait: Duration::ZERO }
     }
 
-    /// Revisions only rise, and one revision has one content.
-    fn judge(&self, manifest: Manifest) -> Next {
-        let Some((revision, content)) = &self.seen else { return Next::Fetch(manifest) };
-        match manifest.revision.cmp(revision) {
-            std::cmp::Ordering::Greater => Next::Fetch(manifest),
-            std::cmp::Ordering::Less => Next::Refuse(
-                Code::CONFIG_REGRESSION,
-                format!("revision {} is older than {revision} in force", manifest.revision),
-            ),
-            std::cmp::Ordering::Equal if manifest.content_hash() == *content => Next::Unchanged,
-            std::cmp::Ordering::Equal => Next::Refuse(
-                Code::CONFIG_CONFLICT,
-                format!("revision {revision} has another content than the one in force"),
-            ),
+    async fn ask_peer(&mut self, plan: &Plan) {
+        let at = rand::rng().random_range(0..plan.sources.len());
+        let (host, address) = plan.sources[at];
+        if let Err(e) = self.read_peer(address).await {
+            debug!("host gives no newer revision", kv: { host = host.to_string(), error = e.to_string() });
+            self.packets.do_send(Control::ForgetClaim(host));
+            self.note_refusal(&e, plan.newer);
+            self.pause().await;
         }
     }
 
-    async fn fetch(&mut self, manifest: &Manifest, manifest_bytes: usize) -> Result<(), ReadError> {
-        let mut bytes = manifest_bytes as u64;
-        let mut fetched = Vec::with_capacity(manifest.chunks.len());
+    async fn read_peer(&mut self, address: std::net::SocketAddrV4) -> Result<(), ReadError> {
+        let mut stream = PeerStream::connect(address).await.map_err(ReadError::Source)?;
+        let text = stream.ask(&ConfigQuestion::Manifest).await.map_err(ReadError::Source)?;
+        let text = text.ok_or_else(|| ReadError::Source("nothing is in force there".to_owned()))?;
+        self.offered(&text, Source::Peer(Box::new(stream))).await
+    }
+
+    async fn ask_service(&mut self, plan: &Plan, after: u64, wait: Duration) {
+        let asked = Instant::now();
+        let read = {
+            let read = self.service.manifest(after, wait);
+            tokio::select! {
+                read = read => read,
+                // A newer revision is known at other hosts: the watch is given up.
+                Ok(_) = self.plan.wait_for(|it| it.newer > after && !it.sources.is_empty()) => {
+                    return;
+                }
+            }
+        };
+        match read {
+            Ok(text) => {
+                self.answered = Instant::now();
+                if let Notice::Recovered(after) = self.outage.succeeded(self.answered) {
+                    info!("configuration service answers again", kv: { outage_s = after.as_secs() });
+                }
+                let revision = self.revision();
+                if let Some(text) = &text
+                    && let Err(e) = self.service_offered(plan, text).await
+                {
+                    self.note_refusal(&e, revision_of(text));
+                }
+                // A service that answers at once with nothing new must not be asked in a loop.
+                if self.revision() == revision && asked.elapsed() * 2 < wait {
+                    self.pause().await;
+                }
+            }
+            Err(e) => {
+                self.note_outage(&e);
+                self.pause().await;
+            }
+        }
+    }
+
+    async fn service_offered(&mut self, plan: &Plan, text: &str) -> Result<(), ReadError> {
+        let prefers_newer = self.started.elapsed() < PREFER_NEWER;
+        if self.revision() == 0 && prefers_newer && revision_of(text) < plan.newer {
+            return Err(ReadError::Content {
+                code: Code::CONFIG_REGRESSION,
+                detail: format!("other hosts have revision {}", plan.newer),
+            });
+        }
+        let service =
+            ConfigService { base: self.service.base.clone(), client: self.service.client.clone() };
+        self.offered(text, Source::Service(&service)).await
+    }
+
+    /// Takes up an offer: the whole of it or nothing.
+    async fn offered(&mut self, text: &str, mut source: Source<'_>) -> Result<(), ReadError> {
+        let manifest: Manifest = serde_json::from_str(text)
+            .map_err(|e| ReadError::Content { code: Code::CONFIG_JSON, detail: e.to_string() })?;
+        let content = manifest.content_hash();
+        let revision = manifest.revision;
+        let in_force = self.store.borrow().in_force.clone();
+        let in_force = in_force.as_ref().map(|it| (it.0, it.1.as_str()));
+        let refuse = |code, detail| Err(ReadError::Content { code, detail });
+        match judge(in_force, (revision, &content)) {
+            Judgement::Unchanged => return Ok(()),
+            Judgement::Older => {
+                let detail = format!("revision {revision} is older than the one in force");
+                return refuse(Code::CONFIG_REGRESSION, detail);
+            }
+            Judgement::Conflict => {
+                let detail = format!("revision {revision} has another content than in force");
+                return refuse(Code::CONFIG_CONFLICT, detail);
+            }
+            Judgement::Fetch => {}
+        }
+        let mut bytes = text.len() as u64;
+        let mut chunks: Vec<(String, Arc<str>)> = Vec::with_capacity(manifest.chunks.len());
         for chunk in &manifest.chunks {
-            let text = match self.chunks.binary_search_by(|it| it.0.cmp(&chunk.sha256)) {
-                Ok(at) => self.chunks[at].1.clone(),
-                Err(_) => {
-                    let url = format!("{}/v1/values/{}", self.base, chunk.sha256);
-                    let missing = || ReadError::Http(format!("chunk {} is missing", chunk.sha256));
-                    let text = self.get(&url).await?.ok_or_else(missing)?;
+            let known = self.store.borrow().chunk(&chunk.sha256);
+            let text = match known {
+                Some(it) => it,
+                None => {
+                    let text = source.chunk(&chunk.sha256).await?;
                     bytes += text.len() as u64;
-                    text
+                    text.into()
                 }
             };
-            fetched.push((chunk.sha256.clone(), text));
+            chunks.push((chunk.sha256.clone(), text));
         }
-        let snapshot = assemble(manifest, &fetched)?;
-        let content = manifest.content_hash();
-        self.seen = Some((manifest.revision, content.clone()));
-        fetched.sort_unstable();
-        self.chunks = fetched;
-        let snapshot = Arc::new(snapshot);
+        let snapshot = Arc::new(assemble(&manifest, &chunks)?);
+        chunks.sort_unstable();
+        let in_force = Some((revision, content.clone()));
+        *self.store.borrow_mut() = Store { in_force, manifest: text.into(), chunks };
+        self.refused = None;
         self.packets.do_send(Control::Snapshot { snapshot, content, bytes });
         Ok(())
     }
 
-    /// Reads a value; none where it is missing or unchanged.
-    async fn get(&self, url: &str) -> Result<Option<String>, ReadError> {
-        let http = |e: &dyn std::fmt::Display| ReadError::Http(e.to_string());
-        let wait = Duration::from_millis(WATCH_MS) + ANSWER_TIME;
-        let mut res = self.client.get(url).timeout(wait).send().await.map_err(|e| http(&e))?;
-        match res.status().as_u16() {
-            200 => {}
-            304 | 404 => return Ok(None),
-            status => return Err(ReadError::Http(format!("status {status}"))),
+    /// Logs a refused offer once, and counts it.
+    fn note_refusal(&mut self, e: &ReadError, revision: u64) {
+        let ReadError::Content { code, detail } = e else { return };
+        if self.refused == Some((revision, *code)) {
+            return;
+        }
+        self.refused = Some((revision, *code));
+        self.packets.do_send(Control::Count(*code));
+        let code = code.to_string();
+        error!("revision refused", kv: { revision, code, detail = detail.as_str() });
+    }
+
+    fn note_outage(&mut self, e: &ReadError) {
+        let code = Code::CONFIG_STALE.to_string();
+        match self.outage.failed(Instant::now()) {
+            Notice::Failing => {
+                self.packets.do_send(Control::Count(Code::CONFIG_STALE));
+                warn!("configuration service fails", kv: { code, error = e.to_string() });
+            }
+            Notice::StillFailing(age) => {
+                let age_s = age.as_secs();
+                warn!("configuration service still fails", kv: { code, age_s, error = e.to_string() });
+            }
+            Notice::Silence | Notice::Recovered(_) => {}
         }
-        let limit = 2 * pomelorun_config::MAX_VALUE_BYTES;
-        let body = res.body().limit(limit).await.map_err(|e| http(&e))?;
-        String::from_utf8(body.to_vec()).map(Some).map_err(|e| http(&e))
     }
+
+    /// Waits a random time, or until other hosts have something newer.
+    async fn pause(&mut self) {
+        let pause = Duration::from_millis(rand::rng().random_range(PAUSE_MS));
+        let _ = tokio::time::timeout(pause, self.plan.changed()).await;
+    }
+}
+
+/// Revision of a manifest, zero where it cannot be read.
+fn revision_of(text: &str) -> u64 {
+    serde_json::from_str::<Manifest>(text).map_or(0, |it| it.revision)
 }
 
 /// All or nothing: every chunk is verified and the whole set is checked.
-fn assemble(manifest: &Manifest, fetched: &[(String, String)]) -> Result<Snapshot, ReadError> {
-    let texts: Vec<&str> = fetched.iter().map(|it| it.1.as_str()).collect();
+fn assemble(manifest: &Manifest, chunks: &[(String, Arc<str>)]) -> Result<Snapshot, ReadError> {
+    let texts: Vec<&str> = chunks.iter().map(|it| it.1.as_ref()).collect();
     let set = join_chunks(manifest, &texts)
         .map_err(|e| ReadError::Content { code: e.code(), detail: e.to_string() })?;
     compile(manifest.revision, &set).map_err(|e| ReadError::Content {
--- a/crates/pomelorun/src/control.rs
+++ b/crates/pomelorun/src/control.rs
@@ -4,7 +4,7 @@
 
 use actix::Message;
 use pomelorun_core::{ListedHost, Snapshot};
-use pomelorun_wire::FlowKey;
+use pomelorun_wire::{Code, FlowKey, HostId};
 use tokio::sync::mpsc;
 
 use crate::explain::ExplainReport;
@@ -16,6 +16,8 @@
     pub listed: ListedHost,
     /// Address of its packet socket.
     pub packets: SocketAddrV4,
+    /// Address at which it gives its configuration to other hosts, if it is listed.
+    pub peers: Option<SocketAddrV4>,
 }
 
 /// A message from one service to another.
@@ -33,6 +35,10 @@
     },
     /// The configuration service has answered, or not, since this long, milliseconds.
     ConfigAge(u64),
+    /// Counts an occurrence of a numbered code.
+    Count(Code),
+    /// A host does not give the newer revision that it said it has.
+    ForgetClaim(HostId),
     /// The host list was read.
     HostList(Vec<HostEntry>),
     /// An operator asks where a flow goes; the answer is sent back at once.
--- a/crates/pomelorun/src/daemon.rs
+++ b/crates/pomelorun/src/daemon.rs
@@ -1,23 +1,28 @@
 //! Running a daemon from start to graceful shutdown.
 
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::{
+    rc::Rc,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
 
 use serde::Serialize;
 use spdlog::prelude::*;
 use thiserror::Error;
 use tokio::{
     signal::unix::{SignalKind, signal},
+    sync::watch,
     time::Instant,
 };
 
 use crate::{
     admin::Admin,
-    config::ConfigReader,
+    config::{ConfigReader, peers::Peers, store::SharedStore},
     control::Control,
     host_list::HostList,
     kernel::{Kernel, StartError},
     log,
     packets::{PACKETS, Packets},
+    plan::Plan,
     report::SharedReport,
     settings::Settings,
 };
@@ -52,6 +57,14 @@
     pub drained: bool,
     /// Time from the signal to the end, milliseconds.
     pub took_ms: u64,
+    /// Requests that were in progress at the signal.
+    pub requests: usize,
+    /// Requests that were still in progress at the end.
+    pub requests_left: usize,
+    /// Flows that new keepers were told of.
+    pub handed_over: usize,
+    /// Flows that new keepers were not told of.
+    pub not_handed_over: usize,
 }
 
 /// Runs a daemon until it is asked to stop.
@@ -85,7 +98,7 @@
     }
     let finished = drain(&kernel, settings, &report).await;
     kernel.stop().await;
-    info!("stopped", kv: { drained = finished.drained, took_ms = finished.took_ms });
+    log_end(&finished);
     Ok(finished)
 }
 
@@ -100,9 +113,12 @@
     settings: &Settings,
     report: &SharedReport,
 ) -> Result<(), StartError> {
-    kernel.start(Box::new(Packets::new(settings, incarnation(), report.clone())))?;
-    kernel.start(Box::new(HostList::new(settings)))?;
-    kernel.start(Box::new(ConfigReader::new(settings)))?;
+    let (plan, plan_rx) = watch::channel(Plan::default());
+    let store = SharedStore::default();
+    kernel.start(Box::new(Packets::new(settings, incarnation(), report.clone(), plan)))?;
+    kernel.start(Box::new(HostList::new(settings, plan_rx.clone())))?;
+    kernel.start(Box::new(Peers::new(settings.peers, Rc::clone(&store))))?;
+    kernel.start(Box::new(ConfigReader::new(settings, store, plan_rx)))?;
     kernel.start(Box::new(Admin::new(settings, report.clone())))
 }
 
@@ -113,11 +129,39 @@
     if let Some(it) = kernel.registry().find(PACKETS) {
         it.do_send(Control::Leave);
     }
+    // One look for the actor to take the message in.
+    tokio::time::sleep(DRAIN_LOOK).await;
+    let (requests, flows) = {
+        let report = report.lock();
+        (report.requests(), report.flows_to_hand_over)
+    };
     let mut drained = false;
     while !drained && start.elapsed() < bound {
         tokio::time::sleep(DRAIN_LOOK).await;
         drained = start.elapsed() >= DRAIN_AT_LEAST && report.lock().drained;
     }
     let took_ms = u64::try_from(start.elapsed().as_millis()).unwrap_or(u64::MAX);
-    Finished { drained, took_ms }
+    let report = report.lock();
+    Finished {
+        drained,
+        took_ms,
+        requests,
+        requests_left: report.requests(),
+        handed_over: flows.saturating_sub(report.flows_to_hand_over),
+        not_handed_over: report.flows_to_hand_over,
+    }
+}
+
+fn log_end(it: &Finished) {
+    let finished = it.requests.saturating_sub(it.requests_left);
+    if it.drained {
+        info!("stopped", kv: {
+            drained = true, took_ms = it.took_ms, finished, handed_over = it.handed_over
+        });
+    } else {
+        warn!("stopped before all was finished", kv: {
+            drained = false, took_ms = it.took_ms, finished, requests_left = it.requests_left,
+            handed_over = it.handed_over, not_handed_over = it.not_handed_over
+        });
+    }
 }
--- a/crates/pomelorun/src/engine.rs
+++ b/crates/pomelorun/src/engine.rs
@@ -3,7 +3,7 @@
 use std::{cell::RefCell, net::SocketAddrV4, rc::Rc, time::Instant};
 
 use pomelorun_core::{Action, Actions, Event, HostCore, Millis};
-use pomelorun_wire::{Envelope, FlowKey, HostId, Packet, PeerMsg, Relay, decode, encode};
+use pomelorun_wire::{Code, Envelope, FlowKey, HostId, Packet, PeerMsg, Relay, decode, encode};
 use spdlog::prelude::*;
 use tokio::net::UdpSocket;
 
@@ -11,7 +11,9 @@
     batch::{Incoming, Outgoing},
     control::HostEntry,
     explain::ExplainReport,
+    plan::{Plan, PlanTx},
     report::SharedReport,
+    settings::Settings,
 };
 
 /// First bytes of a control message; the rest is CBOR.
@@ -22,13 +24,26 @@
     core: HostCore,
     socket: Rc<UdpSocket>,
     fabric: SocketAddrV4,
+    /// Port of hosts whose stream address is not listed.
+    peers_port: u16,
     incarnation: u64,
     /// Sorted by host.
-    peers: Vec<(HostId, SocketAddrV4)>,
+    peers: Vec<Peer>,
     started: Instant,
     out: Outgoing,
     control_bytes: u64,
     malformed: u64,
+    list_wanted: u64,
+    /// Occurrences of codes that other services met, sorted by code.
+    codes: Vec<(Code, u64)>,
+}
+
+/// Where another host is reached.
+#[derive(Debug, Clone, Copy)]
+struct Peer {
+    host: HostId,
+    packets: SocketAddrV4,
+    stream: SocketAddrV4,
 }
 
 /// The engine as the services of one thread share it.
@@ -38,19 +53,22 @@
     pub(crate) fn new(
         core: HostCore,
         socket: Rc<UdpSocket>,
-        fabric: SocketAddrV4,
+        settings: &Settings,
         incarnation: u64,
     ) -> Engine {
         Engine {
             core,
             socket,
-            fabric,
+            fabric: settings.fabric,
+            peers_port: settings.peers.port(),
             incarnation,
             peers: Vec::new(),
             started: Instant::now(),
             out: Outgoing::new(),
             control_bytes: 0,
             malformed: 0,
+            list_wanted: 0,
+            codes: Vec::new(),
         }
     }
 
@@ -101,18 +119,25 @@
         }
     }
 
-    /// Takes in the host list; the addresses of hosts that have left it stay known, since the
-    /// list lags.
+    /// Takes in the host list; the addresses of hosts that have left it stay known while the
+    /// core knows them, since the list lags.
     pub(crate) fn host_list(&mut self, hosts: &[HostEntry]) {
         for it in hosts {
-            let peer = (it.listed.host, it.packets);
-            match self.peers.binary_search_by_key(&peer.0, |known| known.0) {
+            let default = SocketAddrV4::new(*it.packets.ip(), self.peers_port);
+            let peer = Peer {
+                host: it.listed.host,
+                packets: it.packets,
+                stream: it.peers.unwrap_or(default),
+            };
+            match self.peers.binary_search_by_key(&peer.host, |known| known.host) {
                 Ok(at) => self.peers[at] = peer,
                 Err(at) => self.peers.insert(at, peer),
             }
         }
         let listed: Vec<_> = hosts.iter().map(|it| it.listed).collect();
         self.handle(Event::HostList(&listed));
+        let members = self.core.members();
+        self.peers.retain(|it| members.get(it.host).is_some());
     }
 
     /// Handles an event that carries no packet.
@@ -162,8 +187,12 @@
     }
 
     fn address(&self, host: HostId) -> Option<SocketAddrV4> {
-        let at = self.peers.binary_search_by_key(&host, |it| it.0).ok()?;
-        Some(self.peers[at].1)
+        self.peer_of(host).map(|it| it.packets)
+    }
+
+    fn peer_of(&self, host: HostId) -> Option<&Peer> {
+        let at = self.peers.binary_search_by_key(&host, |it| it.host).ok()?;
+        Some(&self.peers[at])
     }
 
     /// Explains where a flow goes.
@@ -171,6 +200,37 @@
         crate::explain::explain(&self.core, self.now(), flow)
     }
 
+    /// Counts a code that another service met.
+    pub(crate) fn count(&mut self, code: Code) {
+        match self.codes.binary_search_by_key(&code, |it| it.0) {
+            Ok(at) => self.codes[at].1 += 1,
+            Err(at) => self.codes.insert(at, (code, 1)),
+        }
+    }
+
+    pub(crate) fn forget_claim(&mut self, host: HostId) {
+        self.core.forget_claim(host);
+    }
+
+    /// Tells the services that read the platform what the core wants.
+    pub(crate) fn renew_plan(&mut self, tx: &PlanTx) {
+        self.list_wanted += u64::from(self.core.take_list_wanted());
+        let (newer, hosts) = self.core.newer_revision().unwrap_or_default();
+        let stream = |it: HostId| self.peer_of(it).map(|peer| (it, peer.stream));
+        let plan = Plan {
+            settled: self.core.members().is_settled(),
+            role: self.core.read_role(),
+            newer,
+            sources: hosts.into_iter().filter_map(stream).collect(),
+            list_wanted: self.list_wanted,
+        };
+        tx.send_if_modified(|it| {
+            let changed = *it != plan;
+            *it = plan;
+            changed
+        });
+    }
+
     /// Renews the report.
     pub(crate) fn report(&self, shared: &SharedReport) {
         let mut report = shared.lock();
@@ -178,5 +238,6 @@
         report.control_bytes = self.control_bytes;
         report.dropped_datagrams = self.out.dropped();
         report.malformed_datagrams = self.malformed;
+        crate::report::add_codes(&self.codes, &mut report);
     }
 }
--- a/crates/pomelorun/src/host_list.rs
+++ b/crates/pomelorun/src/host_list.rs
@@ -1,6 +1,9 @@
 //! The service `host_list`: reads the platform's list of hosts.
 
-use std::{net::SocketAddrV4, time::Duration};
+use std::{
+    net::SocketAddrV4,
+    time::{Duration, Instant},
+};
 
 use actix::Recipient;
 use pomelorun_core::ListedHost;
@@ -10,9 +13,11 @@
 use tokio::task::JoinHandle;
 
 use crate::{
+    config::outage::{Notice, Outage},
     control::{Control, HostEntry},
     kernel::{Registry, Service, StartError, Stopped},
     packets::PACKETS,
+    plan::PlanRx,
     settings::Settings,
 };
 
@@ -21,6 +26,10 @@
 const ANSWER_TIME: Duration = Duration::from_secs(5);
 /// Largest list that is accepted, bytes.
 const MAX_LIST: usize = 4 << 20;
+/// Bytes a second that reading the list may take on average; a longer list is read more rarely.
+const BYTES_PER_S: u64 = 1_024;
+/// A host that the list lacks brings the next reading forward by this factor at most.
+const EARLY_FACTOR: u32 = 4;
 
 /// One host as the platform lists it.
 #[derive(Debug, Deserialize)]
@@ -29,6 +38,8 @@
     name: String,
     zone: String,
     packets: SocketAddrV4,
+    /// Where it gives its configuration; the reader's own port where it is not listed.
+    peers: Option<SocketAddrV4>,
     #[serde(default)]
     leaving: bool,
 }
@@ -37,14 +48,16 @@
 pub(crate) struct HostList {
     url: String,
     every: Duration,
+    plan: PlanRx,
     task: Option<JoinHandle<()>>,
 }
 
 impl HostList {
-    pub(crate) fn new(settings: &Settings) -> HostList {
+    pub(crate) fn new(settings: &Settings, plan: PlanRx) -> HostList {
         HostList {
             url: settings.host_list.clone(),
             every: Duration::from_millis(settings.host_list_every_ms),
+            plan,
             task: None,
         }
     }
@@ -57,7 +70,8 @@
 
     fn start(&mut self, registry: &Registry) -> Result<Option<Recipient<Control>>, StartError> {
         let packets = registry.need(PACKETS, HOST_LIST)?;
-        self.task = Some(actix_rt::spawn(poll(self.url.clone(), self.every, packets)));
+        self.task =
+            Some(actix_rt::spawn(poll(self.url.clone(), self.every, packets, self.plan.clone())));
         Ok(None)
     }
 
@@ -72,18 +86,38 @@
     }
 }
 
-async fn poll(url: String, every: Duration, packets: Recipient<Control>) {
+async fn poll(url: String, every: Duration, packets: Recipient<Control>, mut plan: PlanRx) {
     let client = awc::Client::default();
+    let mut outage = Outage::default();
+    let mut pause = every;
     loop {
         match read(&client, &url).await {
-            Ok(hosts) => packets.do_send(Control::HostList(hosts)),
-            Err(e) => warn!("host list", kv: { error = e }),
+            Ok((hosts, bytes)) => {
+                if let Notice::Recovered(after) = outage.succeeded(Instant::now()) {
+                    info!("host list is read again", kv: { outage_s = after.as_secs() });
+                }
+                pause = every.max(Duration::from_millis(bytes * 1_000 / BYTES_PER_S));
+                packets.do_send(Control::HostList(hosts));
+            }
+            Err(error) => match outage.failed(Instant::now()) {
+                Notice::Failing => warn!("host list fails", kv: { error }),
+                Notice::StillFailing(age) => {
+                    warn!("host list still fails", kv: { age_s = age.as_secs(), error });
+                }
+                Notice::Silence | Notice::Recovered(_) => {}
+            },
         }
-        tokio::time::sleep(every).await;
+        let wanted = plan.borrow_and_update().list_wanted;
+        let early = every.max(pause / EARLY_FACTOR);
+        tokio::time::sleep(early).await;
+        // Either the rest of the pause passes or a host turns up that the list lacked.
+        let lacking = plan.wait_for(|it| it.list_wanted > wanted);
+        let _ = tokio::time::timeout(pause.saturating_sub(early), lacking).await;
     }
 }
 
-async fn read(client: &awc::Client, url: &str) -> Result<Vec<HostEntry>, String> {
+/// Reads the list; returns it with its length in bytes.
+async fn read(client: &awc::Client, url: &str) -> Result<(Vec<HostEntry>, u64), String> {
     let res = client.get(url).timeout(ANSWER_TIME).send().await;
     let mut res = res.map_err(|e| e.to_string())?;
     if !res.status().is_success() {
@@ -91,7 +125,7 @@
     }
     let body = res.body().limit(MAX_LIST).await.map_err(|e| e.to_string())?;
     let rows: Vec<Row> = serde_json::from_slice(&body).map_err(|e| e.to_string())?;
-    Ok(rows.iter().map(entry).collect())
+    Ok((rows.iter().map(entry).collect(), body.len() as u64))
 }
 
 fn entry(row: &Row) -> HostEntry {
@@ -102,5 +136,6 @@
             leaving: row.leaving,
         },
         packets: row.packets,
+        peers: row.peers,
     }
 }
--- a/crates/pomelorun/src/lib.rs
+++ b/crates/pomelorun/src/lib.rs
@@ -17,6 +17,7 @@
 mod log;
 mod metrics;
 mod packets;
+mod plan;
 mod report;
 mod settings;
 
@@ -25,6 +26,7 @@
         BurnHistory, BurnReport, CELL_BYTES, Cells, ServiceBurn, WINDOWS, WindowOutcomes,
         describe_burn,
     },
+    config::outage::{Notice, Outage},
     control::Control,
     daemon::{DaemonError, Finished, run},
     explain::{ExplainReport, FlowTextError, RouteReport, parse_flow},
--- a/crates/pomelorun/src/packets.rs
+++ b/crates/pomelorun/src/packets.rs
@@ -13,6 +13,7 @@
     control::Control,
     engine::{Engine, SharedEngine},
     kernel::{Registry, Service, StartError, Stopped},
+    plan::PlanTx,
     report::SharedReport,
     settings::Settings,
 };
@@ -32,13 +33,19 @@
     settings: Settings,
     incarnation: u64,
     report: SharedReport,
+    plan: Option<PlanTx>,
     tasks: Vec<JoinHandle<()>>,
 }
 
 impl Packets {
-    pub(crate) fn new(settings: &Settings, incarnation: u64, report: SharedReport) -> Packets {
+    pub(crate) fn new(
+        settings: &Settings,
+        incarnation: u64,
+        report: SharedReport,
+        plan: PlanTx,
+    ) -> Packets {
         let settings = settings.clone();
-        Packets { settings, incarnation, report, tasks: Vec::new() }
+        Packets { settings, incarnation, report, plan: Some(plan), tasks: Vec::new() }
     }
 
     fn bind(&self) -> std::io::Result<UdpSocket> {
@@ -66,10 +73,11 @@
         let zone = ZoneId::from_name(&self.settings.zone);
         let seed = host.0 ^ self.incarnation;
         let core = HostCore::new(host, zone, self.incarnation, seed, self.settings.bounds.clone());
-        let engine = Engine::new(core, Rc::clone(&socket), self.settings.fabric, self.incarnation);
+        let engine = Engine::new(core, Rc::clone(&socket), &self.settings, self.incarnation);
         let engine = Rc::new(RefCell::new(engine));
+        let plan = self.plan.take().unwrap_or_default();
         self.tasks.push(actix_rt::spawn(receive(Rc::clone(&engine), socket)));
-        self.tasks.push(actix_rt::spawn(tick(Rc::clone(&engine), self.report.clone())));
+        self.tasks.push(actix_rt::spawn(tick(Rc::clone(&engine), self.report.clone(), plan)));
         let actor = PacketsActor { engine, report: self.report.clone() }.start();
         Ok(Some(actor.recipient()))
     }
@@ -103,7 +111,7 @@
     }
 }
 
-async fn tick(engine: SharedEngine, report: SharedReport) {
+async fn tick(engine: SharedEngine, report: SharedReport, plan: PlanTx) {
     let mut timer = tokio::time::interval(TICK);
     timer.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut count = 0u32;
@@ -114,6 +122,7 @@
         count = count.wrapping_add(1);
         if count.is_multiple_of(TICKS_PER_REPORT) {
             engine.report(&report);
+            engine.renew_plan(&plan);
         }
     }
 }
@@ -142,6 +151,8 @@
                 report.config_bytes += bytes;
             }
             Control::ConfigAge(age) => self.report.lock().config_age_ms = age,
+            Control::Count(code) => engine.count(code),
+            Control::ForgetClaim(host) => engine.forget_claim(host),
             Control::HostList(hosts) => engine.host_list(&hosts),
             Control::Explain { flow, reply } => {
                 // The asker has gone if the answer finds no receiver.
--- a/crates/pomelorun/src/report.rs
+++ b/crates/pomelorun/src/report.rs
@@ -3,7 +3,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use pomelorun_core::{HostCore, LimitReason, Millis, Outcomes, Snapshot, UpstreamStatus, ZoneView};
-use pomelorun_wire::{MemberState, ServiceAddr};
+use pomelorun_wire::{Code, MemberState, ServiceAddr};
 use serde::{Deserialize, Serialize};
 
 /// State of a host.
@@ -24,6 +24,8 @@
     pub leaving: bool,
     /// A leaving host has nothing in progress and every role is taken over.
     pub drained: bool,
+    /// Flows that a leaving host has yet to tell other hosts of.
+    pub flows_to_hand_over: usize,
     /// Flows known here.
     pub flows: usize,
     /// Bytes held by the flow table.
@@ -70,6 +72,13 @@
     pub outcomes: Outcomes,
 }
 
+impl HostReport {
+    /// Requests in progress or waiting.
+    pub fn requests(&self) -> usize {
+        self.upstreams.iter().map(|it| it.in_flight + it.queued).sum()
+    }
+}
+
 /// Occurrences of a code.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, rename_all = "snake_case")]
@@ -147,6 +156,7 @@
     describe_services(core, report);
     report.revision = core.revision();
     report.drained = core.is_drained();
+    report.flows_to_hand_over = core.flows_to_hand_over();
     report.flows = core.flows().len();
     report.flow_bytes = core.flows().bytes();
     report.fabric_packets = stats.fabric_packets;
@@ -219,6 +229,22 @@
         .collect();
 }
 
+/// Adds codes that were met outside the core.
+pub(crate) fn add_codes(codes: &[(Code, u64)], report: &mut HostReport) {
+    for (code, count) in codes {
+        let shown = code.to_string();
+        if let Some(it) = report.codes.iter_mut().find(|it| it.code == shown) {
+            it.count += count;
+            continue;
+        }
+        report.codes.push(CodeCount {
+            code: shown,
+            name: code.row().map_or("", |it| it.name).to_owned(),
+            count: *count,
+        });
+    }
+}
+
 fn reason_name(reason: LimitReason) -> &'static str {
     match reason {
         LimitReason::New => "new",
--- a/crates/pomelorun/src/settings.rs
+++ b/crates/pomelorun/src/settings.rs
@@ -47,6 +47,8 @@
     pub zone: String,
     /// Address of the packet socket.
     pub packets: SocketAddrV4,
+    /// Address at which this host gives its configuration to other hosts.
+    pub peers: SocketAddrV4,
     /// Address of the admin service, loopback by default.
     pub admin: SocketAddrV4,
     /// Address at which the fabric takes packets for callers.
@@ -72,6 +74,7 @@
     host: Option<String>,
     zone: Option<String>,
     packets: Option<SocketAddrV4>,
+    peers: Option<SocketAddrV4>,
     admin: Option<SocketAddrV4>,
     fabric: Option<SocketAddrV4>,
     config_service: Option<String>,
@@ -83,6 +86,8 @@
 }
 
 const DEFAULT_ADMIN: SocketAddrV4 = SocketAddrV4::new(std::net::Ipv4Addr::LOCALHOST, 9_090);
+/// Port of the stream between hosts, at the address of the packet socket.
+const DEFAULT_PEERS_PORT: u16 = 7_090;
 const DEFAULT_HOST_LIST_EVERY_MS: u64 = 1_000;
 const DEFAULT_SHUTDOWN_MS: u64 = 10_000;
 
@@ -120,10 +125,12 @@
             }
         };
         let mut check = Check { shown, faults: &mut faults };
+        let ip = file.packets.map_or(*DEFAULT_ADMIN.ip(), |it| *it.ip());
         let settings = Settings {
             host: check.name("host", file.host),
             zone: check.name("zone", file.zone),
             packets: check.required("packets", file.packets, DEFAULT_ADMIN),
+            peers: file.peers.unwrap_or(SocketAddrV4::new(ip, DEFAULT_PEERS_PORT)),
             admin: file.admin.unwrap_or(DEFAULT_ADMIN),
             fabric: check.required("fabric", file.fabric, DEFAULT_ADMIN),
             config_service: check.url("config_service", file.config_service),
@@ -178,6 +185,7 @@
             ("shutdown_ms", settings.shutdown_ms, 100, 600_000),
             ("bounds.probe_period_ms", bounds.probe_period_ms.0, 20, 60_000),
             ("bounds.suspect_ms", bounds.suspect_ms.0, 20, 60_000),
+            ("bounds.settle_ms", bounds.settle_ms.0, 20, 60_000),
             ("bounds.wake_gap_ms", bounds.wake_gap_ms.0, 100, 60_000),
             ("bounds.record_ack_ms", bounds.record_ack_ms.0, 1, 10_000),
             ("bounds.take_over_ms", bounds.take_over_ms.0, 10, 60_000),
--- a/crates/pomelorun/tests/daemon/main.rs
+++ b/crates/pomelorun/tests/daemon/main.rs
@@ -3,5 +3,6 @@
 #![allow(missing_docs, reason = "tests")]
 
 mod burn;
+mod outage;
 mod pages;
 mod settings;
--- a/crates/pomelorund/src/main.rs
+++ b/crates/pomelorund/src/main.rs
@@ -10,6 +10,9 @@
 /// Exit status for a daemon that did not start.
 const EXIT_START: u8 = 1;
 
+/// Exit status for a shutdown whose time ran out before all was finished.
+const EXIT_UNFINISHED: u8 = 3;
+
 /// Runs one entry host of pomelorun.
 #[derive(Debug, Options)]
 struct Args {
@@ -49,7 +52,8 @@
         return ExitCode::SUCCESS;
     }
     match pomelorun::run(&settings) {
-        Ok(_) => ExitCode::SUCCESS,
+        Ok(it) if it.drained => ExitCode::SUCCESS,
+        Ok(_) => ExitCode::from(EXIT_UNFINISHED),
         Err(e) => {
             eprintln!("pomelorund: {e}");
             ExitCode::from(EXIT_START)
