--- a/crates/pomelorun-core/src/host.rs
+++ b/crates/pomelorun-core/src/host.rs
@@ -11,7 +11,7 @@
 
 use std::sync::Arc;
 
-use pomelorun_wire::{Code, FlowEntry, FlowKey, HostId, Kind, Relay, ZoneId};
+use pomelorun_wire::{Code, FlowEntry, FlowKey, HostId, Kind, Relay, Stage, ZoneId};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
@@ -22,6 +22,7 @@
     host::{attempt::Attempts, lookup::Lookups},
     members::Members,
     retry::RetryBudget,
+    revisions::{Claims, ReadRole, read_role},
     service_counts::ServiceCounts,
     settings::CoreSettings,
     snapshot::Snapshot,
@@ -52,6 +53,7 @@
     cfg: CoreSettings,
     rng: ChaCha8Rng,
     members: Members,
+    claims: Claims,
     /// Remembered configurations, newest first; the first is in force.
     history: Vec<Arc<Snapshot>>,
     view: View,
@@ -99,6 +101,7 @@
             cfg,
             rng: ChaCha8Rng::seed_from_u64(seed),
             members: Members::new(host, zone, incarnation),
+            claims: Claims::default(),
             history: Vec::new(),
             view: View::default(),
             flows: FlowTable::new(INITIAL_BUCKETS),
@@ -130,6 +133,12 @@
             _ => None,
         };
         match event {
+            Event::Fabric(packet) if self.is_settling() => {
+                self.come_back(&packet, Code::VIEW_UNCHECKED, &mut out);
+            }
+            Event::Relayed(relay) if self.is_settling() && asks_keeper(relay.stage()) => {
+                self.come_back(&relay.packet, Code::VIEW_UNCHECKED, &mut out);
+            }
             Event::Fabric(packet) | Event::Relayed(Relay { packet, .. })
                 if packet.kind() == Kind::Request && self.reads_backlog(now) =>
             {
@@ -163,6 +172,21 @@
         self.history.first().map_or(0, |it| it.revision)
     }
 
+    /// How this host takes part in reading the configuration service.
+    pub fn read_role(&self) -> ReadRole {
+        read_role(self.me, self.zone, &self.members)
+    }
+
+    /// The highest revision above the one in force that others said they have, and who has it.
+    pub fn newer_revision(&self) -> Option<(u64, Vec<HostId>)> {
+        self.claims.highest(self.revision())
+    }
+
+    /// Forgets that a host has a newer revision, since it does not give it.
+    pub fn forget_claim(&mut self, host: HostId) {
+        self.claims.forget(host);
+    }
+
     /// Configuration in force.
     pub fn in_force(&self) -> Option<&Arc<Snapshot>> {
         self.history.first()
@@ -183,6 +207,11 @@
         &self.members
     }
 
+    /// Tells whether the host list should be read early, since it lacks a live host.
+    pub fn take_list_wanted(&mut self) -> bool {
+        self.members.take_list_wanted()
+    }
+
     /// Flows known here.
     pub fn flows(&self) -> &FlowTable {
         &self.flows
@@ -199,6 +228,11 @@
         self.stewards.iter().map(Steward::status).collect()
     }
 
+    /// Flows that a leaving host has yet to tell new keepers of.
+    pub fn flows_to_hand_over(&self) -> usize {
+        self.hand_over.len()
+    }
+
     /// Tells whether a leaving host has nothing in progress and every role is taken over.
     pub fn is_drained(&self) -> bool {
         let successor = self.view.hosts().iter().any(|it| it.zone == self.zone);
@@ -207,6 +241,11 @@
         self.hand_over.is_empty() && self.stewards.iter().all(done)
     }
 
+    /// Tells whether a configuration is in force but the view of the other hosts is unchecked.
+    fn is_settling(&self) -> bool {
+        !self.history.is_empty() && !self.members.is_settled()
+    }
+
     fn check_awake(&mut self, now: Millis, out: &mut Actions) {
         let Some(last) = self.last_tick else { return };
         if now.since(last) < self.cfg.wake_gap_ms {
@@ -215,6 +254,7 @@
         self.last_tick = Some(now);
         self.woke = Some(now);
         out.push(Action::Count(Code::WOKE_LATE));
+        self.members.woke(now);
         for at in 0..self.stewards.len() {
             let id = self.stewards[at].id();
             let others = self.previous_stewards(id);
@@ -292,3 +332,8 @@
         }
     }
 }
+
+/// Stages at which the receiver decides as a keeper.
+fn asks_keeper(stage: Stage) -> bool {
+    matches!(stage, Stage::Keeper | Stage::ProbeMissed)
+}
--- a/crates/pomelorun-core/src/host/control.rs
+++ b/crates/pomelorun-core/src/host/control.rs
@@ -28,12 +28,16 @@
     pub(super) fn peer(&mut self, now: Millis, envelope: &Envelope, out: &mut Actions) {
         let from = envelope.from;
         match &envelope.msg {
-            PeerMsg::Ping { .. } | PeerMsg::Pong { .. } | PeerMsg::PingReq { .. } => {
+            PeerMsg::Ping { .. }
+            | PeerMsg::Pong { .. }
+            | PeerMsg::PingReq { .. }
+            | PeerMsg::Gossip { .. }
+            | PeerMsg::Refresh
+            | PeerMsg::View { .. } => {
                 let revision = self.revision();
-                if let PeerMsg::Ping { revision, .. } | PeerMsg::Pong { revision, .. } =
-                    &envelope.msg
-                {
-                    self.tell_zones_out(from, *revision, out);
+                if let Some(theirs) = envelope.msg.revision() {
+                    self.claims.heard(from, theirs, revision);
+                    self.tell_zones_out(from, theirs, out);
                 }
                 let sent = self.members.message(now, from, &envelope.msg, revision);
                 out.extend(sent.into_iter().map(|(to, msg)| Action::Peer { to, msg }));
@@ -132,7 +136,7 @@
 
     pub(super) fn rebuild_view(&mut self, now: Millis, out: &mut Actions) {
         let Some(snapshot) = self.history.first().cloned() else { return };
-        if !self.members.list_was_read() {
+        if !self.members.is_settled() && self.view.hosts().is_empty() {
             return;
         }
         let mut hosts: Vec<ViewHost> = self
--- a/crates/pomelorun-core/tests/core/limits.rs
+++ b/crates/pomelorun-core/tests/core/limits.rs
@@ -5,7 +5,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::{
-    load::{Load, seen, total},
+    load::{Load, Seen, seen, total},
     mesh::{Mesh, Outcome, Shape},
 };
 
@@ -117,19 +117,30 @@
 
 #[test]
 fn late_answers_now_and_then_do_not_halve_a_warm_upstream() {
-    let mut mesh = warm(&Shape::consorcio(), 50);
+    // One seed decides by chance: refusals of single seeds lie between 9 and 52 of 8,000.
+    let (mut asked, mut answered) = (0, 0);
+    for seed in 50..58 {
+        let seen = late_answers(seed);
+        assert_eq!(seen.pending, 0);
+        asked += seen.asked;
+        answered += seen.answered;
+    }
+    assert!(answered * 1_000 >= asked * 995, "{answered} of {asked}");
+}
+
+/// What callers see while 30% of all answers come 12 ms late.
+fn late_answers(seed: u64) -> Seen {
+    let mut mesh = warm(&Shape::consorcio(), seed);
     for it in mesh.upstreams.values_mut() {
         it.noise = (30, 12);
     }
-    let mut load = Load::new(50, FLOWS, 2_000);
+    let mut load = Load::new(seed, FLOWS, 2_000);
     load.run(&mut mesh, 1_000);
     let since = mesh.now;
     load.run(&mut mesh, 4_000);
     let until = mesh.now;
     mesh.run_for(1_000);
-    let seen = seen(&mesh, since, until);
-    assert_eq!(seen.pending, 0);
-    assert!(seen.answered * 1_000 >= seen.asked * 995, "{seen:?}");
+    seen(&mesh, since, until)
 }
 
 #[test]
--- a/crates/pomelorun-core/tests/core/main.rs
+++ b/crates/pomelorun-core/tests/core/main.rs
@@ -4,13 +4,16 @@
 
 mod counts;
 mod explain;
+mod fleet;
 mod handover;
 mod limits;
 mod load;
+mod members;
 mod mesh;
 mod one_host;
 mod path;
 mod requests;
+mod revisions;
 mod routing;
 mod succession;
 mod zones;
--- a/crates/pomelorun-core/tests/core/one_host.rs
+++ b/crates/pomelorun-core/tests/core/one_host.rs
@@ -6,8 +6,8 @@
     Action, CoreSettings, Event, HostCore, ListedHost, Millis, Snapshot, rendezvous_score,
 };
 use pomelorun_wire::{
-    Ack, Envelope, FlowKey, Header, HostId, Kind, Packet, PeerMsg, RecordAck, RelayHeader, Stage,
-    StatePart, UpstreamId, Verdict, ZoneId,
+    Ack, Envelope, FlowKey, Header, HostId, Kind, MemberInfo, MemberState, Packet, PeerMsg,
+    RecordAck, RelayHeader, Stage, StatePart, UpstreamId, Verdict, ZoneId,
 };
 
 use crate::mesh::{Mesh, Shape, snapshot};
@@ -43,6 +43,9 @@
         let listed = hosts.map(|host| ListedHost { host, zone, leaving: false });
         it.core.handle(it.now, Event::HostList(&listed));
         it.core.handle(it.now, Event::Snapshot(config));
+        let state = MemberState::Live;
+        let members = vec![MemberInfo { host: it.others[0], zone, incarnation: 1, state }];
+        it.peer(it.others[0], PeerMsg::View { settled: true, revision: 1, members });
         it
     }
 
--- a/crates/pomelorun-wire/src/lib.rs
+++ b/crates/pomelorun-wire/src/lib.rs
@@ -16,8 +16,8 @@
     codec::{CodecError, decode, encode},
     id::{FlowKey, HostId, ServiceAddr, UpstreamId, ZoneId, stable_hash},
     message::{
-        Ack, Envelope, FlowEntry, MemberInfo, MemberState, PeerMsg, RecordAck, RecordEntry,
-        RecordKey, RecordMsg, RecordState, StatePart, Verdict,
+        Ack, ConfigAnswer, ConfigQuestion, Envelope, FlowEntry, MemberInfo, MemberState, PeerMsg,
+        RecordAck, RecordEntry, RecordKey, RecordMsg, RecordState, StatePart, Verdict,
     },
     packet::{HEADER_LEN, Header, Kind, MAX_DATAGRAM, Packet, PacketError},
     relay::{RELAY_LEN, Relay, RelayHeader, Stage},
--- a/crates/pomelorun-wire/src/message.rs
+++ b/crates/pomelorun-wire/src/message.rs
@@ -20,9 +20,9 @@
     Dead,
 }
 
-/// One host in a membership message.
+/// One host in a membership message; an array of four numbers on the wire.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
+#[serde(into = "MemberRow", try_from = "MemberRow")]
 pub struct MemberInfo {
     /// Which host.
     pub host: HostId,
@@ -34,6 +34,30 @@
     pub state: MemberState,
 }
 
+/// Host, availability zone, incarnation and state.
+type MemberRow = (HostId, ZoneId, u64, u8);
+
+impl From<MemberInfo> for MemberRow {
+    fn from(it: MemberInfo) -> MemberRow {
+        (it.host, it.zone, it.incarnation, it.state as u8)
+    }
+}
+
+impl TryFrom<MemberRow> for MemberInfo {
+    type Error = String;
+
+    fn try_from((host, zone, incarnation, state): MemberRow) -> Result<MemberInfo, String> {
+        let state = match state {
+            0 => MemberState::Live,
+            1 => MemberState::Suspect,
+            2 => MemberState::Leaving,
+            3 => MemberState::Dead,
+            other => return Err(format!("{other} is no member state")),
+        };
+        Ok(MemberInfo { host, zone, incarnation, state })
+    }
+}
+
 /// Names a request: its flow and its number within the flow.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -254,6 +278,22 @@
         /// Whom to ping.
         target: HostId,
     },
+    /// Carries new changes of membership; not answered.
+    Gossip {
+        /// Changes of membership, the sender's own state first.
+        members: Vec<MemberInfo>,
+    },
+    /// Asks for all that the receiver knows of hosts that are not live.
+    Refresh,
+    /// Answers `Refresh`, in one or several messages.
+    View {
+        /// The sender's own view was checked.
+        settled: bool,
+        /// Revision in force at the sender.
+        revision: u64,
+        /// Hosts that are not live, after the sender's own state.
+        members: Vec<MemberInfo>,
+    },
     /// Steward to the next host in rank: keep this record before I forward the request.
     Record(RecordMsg),
     /// Answers `Record`.
@@ -315,6 +355,41 @@
     },
 }
 
+impl PeerMsg {
+    /// Revision in force at the sender, where the message names it.
+    pub fn revision(&self) -> Option<u64> {
+        match self {
+            PeerMsg::Ping { revision, .. }
+            | PeerMsg::Pong { revision, .. }
+            | PeerMsg::View { revision, .. } => Some(*revision),
+            _ => None,
+        }
+    }
+}
+
+/// A question on the stream between two hosts that carries configuration.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ConfigQuestion {
+    /// The manifest in force.
+    Manifest,
+    /// A chunk that it names.
+    Chunk {
+        /// SHA-256 of the chunk, hexadecimal.
+        sha256: String,
+    },
+}
+
+/// Answer to a [`ConfigQuestion`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ConfigAnswer {
+    /// The text asked for.
+    Text(String),
+    /// It is not in force here.
+    Missing,
+}
+
 /// A control message with its sender.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
