Answer what waits for a zone that goes out as on standing down

A waiting non-idempotent request of a zone that is taken out is answered 'outcome unknown' at once, as when a steward stands down: its refusal as not run would need a replica, and the steward stops acting in the same step.

cargo test -p pomelorun-core: 63 passed. No test tells the two ways apart.

--- a/crates/pomelorun-core/src/steward/queue.rs
+++ b/crates/pomelorun-core/src/steward/queue.rs
@@ -295,7 +295,11 @@
         }
         self.drop_recording(cx, code, out);
         for held in self.queue.take() {
-            self.drop_held(cx, &held, code, out);
+            if held.idempotent {
+                self.drop_held(cx, &held, code, out);
+            } else {
+                out.push(unknown(cx, held.header(), code));
+            }
         }
         self.step_down(cx, out);
     }
