Hand packets on while a host joins, and let it join before it is probed

Cause: the fabric sprays over a new host before its view is checked; it refused those packets, and others took it for live at its first sign of life. It also believed hosts dead that had not read its address yet.

--- a/crates/pomelorun-core/src/host.rs
+++ b/crates/pomelorun-core/src/host.rs
@@ -133,6 +133,7 @@
             _ => None,
         };
         match event {
+            Event::Fabric(packet) if !self.takes_part() => self.hand_on(&packet, &mut out),
             Event::Fabric(packet) if self.is_settling() => {
                 self.come_back(&packet, Code::VIEW_UNCHECKED, &mut out);
             }
@@ -241,6 +242,11 @@
         self.hand_over.is_empty() && self.stewards.iter().all(done)
     }
 
+    /// Tells whether this host has a configuration and a view of the others that was checked.
+    pub fn takes_part(&self) -> bool {
+        !self.history.is_empty() && self.members.has_joined()
+    }
+
     /// Tells whether a configuration is in force but the view of the other hosts is unchecked.
     fn is_settling(&self) -> bool {
         !self.history.is_empty() && !self.members.is_settled()
--- a/crates/pomelorun-core/src/host/entry.rs
+++ b/crates/pomelorun-core/src/host/entry.rs
@@ -64,6 +64,14 @@
         }
     }
 
+    /// Hands a packet to any other host while this one does not take part yet.
+    pub(super) fn hand_on(&mut self, packet: &Packet<'_>, out: &mut Actions) {
+        match self.members.any_live(&mut self.rng) {
+            Some(to) => self.relay(to, Stage::Keeper, HOPS, |it| it, packet, out),
+            None => self.come_back(packet, Code::NOT_READY, out),
+        }
+    }
+
     pub(super) fn route_to_keeper(
         &mut self,
         now: Millis,
--- a/crates/pomelorun-core/src/members.rs
+++ b/crates/pomelorun-core/src/members.rs
@@ -57,6 +57,10 @@
     }
 }
 
+/// Time after a host's start during which it suspects none that it has not heard yet: they may not
+/// have read its address and so cannot answer.
+const HEARD_WITHIN: Millis = Millis(3_000);
+
 /// The hosts known here, and the probing of them.
 #[derive(Debug)]
 pub struct Members {
@@ -73,6 +77,10 @@
     /// Next member to repeat to others.
     repeat: usize,
     list_read: bool,
+    /// When the host list was first read.
+    listed_at: Millis,
+    /// The view was checked at least once, so this host takes part.
+    joined: bool,
     list_wanted: bool,
     changed: bool,
 }
@@ -93,6 +101,8 @@
             dead: Vec::new(),
             repeat: 0,
             list_read: false,
+            listed_at: Millis(0),
+            joined: false,
             list_wanted: false,
             changed: true,
         }
@@ -163,6 +173,8 @@
         let dead = self.members.iter().filter(|it| it.listed && it.state == MemberState::Dead);
         self.dead = dead.map(|it| it.host).collect();
         if first {
+            self.listed_at = now;
+            self.joined = self.members.is_empty();
             self.settling.begin(now, self.members.is_empty());
         }
     }
@@ -205,6 +217,9 @@
         let mut out = Outbox::new();
         self.bury(now, cfg);
         self.ask_for_views(now, cfg, rng, &mut out);
+        if !self.joined {
+            return out;
+        }
         self.probe(now, cfg, revision, rng, &mut out);
         self.push_rumours(now, rng, &mut out);
         out
@@ -221,6 +236,9 @@
         match msg {
             PeerMsg::Ping { seq, members, .. } => {
                 self.merge_all(now, members);
+                if !self.joined {
+                    return Outbox::new();
+                }
                 let members = self.gossip(from);
                 vec![(from, PeerMsg::Pong { seq: *seq, revision, members })]
             }
@@ -322,6 +340,10 @@
 
     fn suspect(&mut self, now: Millis, host: HostId) {
         let Ok(at) = self.members.binary_search_by_key(&host, |it| it.host) else { return };
+        let unheard = self.members[at].incarnation == 0;
+        if unheard && now.since(self.listed_at) < HEARD_WITHIN {
+            return;
+        }
         match self.members[at].state {
             MemberState::Live => self.set_state(now, at, MemberState::Suspect),
             MemberState::Leaving => self.set_state(now, at, MemberState::Dead),
--- a/crates/pomelorun-core/src/members/probing.rs
+++ b/crates/pomelorun-core/src/members/probing.rs
@@ -169,6 +169,11 @@
         Some(self.dead[rng.random_range(0..self.dead.len())])
     }
 
+    /// Draws a live host.
+    pub(crate) fn any_live(&self, rng: &mut ChaCha8Rng) -> Option<HostId> {
+        self.random_live(rng, |_| true)
+    }
+
     /// Draws a live host that `usable` accepts.
     pub(super) fn random_live(
         &self,
--- a/crates/pomelorun-core/src/members/settling.rs
+++ b/crates/pomelorun-core/src/members/settling.rs
@@ -42,6 +42,11 @@
         self.settling == Settling::Settled
     }
 
+    /// Tells whether this host takes part: its view was checked at least once.
+    pub fn has_joined(&self) -> bool {
+        self.joined
+    }
+
     /// The process slept: nothing that it knew counts before another host has confirmed it.
     pub(crate) fn woke(&mut self, now: Millis) {
         self.probing.reset();
@@ -108,6 +113,7 @@
 
     fn settle(&mut self) {
         self.settling = Settling::Settled;
+        self.joined = true;
         self.changed = true;
     }
 }
--- a/crates/pomelorun-core/tests/core/members.rs
+++ b/crates/pomelorun-core/tests/core/members.rs
@@ -242,6 +242,26 @@
     }
 }
 
+#[test]
+fn a_joining_host_hands_on_what_the_fabric_gives_it() {
+    let mut mesh = Mesh::new(&Shape::consorcio(), 7);
+    mesh.warm_up(200);
+    let before = mesh.callers.count(Outcome::Answered);
+    let new = mesh.join("bog-a-new", "bog-a");
+    mesh.spray = Some(vec![new]);
+    let mut codes = Vec::new();
+    for at in 0..1_000 {
+        let req = mesh.request(at % 200, true);
+        codes.push((Mesh::flow(at % 200), req));
+        mesh.run_for(1);
+    }
+    mesh.run_for(500);
+    let mut codes: Vec<u16> = codes.iter().map(|it| mesh.callers.asked[it].code).collect();
+    codes.retain(|it| *it != 0);
+    let answered = mesh.callers.count(Outcome::Answered) - before;
+    assert_eq!(answered, 1_000, "others ended with {codes:?}");
+}
+
 #[test]
 fn a_host_without_a_list_has_no_view() {
     let cfg = pomelorun_core::CoreSettings::default();
--- a/crates/pomelorun/src/admin.rs
+++ b/crates/pomelorun/src/admin.rs
@@ -164,7 +164,7 @@
 
 async fn health(report: web::Data<SharedReport>) -> HttpResponse {
     let report = report.lock();
-    if report.leaving || report.revision == 0 {
+    if report.leaving || !report.ready {
         HttpResponse::ServiceUnavailable().finish()
     } else {
         HttpResponse::Ok().finish()
--- a/crates/pomelorun/src/report.rs
+++ b/crates/pomelorun/src/report.rs
@@ -22,6 +22,8 @@
     pub config_age_ms: u64,
     /// Is shutting down.
     pub leaving: bool,
+    /// Has a configuration and a checked view of the other hosts.
+    pub ready: bool,
     /// A leaving host has nothing in progress and every role is taken over.
     pub drained: bool,
     /// Flows that a leaving host has yet to tell other hosts of.
@@ -155,6 +157,7 @@
     let stats = core.stats();
     describe_services(core, report);
     report.revision = core.revision();
+    report.ready = core.takes_part();
     report.drained = core.is_drained();
     report.flows_to_hand_over = core.flows_to_hand_over();
     report.flows = core.flows().len();
