Measure slopes on a core that has joined, and let stand-ins end with their parent

A core decides nothing before it has checked its view, so slopes of tables and configuration would have measured an idle core. Platform and forwarder end when their standard input closes; a platform was left behind before.

--- a/crates/pomelorun-standins/src/line.rs
+++ b/crates/pomelorun-standins/src/line.rs
@@ -18,6 +18,14 @@
     writeln!(out, "{text}").and_then(|()| out.flush()).expect("the parent reads");
 }
 
+/// Ends this process once standard input closes, so that it does not outlive its parent.
+pub(crate) fn end_with_parent() {
+    thread::spawn(|| {
+        for _ in std::io::stdin().lock().lines().map_while(Result::ok) {}
+        std::process::exit(0);
+    });
+}
+
 /// Answer of [`Lines::poll`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Polled<T> {
--- a/crates/pomelorun-standins/src/platform.rs
+++ b/crates/pomelorun-standins/src/platform.rs
@@ -107,6 +107,7 @@
     .bind(plan.address)?
     .run();
     crate::line::say(&"ready");
+    crate::line::end_with_parent();
     server.await
 }
 
--- a/crates/pomelorun-standins/src/slopes.rs
+++ b/crates/pomelorun-standins/src/slopes.rs
@@ -24,6 +24,8 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
+/// Time at which a core that hears no other host has settled, milliseconds.
+const SETTLED_MS: u64 = 800;
 /// Time between two timer events, milliseconds.
 const TICK_MS: u64 = 20;
 /// Virtual time of a run with members, milliseconds.
@@ -310,13 +312,17 @@
     Arc::new(compile(revision, set).expect("the synthetic set checks"))
 }
 
-/// A core among this many hosts, with a configuration in force.
+/// A core among this many hosts, with a configuration in force, at [`SETTLED_MS`].
 fn core_among(hosts: usize, set: &ObjectSet) -> HostCore {
     let listed: Vec<ListedHost> = (0..hosts).map(host_at).collect();
     let me = listed[0];
     let mut core = HostCore::new(me.host, me.zone, 1, 1, CoreSettings::default());
     core.handle(Millis(1), Event::HostList(&listed));
     core.handle(Millis(1), Event::Snapshot(compiled(1, set)));
+    for tick in 1..=SETTLED_MS / TICK_MS {
+        core.handle(Millis(tick * TICK_MS), Event::Tick);
+    }
+    assert!(core.takes_part(), "the core has checked its view");
     core
 }
 
@@ -327,9 +333,9 @@
     let mut core = core_among(size, &set);
     let memory = resident() - before;
     let mut wire = Wire::default();
-    let (mut now, mut next_ping, mut changes) = (0, 0, 0.0);
+    let (mut now, mut next_ping, mut changes) = (SETTLED_MS, 0, 0.0);
     let start = cpu();
-    while now < MEMBERS_RUN_MS {
+    while now < SETTLED_MS + MEMBERS_RUN_MS {
         now += TICK_MS;
         let actions = core.handle(Millis(now), Event::Tick);
         wire.answer(&mut core, now, &actions);
@@ -418,8 +424,7 @@
     let set = object_set(TARGET_ENDPOINTS as usize);
     let mut core = core_among(size, &set);
     let mut wire = Wire::default();
-    let mut now = 10;
-    core.handle(Millis(now), Event::Tick);
+    let mut now = SETTLED_MS;
     let start = cpu();
     for _ in 0..CHANGES {
         now += 1;
@@ -450,7 +455,7 @@
     let taken = cpu() - start;
     let mut core = core_among(7, &object_set(ENDPOINTS_PER_POOL));
     let start = cpu();
-    core.handle(Millis(20), Event::Snapshot(Arc::clone(&first)));
+    core.handle(Millis(SETTLED_MS), Event::Snapshot(Arc::clone(&first)));
     let force = cpu() - start;
     let memory = resident() - before;
     vec![
@@ -481,7 +486,7 @@
         for at in 0..size {
             let header = Header::new(Kind::Open, &flow_at(at, services));
             let packet = Packet::parse(header.as_bytes()).expect("the header is well-formed");
-            core.handle(Millis(10), Event::Fabric(packet));
+            core.handle(Millis(SETTLED_MS), Event::Fabric(packet));
         }
         (cpu() - start).as_nanos() as f64 / size as f64
     };
@@ -503,9 +508,9 @@
     let mut core = core_among(1, &object_set(size * ZONES));
     let memory = resident() - before;
     let held = core.upstreams().len() as f64;
-    let mut now = 10;
+    let mut now = SETTLED_MS;
     let start = cpu();
-    while now < RUN_MS {
+    while now < SETTLED_MS + RUN_MS {
         now += TICK_MS;
         core.handle(Millis(now), Event::Tick);
     }
--- a/crates/pomelorun-standins/src/throughput.rs
+++ b/crates/pomelorun-standins/src/throughput.rs
@@ -29,7 +29,7 @@
     child::Child,
     deployment::{HostPlan, Layout},
     harness::{self, HarnessError},
-    line::say,
+    line::{end_with_parent, say},
     network::bind,
     platform::{HostRow, PlatformPlan},
 };
@@ -97,6 +97,7 @@
     let plan: ForwarderPlan = serde_json::from_str(&text)?;
     let socket = bind(plan.listen)?;
     say(&"ready");
+    end_with_parent();
     let mut buf = [0; MAX_DATAGRAM];
     loop {
         if let Ok((len, _)) = socket.recv_from(&mut buf) {
