--- a/crates/pomelorun/src/config.rs
+++ b/crates/pomelorun/src/config.rs
@@ -31,7 +31,7 @@
         store::{SharedStore, Store},
     },
     control::Control,
-    kernel::{Registry, Service, StartError, Stopped},
+    kernel::{Registry, Service, StartError, Stopped, join_aborted},
     packets::PACKETS,
     plan::{Plan, PlanRx},
     settings::Settings,
@@ -87,13 +87,7 @@
     }
 
     fn stop(&mut self) -> Stopped {
-        let task = self.task.take();
-        Box::pin(async move {
-            if let Some(task) = task {
-                task.abort();
-                let _ = task.await;
-            }
-        })
+        join_aborted(self.task.take())
     }
 }
 
--- a/crates/pomelorun/src/config/peers.rs
+++ b/crates/pomelorun/src/config/peers.rs
@@ -22,7 +22,7 @@
 use crate::{
     config::store::SharedStore,
     control::Control,
-    kernel::{Registry, Service, StartError, Stopped},
+    kernel::{Registry, Service, StartError, Stopped, join_aborted},
 };
 
 const PEERS: &str = "peers";
@@ -68,13 +68,7 @@
     }
 
     fn stop(&mut self) -> Stopped {
-        let task = self.task.take();
-        Box::pin(async move {
-            if let Some(task) = task {
-                task.abort();
-                let _ = task.await;
-            }
-        })
+        join_aborted(self.task.take())
     }
 }
 
--- a/crates/pomelorun/src/host_list.rs
+++ b/crates/pomelorun/src/host_list.rs
@@ -15,7 +15,7 @@
 use crate::{
     config::outage::{Notice, Outage},
     control::{Control, HostEntry},
-    kernel::{Registry, Service, StartError, Stopped},
+    kernel::{Registry, Service, StartError, Stopped, join_aborted},
     packets::PACKETS,
     plan::PlanRx,
     settings::Settings,
@@ -76,13 +76,7 @@
     }
 
     fn stop(&mut self) -> Stopped {
-        let task = self.task.take();
-        Box::pin(async move {
-            if let Some(task) = task {
-                task.abort();
-                let _ = task.await;
-            }
-        })
+        join_aborted(self.task.take())
     }
 }
 
--- a/crates/pomelorun/src/kernel.rs
+++ b/crates/pomelorun/src/kernel.rs
@@ -4,6 +4,7 @@
 
 use actix::Recipient;
 use thiserror::Error;
+use tokio::task::JoinHandle;
 
 use crate::control::Control;
 
@@ -30,6 +31,17 @@
     fn stop(&mut self) -> Stopped;
 }
 
+/// Aborts tasks and joins them.
+pub(crate) fn join_aborted(tasks: impl IntoIterator<Item = JoinHandle<()>> + 'static) -> Stopped {
+    Box::pin(async move {
+        for task in tasks {
+            task.abort();
+            // An aborted task ends with an error that says just that.
+            let _ = task.await;
+        }
+    })
+}
+
 /// The services that take messages, sorted by name.
 #[derive(Default)]
 pub(crate) struct Registry {
--- a/crates/pomelorun/src/packets.rs
+++ b/crates/pomelorun/src/packets.rs
@@ -12,7 +12,7 @@
     batch::Incoming,
     control::Control,
     engine::{Engine, SharedEngine},
-    kernel::{Registry, Service, StartError, Stopped},
+    kernel::{Registry, Service, StartError, Stopped, join_aborted},
     plan::PlanTx,
     report::SharedReport,
     settings::Settings,
@@ -83,14 +83,7 @@
     }
 
     fn stop(&mut self) -> Stopped {
-        let tasks = std::mem::take(&mut self.tasks);
-        Box::pin(async move {
-            for task in tasks {
-                task.abort();
-                // An aborted task ends with an error that says just that.
-                let _ = task.await;
-            }
-        })
+        join_aborted(std::mem::take(&mut self.tasks))
     }
 }
 
