Look at the members only where a role may be taken

Cause: on each timer event, 50 a second, a host filtered and ranked all members and listed the dead for every upstream that it is already the steward of, and the answer was thrown away: the phase was checked after the work. Change: the phase is asked first; behaviour is the same.

--- a/crates/pomelorun-core/src/steward/succession.rs
+++ b/crates/pomelorun-core/src/steward/succession.rs
@@ -40,6 +40,12 @@
 }
 
 impl Steward {
+    /// Tells whether the role may be taken: it is not held or asked for, nor was it given up lately.
+    pub(crate) fn may_take_role(&self, now: Millis, take_over: Millis) -> bool {
+        let lately = |it: Millis| now.since(it) < take_over;
+        self.phase == StewardPhase::Standby && !self.stood_down.is_some_and(lately)
+    }
+
     /// Takes the role; `others` are the hosts of the zone by rank that may have held it.
     pub(crate) fn take_role(
         &mut self,
@@ -48,10 +54,6 @@
         is_dead: &dyn Fn(HostId) -> bool,
         out: &mut Actions,
     ) {
-        let lately = |it: Millis| cx.now.since(it) < cx.cfg.take_over_ms;
-        if self.phase != StewardPhase::Standby || self.stood_down.is_some_and(lately) {
-            return;
-        }
         let certain = self.replica_of.is_some_and(|it| it.whole && is_dead(it.steward));
         self.ask(cx, others, certain, out);
     }
