--- /dev/null
+++ b/crates/pomelorun-core/src/direct.rs
@@ -0,0 +1,35 @@
+//! Direct return: upstreams answer callers themselves, a host sees only what callers send.
+//!
+//! The host that places a flow writes the upstream's [`Token`] into the opening packet; the caller
+//! returns it in every later packet, so any host forwards any packet without asking another.
+//! [`DirectHost`] decides; like [`crate::HostCore`] it does no I/O and reads no clock.
+
+mod cold;
+mod flows;
+mod host;
+mod liveness;
+mod load;
+mod note;
+mod peers;
+mod placement;
+mod reading;
+mod registry;
+mod routing;
+mod segment;
+mod token;
+
+pub use crate::direct::{
+    cold::{ColdBudget, ColdRule},
+    flows::{Flow, FlowNotes},
+    host::{DirectHost, DirectSettings, DirectStats, Published, ResetSent, StoreView, Verdict},
+    liveness::{Evidence, Liveness, Standing},
+    load::Load,
+    note::{DropWhy, Lifecycle, Note, OpenWhy, ResetWhy},
+    peers::News,
+    placement::{Candidate, Choice, choose},
+    reading::{Next, Outcome, Reading},
+    registry::{Announcement, Registry, Upstream, UpstreamIx, UpstreamKey},
+    routing::{DirectRoute, RouteTarget, Routing, ServiceLimits},
+    segment::{Segment, SegmentKind},
+    token::Token,
+};
--- /dev/null
+++ b/crates/pomelorun-core/src/direct/flows.rs
@@ -0,0 +1,136 @@
+//! What a host notes of the flows whose packets it forwards.
+//!
+//! Forwarding needs none of it: a token names the upstream. The notes tell answered from unanswered
+//! packets, which shows whether an upstream lives and how much it has to do, and hold the numbers
+//! that a reset must carry. Losing them is harmless.
+
+use pomelorun_wire::FlowKey;
+use smallvec::SmallVec;
+
+use crate::{direct::registry::UpstreamIx, time::Millis};
+
+/// Upstreams to which copies of one opening packet were sent, the last one last.
+pub(crate) type Tried = SmallVec<[UpstreamIx; 3]>;
+
+/// One flow.
+#[derive(Debug, Clone)]
+pub struct Flow {
+    /// Its name.
+    pub key: FlowKey,
+    /// Upstreams that its opening packet was sent to; the last one is where it lives.
+    pub(crate) tried: Tried,
+    /// A packet after the opening one was seen.
+    pub open: bool,
+    /// Last packet.
+    pub seen: Millis,
+    /// Next byte that the caller expects.
+    pub ack: u32,
+    /// Number of the first byte that waits for an answer.
+    pub asked_seq: u32,
+    /// When the opening packet or the data that waits for an answer was sent on.
+    pub asked: Option<Millis>,
+}
+
+impl Flow {
+    /// Where it lives, or where its last opening packet was sent.
+    pub fn upstream(&self) -> UpstreamIx {
+        self.tried.last().copied().unwrap_or(UpstreamIx(u32::MAX))
+    }
+}
+
+/// Flows by bucket; each bucket is sorted.
+#[derive(Debug)]
+pub struct FlowNotes {
+    buckets: Vec<Vec<Flow>>,
+    len: usize,
+    most: usize,
+    /// Next bucket that is looked through for old flows.
+    sweep: usize,
+}
+
+/// Flows in a bucket on average when the table is full.
+const PER_BUCKET: usize = 16;
+
+impl FlowNotes {
+    /// Makes an empty table of up to `most` flows.
+    pub fn new(most: usize) -> FlowNotes {
+        let buckets = (most / PER_BUCKET).max(1);
+        FlowNotes { buckets: vec![Vec::new(); buckets], len: 0, most, sweep: 0 }
+    }
+
+    /// Number of flows.
+    pub fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Tells whether no flow is noted.
+    pub fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
+    /// Finds a flow.
+    pub fn get_mut(&mut self, key: &FlowKey) -> Option<&mut Flow> {
+        let bucket = self.bucket_of(key);
+        let at = self.buckets[bucket].binary_search_by_key(key, |it| it.key).ok()?;
+        Some(&mut self.buckets[bucket][at])
+    }
+
+    /// Notes a flow in place of an older one of that name; tells whether there was room.
+    pub fn insert(&mut self, flow: Flow) -> bool {
+        let full = self.len >= self.most;
+        let bucket = self.bucket_of(&flow.key);
+        let bucket = &mut self.buckets[bucket];
+        match bucket.binary_search_by_key(&flow.key, |it| it.key) {
+            Ok(at) => bucket[at] = flow,
+            Err(_) if full => return false,
+            Err(at) => {
+                bucket.insert(at, flow);
+                self.len += 1;
+            }
+        }
+        true
+    }
+
+    /// Forgets a flow.
+    pub fn remove(&mut self, key: &FlowKey) -> Option<Flow> {
+        let bucket = self.bucket_of(key);
+        let at = self.buckets[bucket].binary_search_by_key(key, |it| it.key).ok()?;
+        self.len -= 1;
+        Some(self.buckets[bucket].remove(at))
+    }
+
+    /// Takes out all flows of an upstream.
+    pub fn take_of(&mut self, ix: UpstreamIx) -> Vec<Flow> {
+        let mut taken = Vec::new();
+        for bucket in &mut self.buckets {
+            taken.extend(bucket.extract_if(.., |it| it.upstream() == ix));
+        }
+        self.len -= taken.len();
+        taken
+    }
+
+    /// Looks through some buckets and hands flows without a packet since `before` to `drop`.
+    pub fn sweep(&mut self, before: Millis, buckets: usize, mut drop: impl FnMut(Flow)) {
+        for _ in 0..buckets.min(self.buckets.len()) {
+            self.sweep = (self.sweep + 1) % self.buckets.len();
+            for flow in self.buckets[self.sweep].extract_if(.., |it| it.seen < before) {
+                self.len -= 1;
+                drop(flow);
+            }
+        }
+    }
+
+    /// Number of buckets.
+    pub fn buckets(&self) -> usize {
+        self.buckets.len()
+    }
+
+    /// All flows.
+    pub fn iter(&self) -> impl Iterator<Item = &Flow> {
+        self.buckets.iter().flatten()
+    }
+
+    fn bucket_of(&self, key: &FlowKey) -> usize {
+        (key.stable_hash() % self.buckets.len() as u64) as usize
+    }
+}
--- /dev/null
+++ b/crates/pomelorun-core/src/direct/host.rs
@@ -0,0 +1,763 @@
+//! The decisions of one host in direct return.
+
+use std::{net::SocketAddrV4, sync::Arc};
+
+use pomelorun_wire::{FlowKey, HostId, ServiceAddr, ZoneId};
+use smallvec::SmallVec;
+
+use crate::{
+    choice::rendezvous_score,
+    direct::{
+        cold::{ColdBudget, ColdRule},
+        flows::{Flow, FlowNotes, Tried},
+        liveness::{COPY_GAP, Liveness, Standing},
+        load::Load,
+        note::{DropWhy, Lifecycle, Note, OpenWhy, ResetWhy},
+        peers::News,
+        placement::{Candidate, Choice, choose},
+        registry::{Announcement, Change, Registry, Upstream, UpstreamIx, UpstreamKey},
+        routing::Routing,
+        segment::{Segment, SegmentKind, seq_after},
+        token::Token,
+    },
+    time::Millis,
+};
+
+/// Notes kept until they are taken; later ones are counted and dropped.
+const MOST_NOTES: usize = 4_096;
+/// Parts of the flow table that one timer event looks through for old flows.
+const SWEEP_PARTS: usize = 50;
+
+/// Bounds of a host's decisions.
+#[derive(Debug, Clone, PartialEq)]
+pub struct DirectSettings {
+    /// This host.
+    pub host: HostId,
+    /// Its availability zone.
+    pub zone: ZoneId,
+    /// Flows that are noted at most.
+    pub most_flows: usize,
+    /// What cold upstreams are given.
+    pub cold: ColdRule,
+    /// Time between two words of an upstream.
+    pub announce_every: Millis,
+    /// Time that an upstream which is no longer announced may still be used: the directory may have
+    /// dropped it while it was away, and it is back within this time if it lives.
+    pub lapse_grace: Millis,
+    /// Longest life of a flow.
+    pub flow_lifetime: Millis,
+    /// Age of the directory's last answer up to which it is believed that an address has no route.
+    pub fresh: Millis,
+}
+
+/// Something that is published.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Published {
+    /// An upstream speaks of itself.
+    Upstream(Announcement),
+    /// An upstream is no longer announced, or its announcement cannot be used.
+    UpstreamGone(u64),
+    /// A revision of the configuration.
+    Routing(Arc<Routing>),
+    /// Nothing new may go to a zone.
+    ZoneOut(ZoneId),
+    /// A zone may be used again.
+    ZoneBack(ZoneId),
+}
+
+/// How the directory of what is published is reached.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StoreView {
+    /// It does not answer.
+    Away,
+    /// It answers.
+    Answering,
+}
+
+/// What to do with a packet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// Send it on, with this token.
+    Forward {
+        /// Where to.
+        to: SocketAddrV4,
+        /// The upstream that it is for.
+        id: u64,
+        /// The token that the packet is to carry.
+        token: Token,
+    },
+    /// Reset the flow.
+    Reset(ResetSent),
+    /// Nothing.
+    Drop,
+}
+
+/// A reset that is sent to a caller.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ResetSent {
+    /// The flow.
+    pub flow: FlowKey,
+    /// The byte that the caller expects next, by which it knows the reset.
+    pub seq: u32,
+}
+
+/// Counts since the start.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct DirectStats {
+    /// Packets forwarded.
+    pub forwarded: u64,
+    /// Flows opened, copies of opening packets not counted.
+    pub opened: u64,
+    /// Copies of opening packets that were sent elsewhere.
+    pub copies: u64,
+    /// Flows reset.
+    pub resets: u64,
+    /// Packets dropped for want of a route.
+    pub no_route: u64,
+    /// Packets dropped for want of an upstream.
+    pub no_upstream: u64,
+    /// Packets whose token nobody here knows.
+    pub unknown_token: u64,
+    /// Times that an upstream was found unreachable.
+    pub unreachable: u64,
+    /// Times that an upstream answered again.
+    pub answering: u64,
+    /// Notes that were dropped since nobody took them.
+    pub notes_lost: u64,
+}
+
+/// What is known of one upstream beside its announcement.
+#[derive(Debug, Clone, Default)]
+struct Seen {
+    liveness: Liveness,
+    load: Load,
+    cold: ColdBudget,
+}
+
+/// One host in direct return.
+#[derive(Debug)]
+pub struct DirectHost {
+    cfg: DirectSettings,
+    routing: Arc<Routing>,
+    registry: Registry,
+    /// By position in the registry.
+    seen: Vec<Seen>,
+    flows: FlowNotes,
+    /// Zones that are out, sorted.
+    out: Vec<ZoneId>,
+    store: StoreView,
+    /// When the directory last answered.
+    heard: Option<Millis>,
+    /// When the directory last came back.
+    back: Option<Millis>,
+    /// Live hosts, this one included, sorted; empty while they are not known.
+    hosts: Vec<HostId>,
+    /// Upstreams to probe.
+    probes: Vec<(UpstreamKey, SocketAddrV4)>,
+    /// Resets that wait to be sent.
+    resets: Vec<ResetSent>,
+    news: News,
+    notes: Vec<Note>,
+    stats: DirectStats,
+}
+
+impl DirectHost {
+    /// Makes a host that knows nothing yet.
+    pub fn new(cfg: DirectSettings) -> DirectHost {
+        DirectHost {
+            flows: FlowNotes::new(cfg.most_flows),
+            cfg,
+            routing: Arc::default(),
+            registry: Registry::default(),
+            seen: Vec::new(),
+            out: Vec::new(),
+            store: StoreView::Away,
+            heard: None,
+            back: None,
+            hosts: Vec::new(),
+            probes: Vec::new(),
+            resets: Vec::new(),
+            news: News::default(),
+            notes: Vec::new(),
+            stats: DirectStats::default(),
+        }
+    }
+
+    /// Tells whether the host knows enough to take callers.
+    pub fn is_ready(&self) -> bool {
+        self.routing.revision > 0 && self.registry.iter().next().is_some()
+    }
+
+    /// Counts since the start.
+    pub fn stats(&self) -> DirectStats {
+        self.stats
+    }
+
+    /// Number of flows noted.
+    pub fn flows(&self) -> usize {
+        self.flows.len()
+    }
+
+    /// Revision in force.
+    pub fn revision(&self) -> u64 {
+        self.routing.revision
+    }
+
+    /// The upstreams.
+    pub fn registry(&self) -> &Registry {
+        &self.registry
+    }
+
+    /// What is believed of an upstream.
+    pub fn standing(&self, ix: UpstreamIx) -> Standing {
+        self.seen.get(ix.0 as usize).map_or(Standing::Answering, |it| it.liveness.standing())
+    }
+
+    /// Takes the decisions since the last call.
+    pub fn take_notes(&mut self) -> Vec<Note> {
+        std::mem::take(&mut self.notes)
+    }
+
+    /// Takes the upstreams to probe; the results come back by [`DirectHost::probed`].
+    pub fn take_probes(&mut self) -> Vec<(UpstreamKey, SocketAddrV4)> {
+        std::mem::take(&mut self.probes)
+    }
+
+    /// Takes the resets to send.
+    pub fn take_resets(&mut self) -> Vec<ResetSent> {
+        std::mem::take(&mut self.resets)
+    }
+
+    /// Takes what the hosts of this zone are to be told.
+    pub fn take_news(&mut self) -> News {
+        std::mem::take(&mut self.news)
+    }
+
+    /// Says which hosts live, this one included.
+    pub fn set_hosts(&mut self, mut hosts: Vec<HostId>) {
+        hosts.sort_unstable();
+        hosts.dedup();
+        self.hosts = hosts;
+    }
+
+    /// Says how the directory is reached.
+    pub fn store(&mut self, now: Millis, view: StoreView) {
+        if view == StoreView::Answering {
+            if self.store == StoreView::Away && self.heard.is_some() {
+                self.back = Some(now);
+            }
+            self.heard = Some(now);
+        }
+        self.store = view;
+    }
+
+    /// Takes in everything that is published, read at one time: what is missing is gone.
+    pub fn listing(&mut self, now: Millis, all: &[Published]) {
+        let mut zones: Vec<ZoneId> = Vec::new();
+        let mut ids: Vec<u64> = Vec::new();
+        for it in all {
+            match it {
+                Published::Upstream(it) => ids.push(it.key.id),
+                Published::ZoneOut(zone) => zones.push(*zone),
+                _ => {}
+            }
+            self.published(now, it);
+        }
+        ids.sort_unstable();
+        let listed = |id: u64| ids.binary_search(&id).is_ok();
+        let missing: Vec<u64> = self
+            .registry
+            .iter()
+            .filter(|it| it.1.lapsed.is_none() && !listed(it.1.said.key.id))
+            .map(|it| it.1.said.key.id)
+            .collect();
+        for id in missing {
+            self.published(now, &Published::UpstreamGone(id));
+        }
+        let back: Vec<ZoneId> = self.out.iter().copied().filter(|it| !zones.contains(it)).collect();
+        for zone in back {
+            self.published(now, &Published::ZoneBack(zone));
+        }
+    }
+
+    /// Takes in something that is published.
+    pub fn published(&mut self, now: Millis, it: &Published) {
+        match it {
+            Published::Upstream(said) => self.announced(now, said),
+            Published::UpstreamGone(id) => self.gone(now, *id),
+            Published::Routing(routing) => self.revised(routing),
+            Published::ZoneOut(zone) => self.zone_out(*zone),
+            Published::ZoneBack(zone) => self.zone_back(now, *zone),
+        }
+    }
+
+    /// Decides about a caller's packet.
+    pub fn packet(&mut self, now: Millis, seg: &Segment) -> Verdict {
+        match seg.kind {
+            SegmentKind::Open => self.open(now, seg),
+            SegmentKind::Data | SegmentKind::Finish | SegmentKind::Abort => self.carry(now, seg),
+        }
+    }
+
+    /// Takes in whether a probe was answered.
+    pub fn probed(&mut self, now: Millis, key: UpstreamKey, answered: bool) {
+        let Some(ix) = self.registry.by_key(key) else { return };
+        if answered {
+            self.alive(now, ix);
+            return;
+        }
+        let silent = self.seen[ix.0 as usize].liveness.silent_for(now);
+        if self.seen[ix.0 as usize].liveness.probe_failed() {
+            let silent_ms = u32::try_from(silent.0).unwrap_or(u32::MAX);
+            self.news.unreachable.push((key.id, key.born, silent_ms));
+            self.give_up(now, ix, silent, false);
+        }
+    }
+
+    /// Takes in what another host of this zone has found.
+    pub fn told(&mut self, now: Millis, news: &News) {
+        for &(id, born, silent) in &news.unreachable {
+            let Some(ix) = self.registry.by_key(UpstreamKey { id, born }) else { continue };
+            let silent = Millis(u64::from(silent));
+            let liveness = &self.seen[ix.0 as usize].liveness;
+            let answered_since = now.since(liveness.answered()) < silent;
+            if !answered_since && !matches!(liveness.standing(), Standing::Unreachable { .. }) {
+                self.give_up(now, ix, silent, true);
+            }
+        }
+    }
+
+    /// Does what time demands.
+    pub fn tick(&mut self, now: Millis) {
+        for at in 0..self.seen.len() {
+            let liveness = &mut self.seen[at].liveness;
+            liveness.expire(now);
+            if liveness.take_trial(now)
+                && let Some(it) = self.registry.get(UpstreamIx(at as u32))
+                && !it.ended
+            {
+                self.probes.push((it.said.key, it.said.addr));
+            }
+        }
+        let idle = if self.routing.idle > Millis(0) { self.routing.idle } else { self.cfg.flow_lifetime };
+        if now > idle {
+            let parts = self.flows.buckets().div_ceil(SWEEP_PARTS);
+            let seen = &mut self.seen;
+            self.flows.sweep(now - idle, parts, |flow| leave(seen, &flow));
+        }
+        for ix in self.registry.forget_old(now, self.cfg.flow_lifetime) {
+            for flow in self.flows.take_of(ix) {
+                leave(&mut self.seen, &flow);
+            }
+            self.seen[ix.0 as usize] = Seen::default();
+        }
+    }
+
+    fn note(&mut self, note: Note) {
+        if self.notes.len() < MOST_NOTES {
+            self.notes.push(note);
+        } else {
+            self.stats.notes_lost += 1;
+        }
+    }
+
+    fn announced(&mut self, now: Millis, said: &Announcement) {
+        let before = self.registry.by_id(said.key.id);
+        let was_draining = before
+            .and_then(|ix| self.registry.get(ix))
+            .is_some_and(|it| it.said.key == said.key && it.said.draining);
+        let (ix, state) = match self.registry.announce(now, said) {
+            Change::None => return,
+            Change::New(ix) => (ix, Lifecycle::Announced),
+            Change::Updated(ix) if said.draining && !was_draining => (ix, Lifecycle::Draining),
+            Change::Updated(ix) => (ix, Lifecycle::Changed),
+        };
+        if self.seen.len() < self.registry.span() {
+            self.seen.resize(self.registry.span(), Seen::default());
+        }
+        self.note(Note::Upstream { upstream: said.key, state, cold: said.cold_left });
+        if state == Lifecycle::Announced {
+            self.seen[ix.0 as usize] = Seen::default();
+            self.give_up_ended(now);
+        }
+    }
+
+    /// Resets the flows of upstreams that a newer announcement shows to have ended.
+    fn give_up_ended(&mut self, now: Millis) {
+        let ended: Vec<(UpstreamIx, UpstreamKey)> = self
+            .registry
+            .iter()
+            .filter(|it| it.1.ended)
+            .map(|it| (it.0, it.1.said.key))
+            .collect();
+        for (ix, key) in ended {
+            let reset = self.reset_flows(now, ix, ResetWhy::Ended);
+            if reset > 0 {
+                self.note(Note::Upstream { upstream: key, state: Lifecycle::Ended, cold: Millis(0) });
+            }
+        }
+    }
+
+    fn gone(&mut self, now: Millis, id: u64) {
+        let Some(ix) = self.registry.by_id(id) else { return };
+        let Some(it) = self.registry.get(ix) else { return };
+        let upstream = it.said.key;
+        if self.registry.lapse(now, ix) {
+            self.note(Note::Upstream { upstream, state: Lifecycle::Lapsed, cold: Millis(0) });
+        }
+    }
+
+    fn revised(&mut self, routing: &Arc<Routing>) {
+        if routing.revision <= self.routing.revision {
+            return;
+        }
+        self.routing = Arc::clone(routing);
+        let routes = routing.routes().len();
+        self.note(Note::Revision { revision: routing.revision, routes });
+    }
+
+    fn zone_out(&mut self, zone: ZoneId) {
+        if let Err(at) = self.out.binary_search(&zone) {
+            self.out.insert(at, zone);
+            self.note(Note::Zone { zone, out: true });
+        }
+    }
+
+    /// The upstreams of a zone that was out may be cold and not have said so yet.
+    fn zone_back(&mut self, now: Millis, zone: ZoneId) {
+        let Ok(at) = self.out.binary_search(&zone) else { return };
+        self.out.remove(at);
+        self.note(Note::Zone { zone, out: false });
+        let told = now + self.cfg.announce_every + self.cfg.announce_every;
+        let held: Vec<(UpstreamIx, Millis)> = self
+            .registry
+            .iter()
+            .filter(|it| it.1.said.zone == zone)
+            .map(|(ix, it)| {
+                let cold = self.routing.limits(&it.said.service).map_or(Millis(0), |it| it.cold);
+                (ix, told + cold)
+            })
+            .collect();
+        for (ix, until) in held {
+            self.registry.hold_cold(ix, until);
+        }
+    }
+
+    fn open(&mut self, now: Millis, seg: &Segment) -> Verdict {
+        let known = self.flows.get_mut(&seg.flow).filter(|it| now.since(it.seen) < OPENING);
+        if let Some(flow) = known {
+            if flow.open {
+                // A late copy: the flow is open where the caller's other packets go.
+                let ix = flow.upstream();
+                return self.forward(ix);
+            }
+            let (ix, sent) = (flow.upstream(), flow.asked.unwrap_or(now));
+            if now.since(sent) < COPY_GAP {
+                return self.forward(ix);
+            }
+            let tried = flow.tried.clone();
+            self.unanswered(now, ix, seg.flow, sent);
+            return self.place(now, seg, tried);
+        }
+        if let Some(old) = self.flows.remove(&seg.flow) {
+            leave(&mut self.seen, &old);
+        }
+        self.place(now, seg, Tried::new())
+    }
+
+    fn place(&mut self, now: Millis, seg: &Segment, mut tried: Tried) -> Verdict {
+        let routing = Arc::clone(&self.routing);
+        let Some(route) = routing.route(seg.flow.service) else { return self.no_route(now, seg) };
+        let Some(service) = route.service_of(&seg.flow) else { return self.no_route(now, seg) };
+        let candidates = self.candidates(now, service, &seg.flow, &tried);
+        let Some(best) = choose(&candidates) else { return self.no_upstream(seg) };
+        let seen = &mut self.seen[best.ix.0 as usize];
+        seen.load.opened(now);
+        if self.registry.get(best.ix).is_some_and(|it| now < it.cold_until) {
+            seen.cold.take(now);
+        }
+        let Some(it) = self.registry.get(best.ix) else { return Verdict::Drop };
+        let upstream = it.said.key;
+        let why = OpenWhy {
+            choice: best.choice,
+            candidates: candidates.len(),
+            waiting: best.waiting,
+            copies: tried.len(),
+        };
+        self.note(Note::Opened { flow: seg.flow, upstream, why, revision: routing.revision });
+        if tried.is_empty() {
+            self.stats.opened += 1;
+        } else {
+            self.stats.copies += 1;
+        }
+        tried.push(best.ix);
+        self.flows.insert(Flow {
+            key: seg.flow,
+            tried,
+            open: false,
+            seen: now,
+            ack: 0,
+            asked_seq: seg.seq,
+            asked: Some(now),
+        });
+        self.forward(best.ix)
+    }
+
+    fn candidates(
+        &self,
+        now: Millis,
+        service: &str,
+        flow: &FlowKey,
+        tried: &[UpstreamIx],
+    ) -> SmallVec<[Candidate; 32]> {
+        let mut found: SmallVec<[Candidate; 32]> = SmallVec::new();
+        let cold_per_s = self.routing.limits(service).map_or(0.0, |it| it.cold_per_s);
+        let cold_room = self.cfg.cold.per_s(cold_per_s);
+        let tie = flow.stable_hash();
+        for &ix in self.registry.of_service(service) {
+            let Some(it) = self.registry.get(ix) else { continue };
+            let Some(choice) = self.choice(now, ix, it, cold_room) else { continue };
+            // A copy goes to one that was already tried only for want of another.
+            let choice = if tried.contains(&ix) { Choice::Unreachable } else { choice };
+            let seen = &self.seen[ix.0 as usize];
+            found.push(Candidate {
+                ix,
+                choice,
+                near: it.said.zone == self.cfg.zone,
+                waiting: f64::from(seen.load.waiting),
+                opens: seen.load.opens(now),
+                slots: it.said.slots,
+                tie: rendezvous_score(tie, it.said.key.id),
+            });
+        }
+        found
+    }
+
+    fn choice(&self, now: Millis, ix: UpstreamIx, it: &Upstream, cold_room: u32) -> Option<Choice> {
+        if self.out.binary_search(&it.said.zone).is_ok() || !self.registry.owns_token(ix) {
+            return None;
+        }
+        let seen = &self.seen[ix.0 as usize];
+        if now < it.cold_until {
+            let room = it.is_offered() && self.is_steward(it.said.key) && seen.cold.has_room(now, cold_room);
+            return room.then_some(Choice::Cold);
+        }
+        let usable = match it.lapsed {
+            None => it.is_offered().then_some(Choice::Good),
+            Some(_) if it.said.draining || it.ended => None,
+            Some(at) if now.since(at) >= self.cfg.lapse_grace => None,
+            Some(at) if self.was_away(at) => Some(Choice::Good),
+            Some(_) => Some(Choice::Lapsed),
+        }?;
+        match seen.liveness.standing() {
+            Standing::Answering => Some(usable),
+            Standing::Suspect => Some(Choice::Suspect),
+            Standing::Unreachable { .. } => Some(Choice::Unreachable),
+        }
+    }
+
+    /// Tells whether the directory had been away shortly before `at`.
+    fn was_away(&self, at: Millis) -> bool {
+        self.back.is_some_and(|back| at.since(back) < self.cfg.lapse_grace)
+    }
+
+    /// One host at a time gives a cold upstream its flows, so that they are counted in one place.
+    fn is_steward(&self, key: UpstreamKey) -> bool {
+        let score = |it: &HostId| rendezvous_score(it.0, key.id ^ key.born);
+        self.hosts.iter().max_by_key(|it| score(it)) == Some(&self.cfg.host)
+    }
+
+    fn carry(&mut self, now: Millis, seg: &Segment) -> Verdict {
+        let by_token = self.registry.by_token(seg.token);
+        let noted = self.flows.get_mut(&seg.flow).map(|it| it.upstream());
+        let Some(ix) = by_token.or(noted) else {
+            self.stats.unknown_token += 1;
+            let (flow, token) = (seg.flow, seg.token);
+            self.note(Note::Dropped { flow, why: DropWhy::UnknownToken, token });
+            return Verdict::Drop;
+        };
+        let ended = self.registry.get(ix).is_some_and(|it| it.ended);
+        if seg.kind != SegmentKind::Abort
+            && (ended || matches!(self.standing(ix), Standing::Unreachable { .. }))
+        {
+            let why = if ended { ResetWhy::Ended } else { ResetWhy::Unreachable };
+            if let Some(flow) = self.flows.remove(&seg.flow) {
+                leave(&mut self.seen, &flow);
+            }
+            return self.reset(now, Some(ix), seg.flow, seg.ack, why);
+        }
+        if seg.kind == SegmentKind::Abort {
+            if let Some(flow) = self.flows.remove(&seg.flow) {
+                leave(&mut self.seen, &flow);
+            }
+            return self.forward(ix);
+        }
+        self.observe(now, ix, seg);
+        self.forward(ix)
+    }
+
+    /// Reads from a packet of an open flow whether its upstream answers.
+    fn observe(&mut self, now: Millis, ix: UpstreamIx, seg: &Segment) {
+        let Some(flow) = self.flows.get_mut(&seg.flow).filter(|it| it.open) else {
+            self.adopt(now, ix, seg);
+            return;
+        };
+        flow.seen = now;
+        if seq_after(seg.ack, flow.ack) {
+            flow.ack = seg.ack;
+            let waited = flow.asked.take().is_some();
+            if waited {
+                let load = &mut self.seen[ix.0 as usize].load;
+                load.waiting = load.waiting.saturating_sub(1);
+            }
+            self.alive(now, ix);
+        }
+        let Some(flow) = self.flows.get_mut(&seg.flow) else { return };
+        if seg.len == 0 {
+            return;
+        }
+        match flow.asked {
+            None => {
+                flow.asked = Some(now);
+                flow.asked_seq = seg.seq;
+                self.seen[ix.0 as usize].load.waiting += 1;
+            }
+            Some(sent) if seg.seq == flow.asked_seq => {
+                self.unanswered(now, ix, seg.flow, sent);
+            }
+            Some(_) => {}
+        }
+    }
+
+    /// Notes a flow at its first packet after the opening one, or when it comes from another host.
+    fn adopt(&mut self, now: Millis, ix: UpstreamIx, seg: &Segment) {
+        let opened_here = self.flows.remove(&seg.flow).is_some();
+        if opened_here {
+            self.alive(now, ix);
+        }
+        let asks = seg.len > 0;
+        let noted = self.flows.insert(Flow {
+            key: seg.flow,
+            tried: SmallVec::from_slice(&[ix]),
+            open: true,
+            seen: now,
+            ack: seg.ack,
+            asked_seq: seg.seq,
+            asked: asks.then_some(now),
+        });
+        if noted {
+            let load = &mut self.seen[ix.0 as usize].load;
+            load.flows += 1;
+            load.waiting += u32::from(asks);
+        }
+    }
+
+    fn alive(&mut self, now: Millis, ix: UpstreamIx) {
+        let liveness = &mut self.seen[ix.0 as usize].liveness;
+        let since = match liveness.standing() {
+            Standing::Unreachable { since } => since,
+            _ => now,
+        };
+        if liveness.sign_of_life(now) {
+            self.stats.answering += 1;
+            if let Some(it) = self.registry.get(ix) {
+                let upstream = it.said.key;
+                self.note(Note::Answering { upstream, after: now - since });
+            }
+        }
+    }
+
+    fn unanswered(&mut self, now: Millis, ix: UpstreamIx, flow: FlowKey, sent: Millis) {
+        let Some(seen) = self.seen.get_mut(ix.0 as usize) else { return };
+        if seen.liveness.unanswered(now, flow, sent)
+            && let Some(it) = self.registry.get(ix)
+        {
+            self.probes.push((it.said.key, it.said.addr));
+        }
+    }
+
+    fn give_up(&mut self, now: Millis, ix: UpstreamIx, silent: Millis, told: bool) {
+        self.seen[ix.0 as usize].liveness.give_up(now);
+        self.stats.unreachable += 1;
+        let flows = self.reset_flows(now, ix, ResetWhy::Unreachable);
+        let Some(it) = self.registry.get(ix) else { return };
+        let upstream = it.said.key;
+        self.note(Note::Unreachable { upstream, flows, silent, told });
+    }
+
+    /// Resets all open flows of an upstream, the idle ones included, so that callers open new ones
+    /// before their next request; returns how many.
+    fn reset_flows(&mut self, now: Millis, ix: UpstreamIx, why: ResetWhy) -> usize {
+        let mut count = 0;
+        for flow in self.flows.take_of(ix) {
+            if !flow.open {
+                // Its copies go elsewhere.
+                self.flows.insert(flow);
+                continue;
+            }
+            leave(&mut self.seen, &flow);
+            count += 1;
+            if let Verdict::Reset(it) = self.reset(now, Some(ix), flow.key, flow.ack, why) {
+                self.resets.push(it);
+            }
+        }
+        count
+    }
+
+    fn reset(
+        &mut self,
+        now: Millis,
+        ix: Option<UpstreamIx>,
+        flow: FlowKey,
+        seq: u32,
+        why: ResetWhy,
+    ) -> Verdict {
+        self.stats.resets += 1;
+        let upstream = ix.and_then(|it| self.registry.get(it)).map(|it| it.said.key);
+        let answered = ix.map_or(now, |it| self.seen[it.0 as usize].liveness.answered());
+        self.note(Note::Reset { flow, upstream, why, silent: now - answered });
+        Verdict::Reset(ResetSent { flow, seq })
+    }
+
+    /// An address without a route is refused while the revision is known to be the newest, and met
+    /// with silence otherwise: the route may be new.
+    fn no_route(&mut self, now: Millis, seg: &Segment) -> Verdict {
+        self.stats.no_route += 1;
+        let fresh = self.heard.is_some_and(|it| now.since(it) < self.cfg.fresh);
+        if fresh && self.store == StoreView::Answering {
+            return self.reset(now, None, seg.flow, seg.ack, ResetWhy::NoRoute);
+        }
+        self.note(Note::Dropped { flow: seg.flow, why: DropWhy::NoRoute, token: seg.token });
+        Verdict::Drop
+    }
+
+    fn no_upstream(&mut self, seg: &Segment) -> Verdict {
+        self.stats.no_upstream += 1;
+        self.note(Note::Dropped { flow: seg.flow, why: DropWhy::NoUpstream, token: seg.token });
+        Verdict::Drop
+    }
+
+    fn forward(&mut self, ix: UpstreamIx) -> Verdict {
+        let Some(it) = self.registry.get(ix) else { return Verdict::Drop };
+        self.stats.forwarded += 1;
+        Verdict::Forward { to: it.said.addr, id: it.said.key.id, token: it.token }
+    }
+
+    /// The service that a new flow to an address would go to.
+    pub fn service_of(&self, addr: ServiceAddr, flow: &FlowKey) -> Option<String> {
+        Some(self.routing.route(addr)?.service_of(flow)?.to_owned())
+    }
+}
+
+/// Time within which copies of an opening packet come.
+const OPENING: Millis = Millis(3_000);
+
+/// Takes a flow out of the load of its upstream.
+fn leave(seen: &mut [Seen], flow: &Flow) {
+    if !flow.open {
+        return;
+    }
+    let Some(it) = seen.get_mut(flow.upstream().0 as usize) else { return };
+    it.load.flows = it.load.flows.saturating_sub(1);
+    it.load.waiting = it.load.waiting.saturating_sub(u32::from(flow.asked.is_some()));
+}
--- /dev/null
+++ b/crates/pomelorun-core/src/direct/liveness.rs
@@ -0,0 +1,142 @@
+//! Whether upstreams answer, from what callers' packets show.
+//!
+//! A caller that goes on in a flow has been answered: a sign of life. A caller that sends a packet
+//! again has not been: evidence, which counts only if it was first sent after the last sign of life.
+//! Evidence alone is never enough, since packets are lost and answers are slow. It makes the
+//! upstream a suspect, which gets no new flow, and calls for a probe: a connection that is opened
+//! and closed again. Only a suspect whose probe fails too is held unreachable. That says nothing
+//! about other places: the path may be cut and the upstream alive.
+
+use pomelorun_wire::FlowKey;
+use smallvec::SmallVec;
+
+use crate::time::Millis;
+
+/// Least time between a packet and its copy for the copy to be evidence. Callers repeat after 200 ms;
+/// a shorter gap means that packets waited somewhere and came together.
+pub(crate) const COPY_GAP: Millis = Millis(150);
+/// Flows of which evidence is kept.
+const KEPT: usize = 4;
+/// Age at which evidence no longer counts: the longest time between two copies of a packet.
+const STALE: Millis = Millis(2_000);
+/// Time after which an unreachable upstream is probed again, doubled each time.
+const TRIAL_FIRST: Millis = Millis(500);
+/// Longest time between two trials.
+const TRIAL_MOST: Millis = Millis(4_000);
+
+/// A packet without an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Evidence {
+    /// Its flow.
+    pub flow: FlowKey,
+    /// When it was sent on first.
+    pub sent: Millis,
+}
+
+/// What is believed of an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Standing {
+    /// It answers, or nothing says otherwise.
+    Answering,
+    /// Packets wait for an answer; new flows go elsewhere.
+    Suspect,
+    /// It does not answer; its flows are given up.
+    Unreachable {
+        /// Since when.
+        since: Millis,
+    },
+}
+
+/// What the packets of one upstream have shown.
+#[derive(Debug, Clone, Default)]
+pub struct Liveness {
+    answered: Millis,
+    evidence: SmallVec<[Evidence; KEPT]>,
+    unreachable: Option<Trials>,
+    /// A probe is on its way.
+    probing: bool,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Trials {
+    since: Millis,
+    next: Millis,
+    gap: Millis,
+}
+
+impl Liveness {
+    /// What is believed now.
+    pub fn standing(&self) -> Standing {
+        match self.unreachable {
+            Some(it) => Standing::Unreachable { since: it.since },
+            None if self.evidence.is_empty() => Standing::Answering,
+            None => Standing::Suspect,
+        }
+    }
+
+    /// Last sign of life.
+    pub fn answered(&self) -> Millis {
+        self.answered
+    }
+
+    /// Evidence that counts.
+    pub fn evidence(&self) -> &[Evidence] {
+        &self.evidence
+    }
+
+    /// Notes a sign of life; tells whether the upstream was unreachable.
+    pub fn sign_of_life(&mut self, now: Millis) -> bool {
+        self.answered = now;
+        self.evidence.clear();
+        self.probing = false;
+        self.unreachable.take().is_some()
+    }
+
+    /// Notes a packet that was repeated; tells whether to probe the upstream for it.
+    pub fn unanswered(&mut self, now: Millis, flow: FlowKey, sent: Millis) -> bool {
+        if self.unreachable.is_some() || sent <= self.answered || now.since(sent) < COPY_GAP {
+            return false;
+        }
+        self.expire(now);
+        match self.evidence.iter().position(|it| it.flow == flow) {
+            Some(at) => self.evidence[at].sent = self.evidence[at].sent.min(sent),
+            None if self.evidence.len() < KEPT => self.evidence.push(Evidence { flow, sent }),
+            None => {}
+        }
+        !std::mem::replace(&mut self.probing, true)
+    }
+
+    /// A probe was not answered; tells whether the upstream is to be held unreachable.
+    pub fn probe_failed(&mut self) -> bool {
+        self.probing = false;
+        self.unreachable.is_none() && !self.evidence.is_empty()
+    }
+
+    /// Longest time that a flow has waited in vain.
+    pub fn silent_for(&self, now: Millis) -> Millis {
+        self.evidence.iter().map(|it| now.since(it.sent)).max().unwrap_or_default()
+    }
+
+    /// Holds the upstream unreachable.
+    pub fn give_up(&mut self, now: Millis) {
+        self.evidence.clear();
+        self.probing = false;
+        self.unreachable = Some(Trials { since: now, next: now + TRIAL_FIRST, gap: TRIAL_FIRST });
+    }
+
+    /// Tells whether it is time to probe an unreachable upstream again, and notes that it is done.
+    pub fn take_trial(&mut self, now: Millis) -> bool {
+        let Some(it) = &mut self.unreachable else { return false };
+        if now < it.next {
+            return false;
+        }
+        it.gap = Millis((it.gap.0 * 2).min(TRIAL_MOST.0));
+        it.next = now + it.gap;
+        true
+    }
+
+    /// Drops evidence that has grown old, so that a suspect is not avoided for good.
+    pub(crate) fn expire(&mut self, now: Millis) {
+        self.evidence.retain(|it| now.since(it.sent) < STALE);
+    }
+}
--- /dev/null
+++ b/crates/pomelorun-core/src/direct/note.rs
@@ -0,0 +1,141 @@
+//! What a host decided and why, for its log.
+
+use pomelorun_wire::{FlowKey, ZoneId};
+
+use crate::{
+    direct::{placement::Choice, registry::UpstreamKey, token::Token},
+    time::Millis,
+};
+
+/// Why an upstream was chosen for a flow.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct OpenWhy {
+    /// Kind of choice.
+    pub choice: Choice,
+    /// Upstreams that could be chosen.
+    pub candidates: usize,
+    /// Requests known to wait there.
+    pub waiting: f64,
+    /// Copies of the opening packet that went elsewhere before.
+    pub copies: usize,
+}
+
+/// Why a flow was reset.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum ResetWhy {
+    /// Its upstream does not answer.
+    Unreachable,
+    /// Its upstream has ended.
+    Ended,
+    /// No route leads from its address.
+    NoRoute,
+    /// No upstream of its service can take it.
+    NoUpstream,
+}
+
+/// Why a packet was dropped.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum DropWhy {
+    /// Not a packet of a caller.
+    Malformed,
+    /// No route leads from its address, and the revision may be old.
+    NoRoute,
+    /// No upstream of its service is known yet.
+    NoUpstream,
+    /// No upstream has the token that it carries.
+    UnknownToken,
+}
+
+/// What became of an upstream's announcement.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Lifecycle {
+    /// Announced for the first time.
+    Announced,
+    /// Announced again, or says something else.
+    Changed,
+    /// Leaves.
+    Draining,
+    /// No longer announced.
+    Lapsed,
+    /// Ended for certain.
+    Ended,
+    /// Forgotten.
+    Forgotten,
+}
+
+/// One decision.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Note {
+    /// A flow's opening packet was sent to an upstream.
+    Opened {
+        /// The flow.
+        flow: FlowKey,
+        /// The upstream.
+        upstream: UpstreamKey,
+        /// What decided it.
+        why: OpenWhy,
+        /// Revision in force.
+        revision: u64,
+    },
+    /// A flow was reset.
+    Reset {
+        /// The flow.
+        flow: FlowKey,
+        /// Its upstream, if it has one.
+        upstream: Option<UpstreamKey>,
+        /// What decided it.
+        why: ResetWhy,
+        /// Time since the upstream's last sign of life.
+        silent: Millis,
+    },
+    /// A packet was dropped.
+    Dropped {
+        /// Its flow.
+        flow: FlowKey,
+        /// What decided it.
+        why: DropWhy,
+        /// The token that it carries.
+        token: Token,
+    },
+    /// An upstream does not answer.
+    Unreachable {
+        /// The upstream.
+        upstream: UpstreamKey,
+        /// Flows that were reset for it.
+        flows: usize,
+        /// Longest time that a flow had waited.
+        silent: Millis,
+        /// Another host of the zone found it.
+        told: bool,
+    },
+    /// An upstream answers again.
+    Answering {
+        /// The upstream.
+        upstream: UpstreamKey,
+        /// Time for which it was held unreachable.
+        after: Millis,
+    },
+    /// What became of an upstream.
+    Upstream {
+        /// The upstream.
+        upstream: UpstreamKey,
+        /// What became of it.
+        state: Lifecycle,
+        /// How long it stays cold.
+        cold: Millis,
+    },
+    /// A revision is in force.
+    Revision {
+        /// The revision.
+        revision: u64,
+        /// Number of its routes.
+        routes: usize,
+    },
+    /// A zone was taken out or back.
+    Zone {
+        /// The zone.
+        zone: ZoneId,
+        /// It is out.
+        out: bool,
+    },
+}
--- /dev/null
+++ b/crates/pomelorun-core/src/direct/peers.rs
@@ -0,0 +1,13 @@
+//! What hosts of one zone tell each other about upstreams.
+
+use serde::{Deserialize, Serialize};
+
+/// Upstreams that the sender has found unreachable since it last spoke.
+///
+/// Only hosts of the sender's zone go by it: another zone may reach what this one does not.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct News {
+    /// Identifier and start of each, and how long it had been silent, milliseconds.
+    pub unreachable: Vec<(u64, u64, u32)>,
+}
--- /dev/null
+++ b/crates/pomelorun-core/src/direct/placement.rs
@@ -0,0 +1,68 @@
+//! Which upstream a new flow goes to.
+//!
+//! Answers the load of many callers with long flows on few upstreams with a small queue each: a new
+//! flow goes where least is waiting, and only where nobody waits in vain.
+
+use crate::direct::registry::UpstreamIx;
+
+/// Load that another zone's upstream must have less of to be chosen, in waiting requests a slot. The
+/// way there and back costs a few milliseconds and can be cut.
+const OTHER_ZONE: f64 = 0.6;
+/// Weight of a request that waits against a flow opened just now, which will bring one.
+const WAITING: f64 = 1.0;
+/// Weight of a flow opened just now.
+const OPENED: f64 = 0.5;
+
+/// How well an upstream can take a new flow, best first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Choice {
+    /// It answers and is warm.
+    Good,
+    /// It is cold and has room in its budget.
+    Cold,
+    /// It is no longer announced for a moment, which may be the directory's fault.
+    Lapsed,
+    /// Some callers wait for it in vain.
+    Suspect,
+    /// It does not answer.
+    Unreachable,
+}
+
+/// An upstream that may take a new flow.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Candidate {
+    /// Which one.
+    pub ix: UpstreamIx,
+    /// How well.
+    pub choice: Choice,
+    /// It is in this host's zone.
+    pub near: bool,
+    /// Requests that wait there.
+    pub waiting: f64,
+    /// Flows opened there, the older ones counted less.
+    pub opens: f64,
+    /// Requests that it works on at a time.
+    pub slots: u32,
+    /// Breaks ties; differs from host to host, so that hosts do not all choose alike.
+    pub tie: u64,
+}
+
+impl Candidate {
+    /// What is waiting for one slot.
+    pub fn score(&self) -> f64 {
+        let slots = f64::from(self.slots.max(1));
+        let zone = if self.near { 0.0 } else { OTHER_ZONE };
+        (self.waiting * WAITING + self.opens * OPENED) / slots + zone
+    }
+}
+
+/// Chooses among candidates: the best kind first, then the least waiting.
+pub fn choose(candidates: &[Candidate]) -> Option<Candidate> {
+    let order = |a: &&Candidate, b: &&Candidate| {
+        a.choice
+            .cmp(&b.choice)
+            .then(a.score().total_cmp(&b.score()))
+            .then(a.tie.cmp(&b.tie))
+    };
+    candidates.iter().min_by(order).copied()
+}
--- /dev/null
+++ b/crates/pomelorun-core/src/direct/registry.rs
@@ -0,0 +1,278 @@
+//! The upstreams that are or were announced, and what each start of one is called.
+//!
+//! A start is named by the upstream's identifier and the moment of its start, since an upstream may
+//! come back under its identifier and then knows nothing of before. A start that is no longer
+//! announced stays known for as long as flows may live there: their packets are still forwarded.
+
+use std::net::SocketAddrV4;
+
+use pomelorun_wire::ZoneId;
+
+use crate::{direct::token::Token, time::Millis};
+
+/// Names one start of an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct UpstreamKey {
+    /// Identifier, with which a datagram names the upstream that it is for.
+    pub id: u64,
+    /// When it started, milliseconds since the epoch by the upstream's clock.
+    pub born: u64,
+}
+
+/// What an upstream says of itself.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Announcement {
+    /// Which start of which upstream.
+    pub key: UpstreamKey,
+    /// Name of the service that it belongs to.
+    pub service: String,
+    /// Where it takes datagrams.
+    pub addr: SocketAddrV4,
+    /// Its availability zone.
+    pub zone: ZoneId,
+    /// Requests that it works on at a time.
+    pub slots: u32,
+    /// It leaves and is to get no new flow.
+    pub draining: bool,
+    /// How much longer it stays cold.
+    pub cold_left: Millis,
+}
+
+/// Position of an upstream in the registry; stays the same while the upstream is known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct UpstreamIx(pub u32);
+
+/// One start of an upstream.
+#[derive(Debug, Clone)]
+pub struct Upstream {
+    /// What it said last.
+    pub said: Announcement,
+    /// Its token.
+    pub token: Token,
+    /// Until when it is held to be cold.
+    pub cold_until: Millis,
+    /// Since when it is no longer announced.
+    pub lapsed: Option<Millis>,
+    /// It has ended: its identifier or its address belongs to a later start.
+    pub ended: bool,
+    /// When it was first announced here.
+    pub since: Millis,
+}
+
+impl Upstream {
+    /// Tells whether it is announced and stays.
+    pub fn is_offered(&self) -> bool {
+        self.lapsed.is_none() && !self.said.draining && !self.ended
+    }
+}
+
+/// What an announcement changed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum Change {
+    /// Nothing that routing reads.
+    None,
+    /// A start that was not known.
+    New(UpstreamIx),
+    /// A known start that says something else, or is announced again.
+    Updated(UpstreamIx),
+}
+
+/// The upstreams by token, identifier and service.
+#[derive(Debug, Default)]
+pub struct Registry {
+    /// Slots of forgotten upstreams are empty and used again.
+    slots: Vec<Option<Upstream>>,
+    /// Sorted by token, then position.
+    tokens: Vec<(Token, UpstreamIx)>,
+    /// The newest start of each identifier, sorted.
+    ids: Vec<(u64, UpstreamIx)>,
+    /// Upstreams by service, sorted by name; each list is sorted.
+    services: Vec<(String, Vec<UpstreamIx>)>,
+}
+
+impl Registry {
+    /// The upstream at a position.
+    pub fn get(&self, ix: UpstreamIx) -> Option<&Upstream> {
+        self.slots.get(ix.0 as usize)?.as_ref()
+    }
+
+    /// Positions in use are below this.
+    pub fn span(&self) -> usize {
+        self.slots.len()
+    }
+
+    /// All known upstreams.
+    pub fn iter(&self) -> impl Iterator<Item = (UpstreamIx, &Upstream)> {
+        let numbered = self.slots.iter().enumerate();
+        numbered.filter_map(|(at, it)| Some((UpstreamIx(at as u32), it.as_ref()?)))
+    }
+
+    /// Finds an upstream by the token that a packet carries.
+    ///
+    /// Of two with one token the one that started first is meant; the other gets no new flow while
+    /// both are known (see [`Registry::owns_token`]).
+    pub fn by_token(&self, token: Token) -> Option<UpstreamIx> {
+        let at = self.tokens.partition_point(|it| it.0 < token);
+        let same = self.tokens[at..].iter().take_while(|it| it.0 == token);
+        same.min_by_key(|it| self.get(it.1).map(|it| (it.said.key.born, it.said.key.id)))
+            .map(|it| it.1)
+    }
+
+    /// Tells whether packets with the upstream's token are forwarded to it.
+    pub fn owns_token(&self, ix: UpstreamIx) -> bool {
+        self.get(ix).is_some_and(|it| self.by_token(it.token) == Some(ix))
+    }
+
+    /// Finds the newest start of an identifier.
+    pub fn by_id(&self, id: u64) -> Option<UpstreamIx> {
+        let at = self.ids.binary_search_by_key(&id, |it| it.0).ok()?;
+        Some(self.ids[at].1)
+    }
+
+    /// Finds one start of an upstream.
+    pub fn by_key(&self, key: UpstreamKey) -> Option<UpstreamIx> {
+        self.by_token(Token::of(key)).filter(|&ix| self.get(ix).is_some_and(|it| it.said.key == key))
+    }
+
+    /// The upstreams of a service, those included that are no longer announced.
+    pub fn of_service(&self, service: &str) -> &[UpstreamIx] {
+        match self.services.binary_search_by(|it| it.0.as_str().cmp(service)) {
+            Ok(at) => &self.services[at].1,
+            Err(_) => &[],
+        }
+    }
+
+    /// Takes in what an upstream says of itself.
+    pub(crate) fn announce(&mut self, now: Millis, said: &Announcement) -> Change {
+        match self.by_id(said.key.id) {
+            Some(ix) if self.get(ix).is_some_and(|it| it.said.key == said.key) => {
+                self.update(now, ix, said)
+            }
+            // A late word of an earlier start says nothing of the one that came after it.
+            Some(ix) if self.get(ix).is_some_and(|it| it.said.key.born > said.key.born) => {
+                Change::None
+            }
+            Some(ix) => {
+                self.lapse(now, ix);
+                if let Some(it) = self.get_mut(ix) {
+                    it.ended = true;
+                }
+                self.add(now, said)
+            }
+            None => self.add(now, said),
+        }
+    }
+
+    /// Notes that an upstream is no longer announced; tells whether it was.
+    pub(crate) fn lapse(&mut self, now: Millis, ix: UpstreamIx) -> bool {
+        let Some(it) = self.get_mut(ix) else { return false };
+        let was = it.lapsed.is_none();
+        it.lapsed.get_or_insert(now);
+        was
+    }
+
+    /// Forgets upstreams whose last announcement is `keep` old; returns their positions.
+    pub(crate) fn forget_old(&mut self, now: Millis, keep: Millis) -> Vec<UpstreamIx> {
+        let old = |it: &Upstream| it.lapsed.is_some_and(|at| now.since(at) >= keep);
+        let found: Vec<UpstreamIx> =
+            self.iter().filter(|it| old(it.1)).map(|it| it.0).collect();
+        for &ix in &found {
+            self.remove(ix);
+        }
+        found
+    }
+
+    /// Holds an upstream to be cold until `until` at least.
+    pub(crate) fn hold_cold(&mut self, ix: UpstreamIx, until: Millis) {
+        if let Some(it) = self.get_mut(ix) {
+            it.cold_until = it.cold_until.max(until);
+        }
+    }
+
+    fn get_mut(&mut self, ix: UpstreamIx) -> Option<&mut Upstream> {
+        self.slots.get_mut(ix.0 as usize)?.as_mut()
+    }
+
+    fn update(&mut self, now: Millis, ix: UpstreamIx, said: &Announcement) -> Change {
+        let Some(it) = self.get_mut(ix) else { return Change::None };
+        let before = it.said.service.clone();
+        let same = it.lapsed.is_none() && it.said == *said;
+        it.said = said.clone();
+        it.lapsed = None;
+        if said.cold_left > Millis(0) {
+            it.cold_until = now + said.cold_left;
+        }
+        if before != said.service {
+            self.unlist(&before, ix);
+            self.enlist(&said.service, ix);
+        }
+        if same { Change::None } else { Change::Updated(ix) }
+    }
+
+    fn add(&mut self, now: Millis, said: &Announcement) -> Change {
+        self.end_at(said.addr, said.key);
+        let token = Token::of(said.key);
+        let cold_until = if said.cold_left > Millis(0) { now + said.cold_left } else { Millis(0) };
+        let upstream = Upstream {
+            said: said.clone(),
+            token,
+            cold_until,
+            lapsed: None,
+            ended: false,
+            since: now,
+        };
+        let at = self.slots.iter().position(Option::is_none).unwrap_or(self.slots.len());
+        if at == self.slots.len() {
+            self.slots.push(None);
+        }
+        self.slots[at] = Some(upstream);
+        let ix = UpstreamIx(at as u32);
+        let at = self.tokens.partition_point(|it| *it < (token, ix));
+        self.tokens.insert(at, (token, ix));
+        match self.ids.binary_search_by_key(&said.key.id, |it| it.0) {
+            Ok(at) => self.ids[at].1 = ix,
+            Err(at) => self.ids.insert(at, (said.key.id, ix)),
+        }
+        self.enlist(&said.service, ix);
+        Change::New(ix)
+    }
+
+    /// An address is given to one upstream at a time: whoever had it before has ended.
+    fn end_at(&mut self, addr: SocketAddrV4, newer: UpstreamKey) {
+        for it in self.slots.iter_mut().flatten() {
+            if it.said.addr == addr && it.said.key.born < newer.born {
+                it.ended = true;
+            }
+        }
+    }
+
+    fn remove(&mut self, ix: UpstreamIx) {
+        let Some(it) = self.slots[ix.0 as usize].take() else { return };
+        self.tokens.retain(|entry| entry.1 != ix);
+        self.ids.retain(|entry| entry.1 != ix);
+        self.unlist(&it.said.service, ix);
+    }
+
+    fn enlist(&mut self, service: &str, ix: UpstreamIx) {
+        match self.services.binary_search_by(|it| it.0.as_str().cmp(service)) {
+            Ok(at) => {
+                let list = &mut self.services[at].1;
+                if let Err(place) = list.binary_search(&ix) {
+                    list.insert(place, ix);
+                }
+            }
+            Err(at) => self.services.insert(at, (service.to_owned(), vec![ix])),
+        }
+    }
+
+    fn unlist(&mut self, service: &str, ix: UpstreamIx) {
+        let Ok(at) = self.services.binary_search_by(|it| it.0.as_str().cmp(service)) else { return };
+        let list = &mut self.services[at].1;
+        if let Ok(place) = list.binary_search(&ix) {
+            list.remove(place);
+        }
+        if list.is_empty() {
+            self.services.remove(at);
+        }
+    }
+}
--- a/crates/pomelorun-core/src/lib.rs
+++ b/crates/pomelorun-core/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod action;
 mod choice;
+pub mod direct;
 mod flow_table;
 mod host;
 mod limit;
--- a/crates/pomelorun/src/batch.rs
+++ b/crates/pomelorun/src/batch.rs
@@ -11,33 +11,46 @@
 
 /// Datagrams in one system call.
 pub(crate) const BATCH: usize = 64;
-/// Longest datagram that is received; control messages are longer than packets.
-const LONGEST: usize = 64 << 10;
+/// Size that the socket's buffers are asked to have, bytes.
+const SOCKET_BUFFER: usize = 4 << 20;
+
+/// Binds a socket for datagrams.
+pub(crate) fn bind_datagrams(address: SocketAddrV4) -> io::Result<UdpSocket> {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::DGRAM, None)?;
+    socket.set_recv_buffer_size(SOCKET_BUFFER)?;
+    socket.set_send_buffer_size(SOCKET_BUFFER)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&std::net::SocketAddr::from(address).into())?;
+    UdpSocket::from_std(socket.into())
+}
 
 /// Buffers for one batch of received datagrams.
 pub(crate) struct Incoming {
     headers: MultiHeaders<SockaddrIn>,
     bytes: Vec<u8>,
+    /// Bytes kept for each datagram; longer ones are cut.
+    longest: usize,
     /// Sender and length of each datagram of the last batch.
     received: Vec<(SocketAddrV4, usize)>,
 }
 
 impl Incoming {
-    pub(crate) fn new() -> Incoming {
+    pub(crate) fn new(longest: usize) -> Incoming {
         Incoming {
             headers: MultiHeaders::preallocate(BATCH, None),
-            bytes: vec![0; BATCH * LONGEST],
+            bytes: vec![0; BATCH * longest],
+            longest,
             received: Vec::with_capacity(BATCH),
         }
     }
 
     /// Receives what is there, up to a batch.
     pub(crate) fn receive(&mut self, socket: &UdpSocket) -> io::Result<()> {
-        let Incoming { headers, bytes, received } = self;
+        let Incoming { headers, bytes, longest, received } = self;
         received.clear();
         socket.try_io(Interest::READABLE, || {
             let mut slices: Vec<[IoSliceMut<'_>; 1]> =
-                bytes.chunks_mut(LONGEST).map(|it| [IoSliceMut::new(it)]).collect();
+                bytes.chunks_mut(*longest).map(|it| [IoSliceMut::new(it)]).collect();
             let got = recvmmsg(
                 socket.as_raw_fd(),
                 headers,
@@ -58,7 +71,7 @@
     pub(crate) fn datagrams(&self) -> impl Iterator<Item = (SocketAddrV4, &[u8])> {
         self.received
             .iter()
-            .zip(self.bytes.chunks(LONGEST))
+            .zip(self.bytes.chunks(self.longest))
             .map(|((from, len), bytes)| (*from, &bytes[..*len]))
     }
 }
@@ -90,6 +103,12 @@
         self.queued.push((to, self.bytes.len()));
     }
 
+    /// Queues the datagram that `write` appends; it returns the receiver.
+    pub(crate) fn push_with(&mut self, write: impl FnOnce(&mut Vec<u8>) -> SocketAddrV4) {
+        let to = write(&mut self.bytes);
+        self.queued.push((to, self.bytes.len()));
+    }
+
     /// Datagrams that the kernel did not take since the start.
     pub(crate) fn dropped(&self) -> u64 {
         self.dropped
--- a/crates/pomelorun/src/daemon.rs
+++ b/crates/pomelorun/src/daemon.rs
@@ -72,7 +72,8 @@
 /// # Errors
 /// A service that does not start.
 pub fn run(settings: &Settings) -> Result<Finished, DaemonError> {
-    log::set_up(&settings.log).map_err(|e| DaemonError::SetUp(e.to_string()))?;
+    log::set_up(&settings.log, log::Target::StandardError)
+        .map_err(|e| DaemonError::SetUp(e.to_string()))?;
     actix_rt::System::new().block_on(run_services(settings))
 }
 
--- /dev/null
+++ b/crates/pomelorun/src/direct.rs
@@ -0,0 +1,16 @@
+//! The daemon in direct return: packets, the directory that is read, and what is served to the
+//! platform. Everything that only one platform speaks is behind the traits of [`platform`].
+
+mod edge;
+mod lines;
+mod platform;
+mod reader;
+mod run;
+mod settings;
+mod web;
+
+pub use crate::direct::{
+    platform::{Directory, Events, Listing, Malformed, PacketCodec, Platform, SourceError},
+    run::run,
+    settings::DirectFile,
+};
--- /dev/null
+++ b/crates/pomelorun/src/direct/edge.rs
@@ -0,0 +1,302 @@
+//! The service `edge`: the packet socket, the decisions behind it, and probes of upstreams.
+
+use std::{cell::RefCell, net::SocketAddrV4, rc::Rc, sync::Arc, time::Duration};
+
+use actix::Recipient;
+use nix::time::{ClockId, clock_gettime};
+use pomelorun_core::{
+    Millis,
+    direct::{DirectHost, DirectStats, Published, StoreView, UpstreamKey, Verdict},
+};
+use spdlog::prelude::*;
+use tokio::{
+    net::{TcpStream, UdpSocket},
+    sync::mpsc,
+    task::{JoinHandle, JoinSet},
+    time::MissedTickBehavior,
+};
+
+use crate::{
+    batch::{Incoming, Outgoing, bind_datagrams},
+    control::Control,
+    direct::{lines, platform::PacketCodec, web::Status},
+    kernel::{Registry, Service, StartError, Stopped, join_aborted},
+};
+
+/// Name of the service.
+const EDGE: &str = "edge";
+/// Time between two timer events of the decisions.
+const TICK: Duration = Duration::from_millis(50);
+/// Longest datagram that is received: a packet has at most 1,232 bytes.
+const LONGEST: usize = 2_048;
+/// Time within which an upstream must answer a probe: some thirty round trips between zones.
+const PROBE_TIME: Duration = Duration::from_millis(150);
+/// Probes under way at a time.
+const MOST_PROBES: usize = 64;
+
+/// The decisions with their socket.
+pub(crate) struct Edge {
+    host: DirectHost,
+    codec: Box<dyn PacketCodec>,
+    socket: Rc<UdpSocket>,
+    out: Outgoing,
+    malformed: u64,
+    leaving: bool,
+    probes: mpsc::UnboundedSender<(UpstreamKey, SocketAddrV4)>,
+    lines: lines::Lines,
+    status: Arc<Status>,
+}
+
+/// The edge as the services of one thread share it.
+pub(crate) type SharedEdge = Rc<RefCell<Edge>>;
+
+/// What is counted, for metrics.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct EdgeStats {
+    pub(crate) decisions: DirectStats,
+    pub(crate) malformed: u64,
+    pub(crate) unsent: u64,
+    pub(crate) flows: usize,
+    pub(crate) revision: u64,
+}
+
+impl Edge {
+    /// Tells whether callers' packets may come here.
+    pub(crate) fn is_ready(&self) -> bool {
+        !self.leaving && self.host.is_ready()
+    }
+
+    /// Lets the fabric send new flows elsewhere; packets that still come are forwarded.
+    pub(crate) fn leave(&mut self) {
+        self.leaving = true;
+    }
+
+    pub(crate) fn stats(&self) -> EdgeStats {
+        EdgeStats {
+            decisions: self.host.stats(),
+            malformed: self.malformed,
+            unsent: self.out.dropped(),
+            flows: self.host.flows(),
+            revision: self.host.revision(),
+        }
+    }
+
+    pub(crate) fn store(&mut self, view: StoreView) {
+        self.host.store(now(), view);
+    }
+
+    pub(crate) fn listing(&mut self, items: &[Published]) {
+        self.host.listing(now(), items);
+        self.finish();
+    }
+
+    pub(crate) fn published(&mut self, items: &[Published]) {
+        let now = now();
+        for it in items {
+            self.host.published(now, it);
+        }
+        self.finish();
+    }
+
+    fn datagrams(&mut self, incoming: &Incoming) {
+        let now = now();
+        for (_, bytes) in incoming.datagrams() {
+            self.datagram(now, bytes);
+        }
+        self.finish();
+    }
+
+    fn datagram(&mut self, now: Millis, bytes: &[u8]) {
+        let seg = match self.codec.read(bytes) {
+            Ok(it) => it,
+            Err(e) => {
+                self.malformed += 1;
+                self.lines.malformed(e);
+                return;
+            }
+        };
+        match self.host.packet(now, &seg) {
+            Verdict::Forward { to, id, token } => {
+                let codec = &self.codec;
+                self.out.push_with(|buf| {
+                    codec.write_forward(bytes, id, token, buf);
+                    to
+                });
+            }
+            Verdict::Reset(it) => {
+                let codec = &self.codec;
+                self.out.push_with(|buf| codec.write_reset(&it, buf));
+            }
+            Verdict::Drop => {}
+        }
+    }
+
+    fn tick(&mut self) {
+        self.host.tick(now());
+        self.finish();
+        self.status.set(self.is_ready(), self.stats());
+        self.lines.flush();
+    }
+
+    fn probed(&mut self, key: UpstreamKey, answered: bool) {
+        self.host.probed(now(), key, answered);
+        self.finish();
+    }
+
+    /// Carries out what the last decisions left to do.
+    fn finish(&mut self) {
+        for it in self.host.take_resets() {
+            let codec = &self.codec;
+            self.out.push_with(|buf| codec.write_reset(&it, buf));
+        }
+        self.out.flush(&self.socket);
+        for it in self.host.take_probes() {
+            // The receiver lives as long as the service.
+            let _ = self.probes.send(it);
+        }
+        for it in self.host.take_notes() {
+            self.lines.note(&it);
+        }
+    }
+}
+
+impl EdgeStats {
+    /// The counts as Prometheus text.
+    pub(crate) fn text(&self) -> String {
+        let it = &self.decisions;
+        let rows = [
+            ("pomelorun_packets_forwarded_total", it.forwarded),
+            ("pomelorun_flows_opened_total", it.opened),
+            ("pomelorun_flow_copies_total", it.copies),
+            ("pomelorun_flow_resets_total", it.resets),
+            ("pomelorun_packets_no_route_total", it.no_route),
+            ("pomelorun_packets_no_upstream_total", it.no_upstream),
+            ("pomelorun_packets_unknown_token_total", it.unknown_token),
+            ("pomelorun_packets_malformed_total", self.malformed),
+            ("pomelorun_packets_unsent_total", self.unsent),
+            ("pomelorun_upstream_unreachable_total", it.unreachable),
+            ("pomelorun_upstream_answering_total", it.answering),
+            ("pomelorun_flows", self.flows as u64),
+            ("pomelorun_revision", self.revision),
+        ];
+        rows.iter().map(|(name, value)| format!("{name} {value}\n")).collect()
+    }
+}
+
+/// Milliseconds that pass in a suspend too: what was known before one is old after it.
+fn now() -> Millis {
+    let Ok(it) = clock_gettime(ClockId::CLOCK_BOOTTIME) else { return Millis(0) };
+    let ms = it.tv_sec().unsigned_abs() * 1_000 + it.tv_nsec().unsigned_abs() / 1_000_000;
+    Millis(ms)
+}
+
+/// The service.
+pub(crate) struct EdgeService {
+    edge: SharedEdge,
+    socket: Rc<UdpSocket>,
+    probes: Option<mpsc::UnboundedReceiver<(UpstreamKey, SocketAddrV4)>>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl EdgeService {
+    /// Binds the packet socket.
+    pub(crate) fn bind(
+        host: DirectHost,
+        codec: Box<dyn PacketCodec>,
+        address: SocketAddrV4,
+        status: Arc<Status>,
+    ) -> Result<EdgeService, StartError> {
+        let unbound = |e: std::io::Error| StartError {
+            service: EDGE,
+            detail: format!("cannot bind {address}: {e}"),
+        };
+        let socket = Rc::new(bind_datagrams(address).map_err(unbound)?);
+        let (probes, probes_rx) = mpsc::unbounded_channel();
+        let edge = Edge {
+            host,
+            codec,
+            socket: Rc::clone(&socket),
+            out: Outgoing::new(),
+            malformed: 0,
+            leaving: false,
+            probes,
+            lines: lines::Lines::default(),
+            status,
+        };
+        let edge = Rc::new(RefCell::new(edge));
+        Ok(EdgeService { edge, socket, probes: Some(probes_rx), tasks: Vec::new() })
+    }
+
+    /// The edge for other services.
+    pub(crate) fn shared(&self) -> SharedEdge {
+        Rc::clone(&self.edge)
+    }
+}
+
+impl Service for EdgeService {
+    fn name(&self) -> &'static str {
+        EDGE
+    }
+
+    fn start(&mut self, _: &Registry) -> Result<Option<Recipient<Control>>, StartError> {
+        self.tasks.push(actix_rt::spawn(receive(self.shared(), Rc::clone(&self.socket))));
+        self.tasks.push(actix_rt::spawn(tick(self.shared())));
+        if let Some(rx) = self.probes.take() {
+            self.tasks.push(actix_rt::spawn(probe(self.shared(), rx)));
+        }
+        Ok(None)
+    }
+
+    fn stop(&mut self) -> Stopped {
+        join_aborted(std::mem::take(&mut self.tasks))
+    }
+}
+
+async fn receive(edge: SharedEdge, socket: Rc<UdpSocket>) {
+    let mut incoming = Incoming::new(LONGEST);
+    loop {
+        if let Err(e) = socket.readable().await {
+            error!("packet socket failed", kv: { error = e.to_string() });
+            return;
+        }
+        match incoming.receive(&socket) {
+            Ok(()) => edge.borrow_mut().datagrams(&incoming),
+            Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => {}
+            // An upstream's closed port shows as an error on this socket; go on reading.
+            Err(e) => debug!("receive failed", kv: { error = e.to_string() }),
+        }
+        tokio::task::yield_now().await;
+    }
+}
+
+async fn tick(edge: SharedEdge) {
+    let mut timer = tokio::time::interval(TICK);
+    timer.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        timer.tick().await;
+        edge.borrow_mut().tick();
+    }
+}
+
+/// Opens and closes a connection to each upstream that is to be probed.
+async fn probe(edge: SharedEdge, mut rx: mpsc::UnboundedReceiver<(UpstreamKey, SocketAddrV4)>) {
+    // Dropping the set with this task ends all probes.
+    let mut probes = JoinSet::new();
+    loop {
+        tokio::select! {
+            Some((key, addr)) = rx.recv(), if probes.len() < MOST_PROBES => {
+                probes.spawn_local(async move { (key, answers(addr).await) });
+            }
+            Some(done) = probes.join_next() => {
+                if let Ok((key, answered)) = done {
+                    edge.borrow_mut().probed(key, answered);
+                }
+            }
+            else => return,
+        }
+    }
+}
+
+async fn answers(addr: SocketAddrV4) -> bool {
+    matches!(tokio::time::timeout(PROBE_TIME, TcpStream::connect(addr)).await, Ok(Ok(_)))
+}
--- /dev/null
+++ b/crates/pomelorun/src/direct/run.rs
@@ -0,0 +1,109 @@
+//! Running a daemon in direct return from start to shutdown.
+
+use std::{path::Path, rc::Rc, sync::Arc, time::Duration};
+
+use pomelorun_core::direct::DirectHost;
+use spdlog::prelude::*;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+
+use crate::{
+    daemon::DaemonError,
+    direct::{
+        edge::EdgeService,
+        platform::Platform,
+        reader::Reader,
+        settings::DirectFile,
+        web::{Status, Web},
+    },
+    kernel::{Kernel, StartError},
+    log,
+};
+
+/// Time for which a leaving host forwards what still comes. The fabric asks twice a second and
+/// needs two refusals; the rest is for packets on their way.
+const FORWARD_ON: Duration = Duration::from_millis(2_500);
+/// Part of the time until the process is ended by force that it uses at most.
+const GRACE_SHARE: f64 = 0.7;
+
+/// Runs a daemon until it is asked to stop.
+///
+/// # Errors
+/// A service that does not start.
+pub fn run(path: &Path, file: &DirectFile, platform: Platform) -> Result<(), DaemonError> {
+    log::set_up(&file.log, log::Target::StandardOutput)
+        .map_err(|e| DaemonError::SetUp(e.to_string()))?;
+    actix_rt::System::new().block_on(run_services(path, file, platform))
+}
+
+async fn run_services(
+    path: &Path,
+    file: &DirectFile,
+    platform: Platform,
+) -> Result<(), DaemonError> {
+    let set_up = |e: std::io::Error| DaemonError::SetUp(e.to_string());
+    let mut terminate = signal(SignalKind::terminate()).map_err(set_up)?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(set_up)?;
+    let mut reload = signal(SignalKind::hangup()).map_err(set_up)?;
+    let mut kernel = Kernel::default();
+    let edge = match start_all(&mut kernel, file, platform) {
+        Ok(it) => it,
+        Err(e) => {
+            kernel.stop().await;
+            return Err(e.into());
+        }
+    };
+    info!("started", kv: { host = file.host, zone = file.zone });
+    wait(path, file, &mut terminate, &mut interrupt, &mut reload).await;
+    edge.borrow_mut().leave();
+    let on = FORWARD_ON.min(Duration::from_secs_f64(file.bounds.grace_s * GRACE_SHARE));
+    info!("leaving", kv: { forward_ms = u64::try_from(on.as_millis()).unwrap_or(u64::MAX) });
+    tokio::time::sleep(on).await;
+    kernel.stop().await;
+    info!("stopped");
+    Ok(())
+}
+
+fn start_all(
+    kernel: &mut Kernel,
+    file: &DirectFile,
+    platform: Platform,
+) -> Result<crate::direct::edge::SharedEdge, StartError> {
+    let status = Arc::new(Status::default());
+    let host = DirectHost::new(file.decisions());
+    let edge = EdgeService::bind(host, platform.codec, file.packets, Arc::clone(&status))?;
+    let shared = edge.shared();
+    kernel.start(Box::new(edge))?;
+    kernel.start(Box::new(Web::new(file.ready, status)))?;
+    kernel.start(Box::new(Reader::new(Rc::clone(&shared), platform.directory)))?;
+    Ok(shared)
+}
+
+/// Waits for a signal to stop; takes in the settings file again on each signal to reload.
+async fn wait(
+    path: &Path,
+    file: &DirectFile,
+    terminate: &mut Signal,
+    interrupt: &mut Signal,
+    reload: &mut Signal,
+) {
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => return,
+            _ = interrupt.recv() => return,
+            _ = reload.recv() => reread(path, file),
+        }
+    }
+}
+
+/// Checks the settings file. What a running process cannot change is said and waits for a restart.
+fn reread(path: &Path, file: &DirectFile) {
+    match DirectFile::load(path) {
+        Ok(new) if new == *file => info!("settings reloaded", kv: { changed = false }),
+        Ok(new) => {
+            log::set_level(&new.log);
+            let kept = DirectFile { log: new.log.clone(), ..file.clone() } != new;
+            info!("settings reloaded", kv: { changed = true, restart_needed = kept });
+        }
+        Err(e) => error!("settings not reloaded", kv: { code = "PR0020", error = e.to_string() }),
+    }
+}
--- /dev/null
+++ b/crates/pomelorun/src/direct/settings.rs
@@ -0,0 +1,142 @@
+//! Settings of a daemon in direct return.
+
+use std::{fs, net::SocketAddrV4, path::Path};
+
+use pomelorun_config::{Fault, Faults, from_json_strict};
+use pomelorun_core::{
+    Millis,
+    direct::{ColdRule, DirectSettings},
+};
+use pomelorun_wire::{Code, HostId, ZoneId};
+use serde::{Deserialize, Serialize};
+
+use crate::settings::{LogSettings, SettingsError};
+
+/// Bounds that the platform promises or asks for.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "snake_case")]
+pub struct DirectBounds {
+    /// Time between two words of an upstream to the directory, milliseconds.
+    pub announce_every_ms: u64,
+    /// Factor on the requests a second that a cold upstream bears.
+    pub cold_over: f64,
+    /// Requests a second that a cold upstream may get on top.
+    pub cold_slack: f64,
+    /// Longest life of a flow, seconds.
+    pub flow_lifetime_s: u64,
+    /// Time from the signal to stop until the process is ended by force, seconds.
+    pub grace_s: f64,
+    /// Memory that the process may use, megabytes.
+    pub memory_mb: u64,
+}
+
+/// The settings file.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "snake_case")]
+pub struct DirectFile {
+    /// Name of this host.
+    pub host: String,
+    /// Name of its availability zone.
+    pub zone: String,
+    /// Address of the packet socket.
+    pub packets: SocketAddrV4,
+    /// Address that tells the fabric whether to send packets here.
+    pub ready: SocketAddrV4,
+    /// Address at which other hosts first ask for the fleet.
+    pub control: Option<SocketAddrV4>,
+    /// Addresses of that kind of some hosts.
+    pub seeds: Vec<SocketAddrV4>,
+    /// First and last port for traffic between hosts.
+    pub peer_ports: [u16; 2],
+    /// Address of the directory.
+    pub directory: SocketAddrV4,
+    /// Bounds of the platform.
+    pub bounds: DirectBounds,
+    /// Log.
+    #[serde(default)]
+    pub log: LogSettings,
+}
+
+/// Share of the memory that notes of flows may use.
+const FLOWS_SHARE: u64 = 4;
+/// Bytes of one noted flow with its share of the table.
+const FLOW_BYTES: u64 = 128;
+/// Time that the directory needs to list an upstream again that lapsed while it was away.
+const LAPSE_GRACE: Millis = Millis(2_000);
+/// Age of the directory's answer up to which an unknown address is refused rather than ignored:
+/// a watch that waits and its time limit.
+const FRESH: Millis = Millis(4_500);
+
+impl DirectFile {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    /// Every fault of the file, each with its path and a numbered code.
+    pub fn load(path: &Path) -> Result<DirectFile, SettingsError> {
+        let shown = path.display().to_string();
+        let text = fs::read_to_string(path).map_err(|e| {
+            SettingsError(Faults(vec![Fault::new(Code::CONFIG_READ, &shown, "", e.to_string())]))
+        })?;
+        DirectFile::parse(&shown, &text)
+    }
+
+    /// Checks the text of a settings file; `shown` names it in faults.
+    ///
+    /// # Errors
+    /// As [`DirectFile::load`].
+    pub fn parse(shown: &str, text: &str) -> Result<DirectFile, SettingsError> {
+        let mut faults = Faults::default();
+        let file: DirectFile = match from_json_strict(text) {
+            Ok(it) => it,
+            Err(errors) => {
+                for e in errors {
+                    faults.push(Fault::new(e.code, shown, &e.path, e.message));
+                }
+                return Err(SettingsError(faults));
+            }
+        };
+        let mut fault = |path: &str, message: String| {
+            faults.push(Fault::new(Code::SETTINGS, shown, path, message));
+        };
+        for (path, name) in [("host", &file.host), ("zone", &file.zone)] {
+            if name.trim().is_empty() {
+                fault(path, "is empty".to_owned());
+            }
+        }
+        let [first, last] = file.peer_ports;
+        if first > last {
+            fault("peer_ports", format!("{first} is above {last}"));
+        }
+        let bounds = &file.bounds;
+        let ranges = [
+            ("bounds.announce_every_ms", bounds.announce_every_ms as f64, 10.0, 600_000.0),
+            ("bounds.cold_over", bounds.cold_over, 0.0, 1_000.0),
+            ("bounds.cold_slack", bounds.cold_slack, 0.0, 1_000_000.0),
+            ("bounds.flow_lifetime_s", bounds.flow_lifetime_s as f64, 1.0, 604_800.0),
+            ("bounds.grace_s", bounds.grace_s, 0.1, 3_600.0),
+            ("bounds.memory_mb", bounds.memory_mb as f64, 16.0, 1_048_576.0),
+        ];
+        for (path, value, least, most) in ranges {
+            if !(least..=most).contains(&value) {
+                fault(path, format!("{value} is not in {least}..={most}"));
+            }
+        }
+        faults.or(file).map_err(SettingsError)
+    }
+
+    /// What the decisions need of the settings.
+    pub(crate) fn decisions(&self) -> DirectSettings {
+        let bounds = &self.bounds;
+        let most = bounds.memory_mb * (1 << 20) / FLOWS_SHARE / FLOW_BYTES;
+        DirectSettings {
+            host: HostId::from_name(&self.host),
+            zone: ZoneId::from_name(&self.zone),
+            most_flows: usize::try_from(most).unwrap_or(usize::MAX),
+            cold: ColdRule { over: bounds.cold_over, slack: bounds.cold_slack },
+            announce_every: Millis(bounds.announce_every_ms),
+            lapse_grace: LAPSE_GRACE,
+            flow_lifetime: Millis(bounds.flow_lifetime_s * 1_000),
+            fresh: FRESH,
+        }
+    }
+}
--- a/crates/pomelorun/src/lib.rs
+++ b/crates/pomelorun/src/lib.rs
@@ -10,6 +10,7 @@
 mod config;
 mod control;
 mod daemon;
+pub mod direct;
 mod engine;
 mod explain;
 mod host_list;
--- a/crates/pomelorun/src/packets.rs
+++ b/crates/pomelorun/src/packets.rs
@@ -9,7 +9,7 @@
 use tokio::{net::UdpSocket, task::JoinHandle, time::MissedTickBehavior};
 
 use crate::{
-    batch::Incoming,
+    batch::{Incoming, bind_datagrams},
     control::Control,
     engine::{Engine, SharedEngine},
     kernel::{Registry, Service, StartError, Stopped, join_aborted},
@@ -25,8 +25,8 @@
 const TICK: Duration = Duration::from_millis(20);
 /// Timer events between two renewals of the report.
 const TICKS_PER_REPORT: u32 = 10;
-/// Size that the socket's buffers are asked to have, bytes.
-const SOCKET_BUFFER: usize = 4 << 20;
+/// Longest datagram that is received; control messages are longer than packets.
+const LONGEST: usize = 64 << 10;
 
 /// The service.
 pub(crate) struct Packets {
@@ -47,15 +47,6 @@
         let settings = settings.clone();
         Packets { settings, incarnation, report, plan: Some(plan), tasks: Vec::new() }
     }
-
-    fn bind(&self) -> std::io::Result<UdpSocket> {
-        let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::DGRAM, None)?;
-        socket.set_recv_buffer_size(SOCKET_BUFFER)?;
-        socket.set_send_buffer_size(SOCKET_BUFFER)?;
-        socket.set_nonblocking(true)?;
-        socket.bind(&std::net::SocketAddr::from(self.settings.packets).into())?;
-        UdpSocket::from_std(socket.into())
-    }
 }
 
 impl Service for Packets {
@@ -68,7 +59,7 @@
             service: PACKETS,
             detail: format!("cannot bind {}: {e}", self.settings.packets),
         };
-        let socket = Rc::new(self.bind().map_err(unbound)?);
+        let socket = Rc::new(bind_datagrams(self.settings.packets).map_err(unbound)?);
         let host = HostId::from_name(&self.settings.host);
         let zone = ZoneId::from_name(&self.settings.zone);
         let seed = host.0 ^ self.incarnation;
@@ -88,7 +79,7 @@
 }
 
 async fn receive(engine: SharedEngine, socket: Rc<UdpSocket>) {
-    let mut incoming = Incoming::new();
+    let mut incoming = Incoming::new(LONGEST);
     loop {
         if let Err(e) = socket.readable().await {
             error!("packet socket failed", kv: { error = e.to_string() });
