Shorten the start: small flow table, directory before web, early packets held

Ruled out: the store's answer (4 ms). Change: the table starts with 16 buckets and doubles; web starts after the first listing; packets that come before it are held 200 ms and then forwarded.

--- a/crates/pomelorun-core/src/direct/flows.rs
+++ b/crates/pomelorun-core/src/direct/flows.rs
@@ -48,14 +48,15 @@
     sweep: usize,
 }
 
-/// Flows in a bucket on average when the table is full.
+/// Flows in a bucket on average before the buckets are doubled.
 const PER_BUCKET: usize = 16;
+/// Buckets of an empty table. A start must not touch memory for flows that may never come.
+const FIRST_BUCKETS: usize = 16;
 
 impl FlowNotes {
     /// Makes an empty table of up to `most` flows.
     pub fn new(most: usize) -> FlowNotes {
-        let buckets = (most / PER_BUCKET).max(1);
-        FlowNotes { buckets: vec![Vec::new(); buckets], len: 0, most, sweep: 0 }
+        FlowNotes { buckets: vec![Vec::new(); FIRST_BUCKETS], len: 0, most, sweep: 0 }
     }
 
     /// Number of flows.
@@ -86,6 +87,7 @@
             Err(at) => {
                 bucket.insert(at, flow);
                 self.len += 1;
+                self.grow();
             }
         }
         true
@@ -130,6 +132,20 @@
         self.buckets.iter().flatten()
     }
 
+    /// Doubles the buckets once they are full.
+    fn grow(&mut self) {
+        if self.len <= self.buckets.len() * PER_BUCKET {
+            return;
+        }
+        let buckets = vec![Vec::new(); self.buckets.len() * 2];
+        let old = std::mem::replace(&mut self.buckets, buckets);
+        for flow in old.into_iter().flatten() {
+            let bucket = self.bucket_of(&flow.key);
+            // Every flow of a new bucket comes from one old bucket, in order.
+            self.buckets[bucket].push(flow);
+        }
+    }
+
     fn bucket_of(&self, key: &FlowKey) -> usize {
         (key.stable_hash() % self.buckets.len() as u64) as usize
     }
--- a/crates/pomelorun-core/src/direct/host.rs
+++ b/crates/pomelorun-core/src/direct/host.rs
@@ -672,7 +672,9 @@
         if seen.liveness.unanswered(now, flow, sent)
             && let Some(it) = self.registry.get(ix)
         {
-            self.probes.push((it.said.key, it.said.addr));
+            let upstream = it.said.key;
+            self.probes.push((upstream, it.said.addr));
+            self.note(Note::Suspected { upstream, flow, silent: now - sent });
         }
     }
 
--- a/crates/pomelorun-core/src/direct/note.rs
+++ b/crates/pomelorun-core/src/direct/note.rs
@@ -97,6 +97,15 @@
         /// The token that it carries.
         token: Token,
     },
+    /// Callers wait for an upstream in vain; it is probed.
+    Suspected {
+        /// The upstream.
+        upstream: UpstreamKey,
+        /// The first flow that showed it.
+        flow: FlowKey,
+        /// Time that the flow has waited.
+        silent: Millis,
+    },
     /// An upstream does not answer.
     Unreachable {
         /// The upstream.
--- a/crates/pomelorun/src/direct/edge.rs
+++ b/crates/pomelorun/src/direct/edge.rs
@@ -11,7 +11,7 @@
 use spdlog::prelude::*;
 use tokio::{
     net::{TcpStream, UdpSocket},
-    sync::mpsc,
+    sync::{Notify, mpsc},
     task::{JoinHandle, JoinSet},
     time::MissedTickBehavior,
 };
@@ -31,6 +31,11 @@
 const LONGEST: usize = 2_048;
 /// Time within which an upstream must answer a probe: some thirty round trips between zones.
 const PROBE_TIME: Duration = Duration::from_millis(150);
+/// Time after which callers have repeated a packet that they sent.
+const HOLD: Millis = Millis(200);
+/// Packets held while the directory is read for the first time: the flows of a fifth of a second at
+/// some thousands a second.
+const MOST_HELD: usize = 512;
 /// Probes under way at a time.
 const MOST_PROBES: usize = 64;
 
@@ -45,6 +50,34 @@
     probes: mpsc::UnboundedSender<(UpstreamKey, SocketAddrV4)>,
     lines: lines::Lines,
     status: Arc<Status>,
+    held: Held,
+    /// Wakes whoever waits for the host to know enough.
+    informed: Rc<Notify>,
+}
+
+/// Packets that came before the host knew where to send them. Their senders repeat them only after
+/// a fifth of a second.
+#[derive(Debug, Default)]
+struct Held {
+    packets: Vec<(Millis, Vec<u8>)>,
+    lost: u64,
+}
+
+impl Held {
+    fn push(&mut self, now: Millis, bytes: &[u8]) {
+        self.packets.retain(|it| now.since(it.0) < HOLD);
+        if self.packets.len() < MOST_HELD {
+            self.packets.push((now, bytes.to_vec()));
+        } else {
+            self.lost += 1;
+        }
+    }
+
+    /// The packets that nobody has repeated yet.
+    fn take(&mut self, now: Millis) -> Vec<Vec<u8>> {
+        let held = std::mem::take(&mut self.packets);
+        held.into_iter().filter(|it| now.since(it.0) < HOLD).map(|it| it.1).collect()
+    }
 }
 
 /// The edge as the services of one thread share it.
@@ -86,10 +119,22 @@
     }
 
     pub(crate) fn listing(&mut self, items: &[Published]) {
-        self.host.listing(now(), items);
+        let now = now();
+        self.host.listing(now, items);
+        if self.host.is_ready() {
+            for packet in self.held.take(now) {
+                self.datagram(now, &packet);
+            }
+            self.informed.notify_one();
+        }
         self.finish();
     }
 
+    /// Resolves once the host knows enough to take callers.
+    pub(crate) fn informed(&self) -> Rc<Notify> {
+        Rc::clone(&self.informed)
+    }
+
     pub(crate) fn published(&mut self, items: &[Published]) {
         let now = now();
         for it in items {
@@ -100,8 +145,13 @@
 
     fn datagrams(&mut self, incoming: &Incoming) {
         let now = now();
+        let ready = self.host.is_ready();
         for (_, bytes) in incoming.datagrams() {
-            self.datagram(now, bytes);
+            if ready {
+                self.datagram(now, bytes);
+            } else {
+                self.held.push(now, bytes);
+            }
         }
         self.finish();
     }
@@ -222,6 +272,8 @@
             probes,
             lines: lines::Lines::default(),
             status,
+            held: Held::default(),
+            informed: Rc::new(Notify::new()),
         };
         let edge = Rc::new(RefCell::new(edge));
         Ok(EdgeService { edge, socket, probes: Some(probes_rx), tasks: Vec::new() })
--- a/crates/pomelorun/src/direct/lines.rs
+++ b/crates/pomelorun/src/direct/lines.rs
@@ -34,6 +34,11 @@
                     flow = flow.to_string(), why = format!("{why:?}"), token = token.to_string()
                 });
             }
+            Note::Suspected { upstream, flow, silent } => {
+                info!("upstream suspected", kv: {
+                    upstream = id(upstream), flow = flow.to_string(), silent_ms = silent.0
+                });
+            }
             Note::Unreachable { upstream, flows, silent, told } => {
                 warn!("upstream unreachable", kv: {
                     upstream = id(upstream), flows = *flows, silent_ms = silent.0, told = *told
--- a/crates/pomelorun/src/direct/run.rs
+++ b/crates/pomelorun/src/direct/run.rs
@@ -9,7 +9,7 @@
 use crate::{
     daemon::DaemonError,
     direct::{
-        edge::EdgeService,
+        edge::{EdgeService, SharedEdge},
         platform::Platform,
         reader::Reader,
         settings::DirectFile,
@@ -22,6 +22,8 @@
 /// Time for which a leaving host forwards what still comes. The fabric asks twice a second and
 /// needs two refusals; the rest is for packets on their way.
 const FORWARD_ON: Duration = Duration::from_millis(2_500);
+/// Longest time that the first reading of the directory may hold up the rest of the start.
+const FIRST_READING: Duration = Duration::from_millis(300);
 /// Part of the time until the process is ended by force that it uses at most.
 const GRACE_SHARE: f64 = 0.7;
 
@@ -45,7 +47,8 @@
     let mut interrupt = signal(SignalKind::interrupt()).map_err(set_up)?;
     let mut reload = signal(SignalKind::hangup()).map_err(set_up)?;
     let mut kernel = Kernel::default();
-    let edge = match start_all(&mut kernel, file, platform) {
+    let status = Arc::new(Status::default());
+    let edge = match start_packets(&mut kernel, file, platform, &status) {
         Ok(it) => it,
         Err(e) => {
             kernel.stop().await;
@@ -53,6 +56,13 @@
         }
     };
     info!("started", kv: { host = file.host, zone = file.zone });
+    let informed = edge.borrow().informed();
+    // Callers may be waiting: the directory is read before anything else is set up.
+    let _ = tokio::time::timeout(FIRST_READING, informed.notified()).await;
+    if let Err(e) = kernel.start(Box::new(Web::new(file.ready, status))) {
+        kernel.stop().await;
+        return Err(e.into());
+    }
     wait(path, file, &mut terminate, &mut interrupt, &mut reload).await;
     edge.borrow_mut().leave();
     let on = FORWARD_ON.min(Duration::from_secs_f64(file.bounds.grace_s * GRACE_SHARE));
@@ -63,17 +73,16 @@
     Ok(())
 }
 
-fn start_all(
+fn start_packets(
     kernel: &mut Kernel,
     file: &DirectFile,
     platform: Platform,
-) -> Result<crate::direct::edge::SharedEdge, StartError> {
-    let status = Arc::new(Status::default());
+    status: &Arc<Status>,
+) -> Result<SharedEdge, StartError> {
     let host = DirectHost::new(file.decisions());
-    let edge = EdgeService::bind(host, platform.codec, file.packets, Arc::clone(&status))?;
+    let edge = EdgeService::bind(host, platform.codec, file.packets, Arc::clone(status))?;
     let shared = edge.shared();
     kernel.start(Box::new(edge))?;
-    kernel.start(Box::new(Web::new(file.ready, status)))?;
     kernel.start(Box::new(Reader::new(Rc::clone(&shared), platform.directory)))?;
     Ok(shared)
 }
