Probe a zone that looks silent as a whole, and ask who answers before an upstream is used again

Ruled out: slow detection of the first upstream (0.2 s retransmission + 0.15 s probe), false suspicions (none before 24 s). Change: one lost upstream of another zone from which nobody was answered since has all of that zone's probed; an unreachable upstream, and one that connects and still lets callers wait, is asked for its identifier, and another's answer shows that it has ended.

--- a/crates/pomelorun-core/src/direct.rs
+++ b/crates/pomelorun-core/src/direct.rs
@@ -21,8 +21,10 @@
 pub use crate::direct::{
     cold::{ColdBudget, ColdRule},
     flows::{Flow, FlowNotes},
-    host::{DirectHost, DirectSettings, DirectStats, Published, ResetSent, StoreView, Verdict},
-    liveness::{Evidence, Liveness, Standing},
+    host::{
+        DirectHost, DirectSettings, DirectStats, Probe, Published, ResetSent, StoreView, Verdict,
+    },
+    liveness::{Evidence, Liveness, ProbeFound, ProbeKind, Probed, Standing},
     load::Load,
     note::{DropWhy, Lifecycle, Note, OpenWhy, ResetWhy},
     peers::News,
--- a/crates/pomelorun-core/src/direct/host.rs
+++ b/crates/pomelorun-core/src/direct/host.rs
@@ -10,7 +10,7 @@
     direct::{
         cold::{ColdBudget, ColdRule},
         flows::{Flow, FlowNotes, Tried},
-        liveness::{COPY_GAP, Liveness, Standing},
+        liveness::{COPY_GAP, Liveness, ProbeFound, ProbeKind, Probed, Standing},
         load::Load,
         note::{DropWhy, Lifecycle, Note, OpenWhy, ResetWhy},
         peers::News,
@@ -101,6 +101,19 @@
     pub seq: u32,
 }
 
+/// A probe of an upstream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Probe {
+    /// Which upstream.
+    pub upstream: UpstreamKey,
+    /// Its address.
+    pub addr: SocketAddrV4,
+    /// What to do.
+    pub kind: ProbeKind,
+    /// Path at which it says who it is.
+    pub path: String,
+}
+
 /// Counts since the start.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct DirectStats {
@@ -152,8 +165,10 @@
     back: Option<Millis>,
     /// Live hosts, this one included, sorted; empty while they are not known.
     hosts: Vec<HostId>,
-    /// Upstreams to probe.
-    probes: Vec<(UpstreamKey, SocketAddrV4)>,
+    /// Probes that wait to be sent.
+    probes: Vec<Probe>,
+    /// Last sign of life from each zone, sorted by zone.
+    zones_answered: Vec<(ZoneId, Millis)>,
     /// Resets that wait to be sent.
     resets: Vec<ResetSent>,
     news: News,
@@ -176,6 +191,7 @@
             back: None,
             hosts: Vec::new(),
             probes: Vec::new(),
+            zones_answered: Vec::new(),
             resets: Vec::new(),
             news: News::default(),
             notes: Vec::new(),
@@ -218,8 +234,8 @@
         std::mem::take(&mut self.notes)
     }
 
-    /// Takes the upstreams to probe; the results come back by [`DirectHost::probed`].
-    pub fn take_probes(&mut self) -> Vec<(UpstreamKey, SocketAddrV4)> {
+    /// Takes the probes to send; the results come back by [`DirectHost::probed`].
+    pub fn take_probes(&mut self) -> Vec<Probe> {
         std::mem::take(&mut self.probes)
     }
 
@@ -299,18 +315,28 @@
         }
     }
 
-    /// Takes in whether a probe was answered.
-    pub fn probed(&mut self, now: Millis, key: UpstreamKey, answered: bool) {
+    /// Takes in what a probe found.
+    pub fn probed(&mut self, now: Millis, key: UpstreamKey, found: ProbeFound) {
         let Some(ix) = self.registry.by_key(key) else { return };
-        if answered {
-            self.alive(now, ix);
-            return;
-        }
-        let silent = self.seen[ix.0 as usize].liveness.silent_for(now);
-        if self.seen[ix.0 as usize].liveness.probe_failed() {
-            let silent_ms = u32::try_from(silent.0).unwrap_or(u32::MAX);
-            self.news.unreachable.push((key.id, key.born, silent_ms));
-            self.give_up(now, ix, silent, false);
+        let liveness = &mut self.seen[ix.0 as usize].liveness;
+        let silent = liveness.silent_for(now);
+        let since = match liveness.standing() {
+            Standing::Unreachable { since } => since,
+            Standing::Answering | Standing::Suspect => now,
+        };
+        match liveness.probed(now, found) {
+            Probed::Nothing => {}
+            Probed::AnswersAgain => self.answers_again(now, key, since),
+            Probed::Unreachable => {
+                let silent_ms = u32::try_from(silent.0).unwrap_or(u32::MAX);
+                self.news.unreachable.push((key.id, key.born, silent_ms));
+                self.give_up(now, ix, silent, false);
+                self.doubt_zone(now, ix, silent);
+            }
+            Probed::Ended => {
+                self.registry.end(ix);
+                self.give_up_ended(now);
+            }
         }
     }
 
@@ -332,11 +358,8 @@
         for at in 0..self.seen.len() {
             let liveness = &mut self.seen[at].liveness;
             liveness.expire(now);
-            if liveness.take_trial(now)
-                && let Some(it) = self.registry.get(UpstreamIx(at as u32))
-                && !it.ended
-            {
-                self.probes.push((it.said.key, it.said.addr));
+            if liveness.take_trial(now) {
+                self.send_probe(UpstreamIx(at as u32), ProbeKind::Identify);
             }
         }
         let idle = if self.routing.idle > Millis(0) { self.routing.idle } else { self.cfg.flow_lifetime };
@@ -653,28 +676,63 @@
     }
 
     fn alive(&mut self, now: Millis, ix: UpstreamIx) {
+        let Some(it) = self.registry.get(ix) else { return };
+        let (key, zone) = (it.said.key, it.said.zone);
+        match self.zones_answered.binary_search_by_key(&zone, |it| it.0) {
+            Ok(at) => self.zones_answered[at].1 = now,
+            Err(at) => self.zones_answered.insert(at, (zone, now)),
+        }
         let liveness = &mut self.seen[ix.0 as usize].liveness;
-        let since = match liveness.standing() {
-            Standing::Unreachable { since } => since,
-            _ => now,
-        };
-        if liveness.sign_of_life(now) {
-            self.stats.answering += 1;
-            if let Some(it) = self.registry.get(ix) {
-                let upstream = it.said.key;
-                self.note(Note::Answering { upstream, after: now - since });
-            }
+        let standing = liveness.standing();
+        if liveness.sign_of_life(now)
+            && let Standing::Unreachable { since } = standing
+        {
+            self.answers_again(now, key, since);
         }
     }
 
+    fn answers_again(&mut self, now: Millis, upstream: UpstreamKey, since: Millis) {
+        self.stats.answering += 1;
+        self.note(Note::Answering { upstream, after: now - since });
+    }
+
     fn unanswered(&mut self, now: Millis, ix: UpstreamIx, flow: FlowKey, sent: Millis) {
         let Some(seen) = self.seen.get_mut(ix.0 as usize) else { return };
-        if seen.liveness.unanswered(now, flow, sent)
-            && let Some(it) = self.registry.get(ix)
-        {
-            let upstream = it.said.key;
-            self.probes.push((upstream, it.said.addr));
-            self.note(Note::Suspected { upstream, flow, silent: now - sent });
+        let Some(kind) = seen.liveness.unanswered(now, flow, sent) else { return };
+        let Some(it) = self.registry.get(ix) else { return };
+        let upstream = it.said.key;
+        self.note(Note::Suspected { upstream, flow, silent: now - sent });
+        self.send_probe(ix, kind);
+    }
+
+    fn send_probe(&mut self, ix: UpstreamIx, kind: ProbeKind) {
+        let Some(it) = self.registry.get(ix).filter(|it| !it.ended) else { return };
+        let limits = self.routing.limits(&it.said.service);
+        let path = limits.map(|it| it.health_path.clone()).unwrap_or_default();
+        self.probes.push(Probe { upstream: it.said.key, addr: it.said.addr, kind, path });
+    }
+
+    /// If a zone has given no sign of life since the caller of one of its upstreams began to wait,
+    /// the path to the whole zone may be cut: its other upstreams are probed at once instead of one
+    /// after the other as callers run into them.
+    fn doubt_zone(&mut self, now: Millis, lost: UpstreamIx, silent: Millis) {
+        let Some(zone) = self.registry.get(lost).map(|it| it.said.zone) else { return };
+        let since = now - silent;
+        let answered = self.zones_answered.binary_search_by_key(&zone, |it| it.0);
+        let answered = answered.is_ok_and(|at| self.zones_answered[at].1 > since);
+        if zone == self.cfg.zone || answered {
+            return;
+        }
+        let rest: Vec<UpstreamIx> = self
+            .registry
+            .iter()
+            .filter(|it| it.1.said.zone == zone && !it.1.ended)
+            .map(|it| it.0)
+            .collect();
+        for ix in rest {
+            if self.seen[ix.0 as usize].liveness.doubt(since) {
+                self.send_probe(ix, ProbeKind::Connect);
+            }
         }
     }
 
--- a/crates/pomelorun-core/src/direct/liveness.rs
+++ b/crates/pomelorun-core/src/direct/liveness.rs
@@ -3,9 +3,13 @@
 //! A caller that goes on in a flow has been answered: a sign of life. A caller that sends a packet
 //! again has not been: evidence, which counts only if it was first sent after the last sign of life.
 //! Evidence alone is never enough, since packets are lost and answers are slow. It makes the
-//! upstream a suspect, which gets no new flow, and calls for a probe: a connection that is opened
-//! and closed again. Only a suspect whose probe fails too is held unreachable. That says nothing
-//! about other places: the path may be cut and the upstream alive.
+//! upstream a suspect, which gets no new flow, and calls for a probe. Only a suspect whose probe
+//! fails too is held unreachable. That says nothing about other places: the path may be cut and the
+//! upstream alive.
+//!
+//! The first probe only connects, which a busy upstream answers as fast as an idle one. A connection
+//! does not show who accepted it: an upstream that connects and still leaves callers waiting, and
+//! one that was unreachable, is asked for its identifier.
 
 use pomelorun_wire::FlowKey;
 use smallvec::SmallVec;
@@ -33,6 +37,28 @@
     pub sent: Millis,
 }
 
+/// What a probe does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ProbeKind {
+    /// Opens a connection and closes it.
+    Connect,
+    /// Asks who answers at the address.
+    Identify,
+}
+
+/// What a probe found.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ProbeFound {
+    /// The upstream, or at least a process at its address.
+    Answered,
+    /// Nobody, in time or at all.
+    Nobody,
+    /// Another upstream: the one that had the address has ended.
+    Another,
+    /// Nothing either way.
+    Unclear,
+}
+
 /// What is believed of an upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Standing {
@@ -55,6 +81,23 @@
     unreachable: Option<Trials>,
     /// A probe is on its way.
     probing: bool,
+    /// A failed probe is enough, since the whole zone looks silent.
+    doubted: bool,
+    /// The last connection that was accepted, until a caller is answered.
+    accepted: Option<Millis>,
+}
+
+/// What follows from a probe.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Probed {
+    /// Nothing new.
+    Nothing,
+    /// The upstream was unreachable and is no longer.
+    AnswersAgain,
+    /// The upstream is to be held unreachable.
+    Unreachable,
+    /// The upstream has ended.
+    Ended,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -86,16 +129,19 @@
 
     /// Notes a sign of life; tells whether the upstream was unreachable.
     pub fn sign_of_life(&mut self, now: Millis) -> bool {
-        self.answered = now;
-        self.evidence.clear();
-        self.probing = false;
-        self.unreachable.take().is_some()
+        self.accepted = None;
+        self.clear(now)
     }
 
-    /// Notes a packet that was repeated; tells whether to probe the upstream for it.
-    pub fn unanswered(&mut self, now: Millis, flow: FlowKey, sent: Millis) -> bool {
+    /// Notes a packet that was repeated; tells how to probe the upstream for it.
+    pub fn unanswered(
+        &mut self,
+        now: Millis,
+        flow: FlowKey,
+        sent: Millis,
+    ) -> Option<ProbeKind> {
         if self.unreachable.is_some() || sent <= self.answered || now.since(sent) < COPY_GAP {
-            return false;
+            return None;
         }
         self.expire(now);
         match self.evidence.iter().position(|it| it.flow == flow) {
@@ -103,13 +149,43 @@
             None if self.evidence.len() < KEPT => self.evidence.push(Evidence { flow, sent }),
             None => {}
         }
+        if std::mem::replace(&mut self.probing, true) {
+            return None;
+        }
+        Some(if self.accepted.is_some() { ProbeKind::Identify } else { ProbeKind::Connect })
+    }
+
+    /// Doubts an upstream of a zone that looks silent as a whole; tells whether to probe it.
+    pub(crate) fn doubt(&mut self, silent_since: Millis) -> bool {
+        if self.unreachable.is_some() || self.answered > silent_since {
+            return false;
+        }
+        self.doubted = true;
         !std::mem::replace(&mut self.probing, true)
     }
 
-    /// A probe was not answered; tells whether the upstream is to be held unreachable.
-    pub fn probe_failed(&mut self) -> bool {
+    /// Takes in what a probe found; tells whether the upstream is to be held unreachable.
+    pub fn probed(&mut self, now: Millis, found: ProbeFound) -> Probed {
         self.probing = false;
-        self.unreachable.is_none() && !self.evidence.is_empty()
+        let doubted = std::mem::take(&mut self.doubted);
+        match found {
+            ProbeFound::Answered => {
+                self.accepted = Some(now);
+                if self.clear(now) { Probed::AnswersAgain } else { Probed::Nothing }
+            }
+            ProbeFound::Nobody if self.unreachable.is_some() => Probed::Nothing,
+            ProbeFound::Nobody if doubted || !self.evidence.is_empty() => Probed::Unreachable,
+            ProbeFound::Another => Probed::Ended,
+            ProbeFound::Nobody | ProbeFound::Unclear => Probed::Nothing,
+        }
+    }
+
+    fn clear(&mut self, now: Millis) -> bool {
+        self.answered = now;
+        self.evidence.clear();
+        self.probing = false;
+        self.doubted = false;
+        self.unreachable.take().is_some()
     }
 
     /// Longest time that a flow has waited in vain.
--- a/crates/pomelorun-core/src/direct/registry.rs
+++ b/crates/pomelorun-core/src/direct/registry.rs
@@ -154,9 +154,7 @@
             }
             Some(ix) => {
                 self.lapse(now, ix);
-                if let Some(it) = self.get_mut(ix) {
-                    it.ended = true;
-                }
+                self.end(ix);
                 self.add(now, said)
             }
             None => self.add(now, said),
@@ -182,6 +180,13 @@
         found
     }
 
+    /// Notes that an upstream has ended.
+    pub(crate) fn end(&mut self, ix: UpstreamIx) {
+        if let Some(it) = self.get_mut(ix) {
+            it.ended = true;
+        }
+    }
+
     /// Holds an upstream to be cold until `until` at least.
     pub(crate) fn hold_cold(&mut self, ix: UpstreamIx, until: Millis) {
         if let Some(it) = self.get_mut(ix) {
--- a/crates/pomelorun-core/src/direct/routing.rs
+++ b/crates/pomelorun-core/src/direct/routing.rs
@@ -43,7 +43,7 @@
     }
 }
 
-/// Limits that a service sets for its upstreams.
+/// What a service says of its upstreams.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ServiceLimits {
     /// Name of the service.
@@ -52,6 +52,8 @@
     pub cold_per_s: f64,
     /// How long an upstream stays cold after its start.
     pub cold: Millis,
+    /// Path at which an upstream says who it is.
+    pub health_path: String,
 }
 
 /// One revision of the configuration.
--- a/crates/pomelorun/src/direct.rs
+++ b/crates/pomelorun/src/direct.rs
@@ -4,13 +4,16 @@
 mod edge;
 mod lines;
 mod platform;
+mod probes;
 mod reader;
 mod run;
 mod settings;
 mod web;
 
 pub use crate::direct::{
-    platform::{Directory, Events, Listing, Malformed, PacketCodec, Platform, SourceError},
+    platform::{
+        Directory, Events, Listing, Malformed, PacketCodec, Platform, Prober, SourceError,
+    },
     run::run,
     settings::DirectFile,
 };
--- a/crates/pomelorun/src/direct/edge.rs
+++ b/crates/pomelorun/src/direct/edge.rs
@@ -6,13 +6,15 @@
 use nix::time::{ClockId, clock_gettime};
 use pomelorun_core::{
     Millis,
-    direct::{DirectHost, DirectStats, Published, StoreView, UpstreamKey, Verdict},
+    direct::{
+        DirectHost, DirectStats, Probe, ProbeFound, Published, StoreView, UpstreamKey, Verdict,
+    },
 };
 use spdlog::prelude::*;
 use tokio::{
-    net::{TcpStream, UdpSocket},
+    net::UdpSocket,
     sync::{Notify, mpsc},
-    task::{JoinHandle, JoinSet},
+    task::JoinHandle,
     time::MissedTickBehavior,
 };
 
@@ -29,15 +31,11 @@
 const TICK: Duration = Duration::from_millis(50);
 /// Longest datagram that is received: a packet has at most 1,232 bytes.
 const LONGEST: usize = 2_048;
-/// Time within which an upstream must answer a probe: some thirty round trips between zones.
-const PROBE_TIME: Duration = Duration::from_millis(150);
 /// Time after which callers have repeated a packet that they sent.
 const HOLD: Millis = Millis(200);
 /// Packets held while the directory is read for the first time: the flows of a fifth of a second at
 /// some thousands a second.
 const MOST_HELD: usize = 512;
-/// Probes under way at a time.
-const MOST_PROBES: usize = 64;
 
 /// The decisions with their socket.
 pub(crate) struct Edge {
@@ -47,7 +45,7 @@
     out: Outgoing,
     malformed: u64,
     leaving: bool,
-    probes: mpsc::UnboundedSender<(UpstreamKey, SocketAddrV4)>,
+    probes: mpsc::UnboundedSender<Probe>,
     lines: lines::Lines,
     status: Arc<Status>,
     held: Held,
@@ -188,8 +186,8 @@
         self.lines.flush();
     }
 
-    fn probed(&mut self, key: UpstreamKey, answered: bool) {
-        self.host.probed(now(), key, answered);
+    pub(crate) fn probed(&mut self, key: UpstreamKey, found: ProbeFound) {
+        self.host.probed(now(), key, found);
         self.finish();
     }
 
@@ -201,7 +199,7 @@
         }
         self.out.flush(&self.socket);
         for it in self.host.take_probes() {
-            // The receiver lives as long as the service.
+            // Without a receiver the process is stopping.
             let _ = self.probes.send(it);
         }
         for it in self.host.take_notes() {
@@ -244,7 +242,6 @@
 pub(crate) struct EdgeService {
     edge: SharedEdge,
     socket: Rc<UdpSocket>,
-    probes: Option<mpsc::UnboundedReceiver<(UpstreamKey, SocketAddrV4)>>,
     tasks: Vec<JoinHandle<()>>,
 }
 
@@ -255,13 +252,13 @@
         codec: Box<dyn PacketCodec>,
         address: SocketAddrV4,
         status: Arc<Status>,
+        probes: mpsc::UnboundedSender<Probe>,
     ) -> Result<EdgeService, StartError> {
         let unbound = |e: std::io::Error| StartError {
             service: EDGE,
             detail: format!("cannot bind {address}: {e}"),
         };
         let socket = Rc::new(bind_datagrams(address).map_err(unbound)?);
-        let (probes, probes_rx) = mpsc::unbounded_channel();
         let edge = Edge {
             host,
             codec,
@@ -276,7 +273,7 @@
             informed: Rc::new(Notify::new()),
         };
         let edge = Rc::new(RefCell::new(edge));
-        Ok(EdgeService { edge, socket, probes: Some(probes_rx), tasks: Vec::new() })
+        Ok(EdgeService { edge, socket, tasks: Vec::new() })
     }
 
     /// The edge for other services.
@@ -293,9 +290,6 @@
     fn start(&mut self, _: &Registry) -> Result<Option<Recipient<Control>>, StartError> {
         self.tasks.push(actix_rt::spawn(receive(self.shared(), Rc::clone(&self.socket))));
         self.tasks.push(actix_rt::spawn(tick(self.shared())));
-        if let Some(rx) = self.probes.take() {
-            self.tasks.push(actix_rt::spawn(probe(self.shared(), rx)));
-        }
         Ok(None)
     }
 
@@ -329,26 +323,3 @@
         edge.borrow_mut().tick();
     }
 }
-
-/// Opens and closes a connection to each upstream that is to be probed.
-async fn probe(edge: SharedEdge, mut rx: mpsc::UnboundedReceiver<(UpstreamKey, SocketAddrV4)>) {
-    // Dropping the set with this task ends all probes.
-    let mut probes = JoinSet::new();
-    loop {
-        tokio::select! {
-            Some((key, addr)) = rx.recv(), if probes.len() < MOST_PROBES => {
-                probes.spawn_local(async move { (key, answers(addr).await) });
-            }
-            Some(done) = probes.join_next() => {
-                if let Ok((key, answered)) = done {
-                    edge.borrow_mut().probed(key, answered);
-                }
-            }
-            else => return,
-        }
-    }
-}
-
-async fn answers(addr: SocketAddrV4) -> bool {
-    matches!(tokio::time::timeout(PROBE_TIME, TcpStream::connect(addr)).await, Ok(Ok(_)))
-}
--- a/crates/pomelorun/src/direct/platform.rs
+++ b/crates/pomelorun/src/direct/platform.rs
@@ -85,10 +85,26 @@
     ) -> LocalBoxFuture<'_, Result<Events, SourceError>>;
 }
 
+/// Who answers at an upstream's address.
+pub trait Prober {
+    /// Asks the upstream at `addr` for its identifier.
+    ///
+    /// # Errors
+    /// An answer without an identifier, or none.
+    fn identify(
+        &self,
+        addr: SocketAddrV4,
+        path: &str,
+        limit: Duration,
+    ) -> LocalBoxFuture<'_, Result<u64, SourceError>>;
+}
+
 /// One platform.
 pub struct Platform {
     /// The form of packets.
     pub codec: Box<dyn PacketCodec>,
     /// Where configuration and upstreams are published.
     pub directory: Rc<dyn Directory>,
+    /// Who answers at an upstream's address.
+    pub prober: Rc<dyn Prober>,
 }
--- /dev/null
+++ b/crates/pomelorun/src/direct/probes.rs
@@ -0,0 +1,112 @@
+//! The service `probes`: finds out whether an upstream answers, and who.
+
+use std::{rc::Rc, time::Duration};
+
+use actix::Recipient;
+use pomelorun_core::direct::{Probe, ProbeFound, ProbeKind};
+use tokio::{
+    net::TcpStream,
+    sync::mpsc,
+    task::{JoinHandle, JoinSet},
+    time::timeout,
+};
+
+use crate::{
+    control::Control,
+    direct::{
+        edge::SharedEdge,
+        platform::{Prober, SourceError},
+    },
+    kernel::{Registry, Service, StartError, Stopped, join_aborted},
+};
+
+const PROBES: &str = "probes";
+/// Time within which an upstream must accept a connection: some thirty round trips between zones.
+const CONNECT_TIME: Duration = Duration::from_millis(150);
+/// Time within which it must say who it is: it does so behind the requests that wait there.
+const IDENTIFY_TIME: Duration = Duration::from_millis(500);
+/// Probes under way at a time.
+const MOST_PROBES: usize = 64;
+
+/// The service.
+pub(crate) struct Probes {
+    edge: SharedEdge,
+    prober: Rc<dyn Prober>,
+    rx: Option<mpsc::UnboundedReceiver<Probe>>,
+    task: Option<JoinHandle<()>>,
+}
+
+impl Probes {
+    pub(crate) fn new(
+        edge: SharedEdge,
+        prober: Rc<dyn Prober>,
+        rx: mpsc::UnboundedReceiver<Probe>,
+    ) -> Probes {
+        Probes { edge, prober, rx: Some(rx), task: None }
+    }
+}
+
+impl Service for Probes {
+    fn name(&self) -> &'static str {
+        PROBES
+    }
+
+    fn start(&mut self, _: &Registry) -> Result<Option<Recipient<Control>>, StartError> {
+        if let Some(rx) = self.rx.take() {
+            let (edge, prober) = (Rc::clone(&self.edge), Rc::clone(&self.prober));
+            self.task = Some(actix_rt::spawn(probe(edge, prober, rx)));
+        }
+        Ok(None)
+    }
+
+    fn stop(&mut self) -> Stopped {
+        join_aborted(self.task.take())
+    }
+}
+
+async fn probe(
+    edge: SharedEdge,
+    prober: Rc<dyn Prober>,
+    mut rx: mpsc::UnboundedReceiver<Probe>,
+) {
+    // Dropping the set with this task ends all probes.
+    let mut probes = JoinSet::new();
+    loop {
+        tokio::select! {
+            Some(it) = rx.recv(), if probes.len() < MOST_PROBES => {
+                let prober = Rc::clone(&prober);
+                probes.spawn_local(async move {
+                    let found = match it.kind {
+                        ProbeKind::Connect => connect(&it).await,
+                        ProbeKind::Identify => identify(&*prober, &it).await,
+                    };
+                    (it.upstream, found)
+                });
+            }
+            Some(done) = probes.join_next() => {
+                if let Ok((upstream, found)) = done {
+                    edge.borrow_mut().probed(upstream, found);
+                }
+            }
+            else => return,
+        }
+    }
+}
+
+async fn connect(it: &Probe) -> ProbeFound {
+    match timeout(CONNECT_TIME, TcpStream::connect(it.addr)).await {
+        Ok(Ok(_)) => ProbeFound::Answered,
+        Ok(Err(_)) | Err(_) => ProbeFound::Nobody,
+    }
+}
+
+async fn identify(prober: &dyn Prober, it: &Probe) -> ProbeFound {
+    match prober.identify(it.addr, &it.path, IDENTIFY_TIME).await {
+        Ok(id) if id == it.upstream.id => ProbeFound::Answered,
+        Ok(_) => ProbeFound::Another,
+        // A busy upstream may be silent for longer.
+        Err(SourceError::Silent | SourceError::Failed(_) | SourceError::HistoryGone) => {
+            ProbeFound::Unclear
+        }
+    }
+}
--- a/crates/pomelorun/src/direct/run.rs
+++ b/crates/pomelorun/src/direct/run.rs
@@ -4,13 +4,17 @@
 
 use pomelorun_core::direct::DirectHost;
 use spdlog::prelude::*;
-use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::{
+    signal::unix::{Signal, SignalKind, signal},
+    sync::mpsc,
+};
 
 use crate::{
     daemon::DaemonError,
     direct::{
         edge::{EdgeService, SharedEdge},
         platform::Platform,
+        probes::Probes,
         reader::Reader,
         settings::DirectFile,
         web::{Status, Web},
@@ -80,9 +84,11 @@
     status: &Arc<Status>,
 ) -> Result<SharedEdge, StartError> {
     let host = DirectHost::new(file.decisions());
-    let edge = EdgeService::bind(host, platform.codec, file.packets, Arc::clone(status))?;
+    let (probes, rx) = mpsc::unbounded_channel();
+    let edge = EdgeService::bind(host, platform.codec, file.packets, Arc::clone(status), probes)?;
     let shared = edge.shared();
     kernel.start(Box::new(edge))?;
+    kernel.start(Box::new(Probes::new(Rc::clone(&shared), platform.prober, rx)))?;
     kernel.start(Box::new(Reader::new(Rc::clone(&shared), platform.directory)))?;
     Ok(shared)
 }
