--- a/crates/pomelorun-core/src/direct.rs
+++ b/crates/pomelorun-core/src/direct.rs
@@ -5,6 +5,7 @@
 //! [`DirectHost`] decides; like [`crate::HostCore`] it does no I/O and reads no clock.
 
 mod cold;
+mod fleet;
 mod flows;
 mod host;
 mod liveness;
@@ -12,14 +13,15 @@
 mod note;
 mod peers;
 mod placement;
-mod reading;
 mod registry;
 mod routing;
 mod segment;
+mod sourcing;
 mod token;
 
 pub use crate::direct::{
     cold::{ColdBudget, ColdRule},
+    fleet::{Fleet, FleetMsg, FleetOut, address_of, host_at},
     flows::{Flow, FlowNotes},
     host::{
         DirectHost, DirectSettings, DirectStats, Probe, Published, ResetSent, StoreView, Verdict,
@@ -29,9 +31,9 @@
     note::{DropWhy, Lifecycle, Note, OpenWhy, ResetWhy},
     peers::News,
     placement::{Candidate, Choice, choose},
-    reading::{Next, Outcome, Reading},
     registry::{Announcement, Registry, Upstream, UpstreamIx, UpstreamKey},
     routing::{DirectRoute, RouteTarget, Routing, ServiceLimits},
     segment::{Segment, SegmentKind},
+    sourcing::{Next, Outcome, Readers, Sourcing},
     token::Token,
 };
--- /dev/null
+++ b/crates/pomelorun-core/src/direct/fleet.rs
@@ -0,0 +1,140 @@
+//! The other hosts: who lives, who reads the directory, and what they tell each other.
+//!
+//! Hosts find each other through seeds and the membership that the relaying mode uses too. A host's
+//! identifier is its IPv4 address, so an identifier is all that one needs to reach it.
+
+use std::net::Ipv4Addr;
+
+use pomelorun_wire::{HostId, MemberInfo, MemberState, PeerMsg, ZoneId};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    choice::rendezvous_score,
+    direct::{peers::News, sourcing::Readers},
+    members::Members,
+    settings::CoreSettings,
+    time::Millis,
+};
+
+/// Hosts of each zone that read the directory.
+const READERS: usize = 2;
+/// Sets the ranking of readers apart from other rankings.
+const READER_SALT: u64 = 0x7265_6164_6572;
+
+/// A message between two hosts.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum FleetMsg {
+    /// About membership.
+    Member(PeerMsg),
+    /// About upstreams; only hosts of one zone tell each other.
+    News(News),
+}
+
+/// Messages to send, with their receivers.
+pub type FleetOut = Vec<(HostId, FleetMsg)>;
+
+/// The other hosts as one host sees them.
+#[derive(Debug)]
+pub struct Fleet {
+    members: Members,
+    cfg: CoreSettings,
+    rng: ChaCha8Rng,
+    revision: u64,
+}
+
+/// The identifier of the host at an address.
+pub fn host_at(ip: Ipv4Addr) -> HostId {
+    HostId(u64::from(u32::from(ip)))
+}
+
+/// The address of a host.
+pub fn address_of(host: HostId) -> Ipv4Addr {
+    Ipv4Addr::from(host.0 as u32)
+}
+
+impl Fleet {
+    /// Starts with seeds of which one may know the others.
+    pub fn new(
+        now: Millis,
+        me: MemberInfo,
+        seeds: &[HostId],
+        cfg: CoreSettings,
+        seed: u64,
+    ) -> Fleet {
+        let members = Members::new(me.host, me.zone, me.incarnation).seeded(now, seeds);
+        Fleet { members, cfg, rng: ChaCha8Rng::seed_from_u64(seed), revision: 0 }
+    }
+
+    /// Says which revision is in force here.
+    pub fn set_revision(&mut self, revision: u64) {
+        self.revision = revision;
+    }
+
+    /// Does what time demands; returns what to send.
+    pub fn tick(&mut self, now: Millis) -> FleetOut {
+        self.members.forget_dead(now);
+        let out = self.members.tick(now, &self.cfg, self.revision, &mut self.rng);
+        out.into_iter().map(|(to, msg)| (to, FleetMsg::Member(msg))).collect()
+    }
+
+    /// Takes in a message about membership; returns the answers.
+    pub fn message(&mut self, now: Millis, from: HostId, msg: &PeerMsg) -> FleetOut {
+        let out = self.members.message(now, from, msg, self.revision);
+        out.into_iter().map(|(to, msg)| (to, FleetMsg::Member(msg))).collect()
+    }
+
+    /// The process slept: nothing it knew counts before another host has confirmed it.
+    pub fn woke(&mut self, now: Millis) {
+        self.members.woke(now);
+    }
+
+    /// Tells the others that this host leaves.
+    pub fn leave(&mut self) -> FleetOut {
+        self.members.leave();
+        let out = self.members.farewell(self.revision);
+        out.into_iter().map(|(to, msg)| (to, FleetMsg::Member(msg))).collect()
+    }
+
+    /// Tells whether who lives has changed since the last call.
+    pub fn take_changed(&mut self) -> bool {
+        self.members.take_changed()
+    }
+
+    /// All live hosts, this one included.
+    pub fn live(&self) -> Vec<HostId> {
+        let others = self.members.others().iter().filter(|it| it.takes_work() && it.incarnation > 0);
+        others.map(|it| it.host).chain([self.members.me().host]).collect()
+    }
+
+    /// The other live hosts of this host's zone.
+    pub fn neighbours(&self) -> Vec<HostId> {
+        let zone = self.members.me().zone;
+        self.in_zone(zone).collect()
+    }
+
+    /// Who reads the directory in this zone, the best first.
+    pub fn readers(&self) -> Readers {
+        let me = self.members.me();
+        if !self.members.has_joined() || me.state != MemberState::Live {
+            return Readers::default();
+        }
+        let score = |it: &HostId| rendezvous_score(it.0, READER_SALT);
+        let mut ranked: Vec<HostId> = self.in_zone(me.zone).chain([me.host]).collect();
+        ranked.sort_by_key(|it| std::cmp::Reverse(score(it)));
+        ranked.truncate(READERS);
+        let reads = ranked.contains(&me.host);
+        ranked.retain(|it| *it != me.host);
+        Readers { ranked, reads }
+    }
+
+    fn in_zone(&self, zone: ZoneId) -> impl Iterator<Item = HostId> {
+        let others = self.members.others().iter();
+        others
+            .filter(move |it| it.zone == zone && it.incarnation > 0)
+            .filter(|it| matches!(it.state, MemberState::Live | MemberState::Suspect))
+            .map(|it| it.host)
+    }
+}
--- a/crates/pomelorun-core/src/direct/host.rs
+++ b/crates/pomelorun-core/src/direct/host.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddrV4, sync::Arc};
 
 use pomelorun_wire::{FlowKey, HostId, ServiceAddr, ZoneId};
+use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
 use crate::{
@@ -51,7 +52,8 @@
 }
 
 /// Something that is published.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Published {
     /// An upstream speaks of itself.
     Upstream(Announcement),
@@ -296,6 +298,22 @@
         }
     }
 
+    /// Everything that is published, as far as it is known here, for a host that reads it from this
+    /// one.
+    pub fn everything(&self, now: Millis) -> Vec<Published> {
+        let mut all: Vec<Published> = Vec::with_capacity(self.registry.span() + 1);
+        if self.routing.revision > 0 {
+            all.push(Published::Routing(Arc::clone(&self.routing)));
+        }
+        all.extend(self.out.iter().map(|&it| Published::ZoneOut(it)));
+        let announced = self.registry.iter().filter(|it| it.1.lapsed.is_none());
+        all.extend(announced.map(|(_, it)| {
+            let cold_left = it.cold_until.since(now);
+            Published::Upstream(Announcement { cold_left, ..it.said.clone() })
+        }));
+        all
+    }
+
     /// Takes in something that is published.
     pub fn published(&mut self, now: Millis, it: &Published) {
         match it {
--- a/crates/pomelorun-core/src/direct/peers.rs
+++ b/crates/pomelorun-core/src/direct/peers.rs
@@ -11,3 +11,10 @@
     /// Identifier and start of each, and how long it had been silent, milliseconds.
     pub unreachable: Vec<(u64, u64, u32)>,
 }
+
+impl News {
+    /// Tells whether there is nothing to tell.
+    pub fn is_empty(&self) -> bool {
+        self.unreachable.is_empty()
+    }
+}
--- a/crates/pomelorun-core/src/direct/registry.rs
+++ b/crates/pomelorun-core/src/direct/registry.rs
@@ -7,11 +7,14 @@
 use std::net::SocketAddrV4;
 
 use pomelorun_wire::ZoneId;
+use serde::{Deserialize, Serialize};
 
 use crate::{direct::token::Token, time::Millis};
 
 /// Names one start of an upstream.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
 pub struct UpstreamKey {
     /// Identifier, with which a datagram names the upstream that it is for.
     pub id: u64,
@@ -20,7 +23,7 @@
 }
 
 /// What an upstream says of itself.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Announcement {
     /// Which start of which upstream.
     pub key: UpstreamKey,
--- a/crates/pomelorun-core/src/direct/routing.rs
+++ b/crates/pomelorun-core/src/direct/routing.rs
@@ -1,11 +1,12 @@
 //! Which services the addresses of the platform lead to.
 
 use pomelorun_wire::{FlowKey, ServiceAddr};
+use serde::{Deserialize, Serialize};
 
 use crate::time::Millis;
 
 /// One service that a route leads to.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RouteTarget {
     /// Name of the service.
     pub service: String,
@@ -14,7 +15,7 @@
 }
 
 /// One address that callers open flows to.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DirectRoute {
     /// Name of the route.
     pub name: String,
@@ -44,7 +45,7 @@
 }
 
 /// What a service says of its upstreams.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ServiceLimits {
     /// Name of the service.
     pub service: String,
@@ -57,7 +58,7 @@
 }
 
 /// One revision of the configuration.
-#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Routing {
     /// The revision, zero before the first.
     pub revision: u64,
--- /dev/null
+++ b/crates/pomelorun-core/src/direct/sourcing.rs
@@ -0,0 +1,179 @@
+//! From where a host learns what is published, and when it asks.
+//!
+//! The directory's calls are few and shared by all hosts, so in each zone only some hosts read it:
+//! one listing, then one watch after the other. The others follow one of them over a stream. A host
+//! reads the directory itself while it starts, and whenever no reader of its zone can be followed.
+//! Each answer has a time limit, since a connection may fall silent without a word.
+
+use pomelorun_wire::HostId;
+
+use crate::time::Millis;
+
+/// How long a watch waits for an event. With the time that an answer may take, the longest time for
+/// which a silent connection goes unnoticed.
+const WATCH: Millis = Millis(3_000);
+/// Time that an answer may take beyond the wait: some hundred times the usual.
+const ANSWER: Millis = Millis(1_000);
+/// Pause after an event, which gathers those that come close together into one call.
+const GATHER: Millis = Millis(100);
+/// First pause after a failure, doubled with each further one.
+const RETRY_FIRST: Millis = Millis(100);
+/// Longest pause after failures. Far below the time in which a change must be in force.
+const RETRY_MOST: Millis = Millis(800);
+/// Time for which a reader goes on after it was ranked lower, so that its followers need not move
+/// while the view of the zone's hosts changes to and fro.
+const READ_ON: Millis = Millis(5_000);
+/// Readers that are tried before a host reads the directory itself.
+const TRIES: u32 = 2;
+
+/// How reading ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// Everything was listed, as of this revision of the directory.
+    Listed(u64),
+    /// Events came, or none did in time, as of this revision of the directory.
+    Watched {
+        /// Where the next watch continues.
+        revision: u64,
+        /// Something was published.
+        events: bool,
+    },
+    /// The directory no longer knows what followed the last answer.
+    HistoryGone,
+    /// It did not answer, or with an error.
+    Failed,
+    /// A followed host fell silent or ended the stream, after having said everything or not.
+    Unfollowed {
+        /// It had said everything, as of this revision of the directory.
+        revision: Option<u64>,
+    },
+}
+
+/// What the zone's hosts look like to this one.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Readers {
+    /// The zone's readers, best first; this host may be among them.
+    pub ranked: Vec<HostId>,
+    /// This host is one of them.
+    pub reads: bool,
+}
+
+/// What to do next.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Next {
+    /// List everything after a pause.
+    List {
+        /// The pause.
+        pause: Millis,
+        /// Time that the answer may take.
+        limit: Millis,
+    },
+    /// Watch after a pause.
+    Watch {
+        /// The pause.
+        pause: Millis,
+        /// Revision after which to watch.
+        after: u64,
+        /// How long the directory may wait for an event.
+        wait: Millis,
+        /// Time that the answer may take.
+        limit: Millis,
+    },
+    /// Follow another host.
+    Follow {
+        /// Which host.
+        host: HostId,
+    },
+}
+
+/// State of one host's sourcing.
+#[derive(Debug, Clone, Default)]
+pub struct Sourcing {
+    /// Revision of the directory up to which everything is known.
+    after: Option<u64>,
+    /// Failures of the directory in a row.
+    failures: u32,
+    /// Readers that were tried in vain in a row.
+    tries: u32,
+    /// When this host was last ranked as a reader.
+    ranked: Option<Millis>,
+}
+
+impl Sourcing {
+    /// The first step, or the next one after an outcome. `spread` in 0..1 differs from host to host.
+    pub fn next(
+        &mut self,
+        now: Millis,
+        outcome: Option<Outcome>,
+        readers: &Readers,
+        spread: f64,
+    ) -> Next {
+        let pause = outcome.map_or(Millis(0), |it| self.note(it, spread));
+        if readers.reads {
+            self.ranked = Some(now);
+        }
+        if let Some(host) = self.reader_to_follow(now, readers, spread) {
+            return Next::Follow { host };
+        }
+        // The directory gets its turn, then the readers again.
+        self.tries = 0;
+        match self.after {
+            None => Next::List { pause, limit: ANSWER },
+            Some(after) => Next::Watch { pause, after, wait: WATCH, limit: WATCH + ANSWER },
+        }
+    }
+
+    /// Tells whether this host reads the directory for others.
+    pub fn reads(&self, now: Millis) -> bool {
+        self.ranked.is_some_and(|it| now.since(it) < READ_ON)
+    }
+
+    fn note(&mut self, outcome: Outcome, spread: f64) -> Millis {
+        match outcome {
+            Outcome::Listed(revision) => {
+                self.after = Some(revision);
+                self.failures = 0;
+                Millis(0)
+            }
+            Outcome::Watched { revision, events } => {
+                self.after = Some(revision);
+                self.failures = 0;
+                if events { GATHER } else { Millis(0) }
+            }
+            Outcome::HistoryGone => {
+                self.after = None;
+                Millis(0)
+            }
+            Outcome::Failed => {
+                let pause = self.backoff(spread);
+                self.failures += 1;
+                pause
+            }
+            Outcome::Unfollowed { revision } => {
+                self.tries = if revision.is_some() { 1 } else { self.tries + 1 };
+                self.after = revision.or(self.after);
+                Millis(0)
+            }
+        }
+    }
+
+    /// A host that knows nothing asks the directory first, which is there more often than not.
+    fn reader_to_follow(&self, now: Millis, readers: &Readers, spread: f64) -> Option<HostId> {
+        let starting = self.after.is_none() && self.failures == 0;
+        if readers.reads || self.reads(now) || starting || self.tries >= TRIES {
+            return None;
+        }
+        let count = readers.ranked.len();
+        if count == 0 {
+            return None;
+        }
+        let first = (spread * count as f64) as usize;
+        readers.ranked.get((first + self.tries as usize) % count).copied()
+    }
+
+    fn backoff(&self, spread: f64) -> Millis {
+        let doubled = RETRY_FIRST.0 << self.failures.min(8);
+        let most = doubled.min(RETRY_MOST.0) as f64;
+        Millis((most * (0.5 + spread / 2.0)) as u64)
+    }
+}
--- a/crates/pomelorun-core/src/members.rs
+++ b/crates/pomelorun-core/src/members.rs
@@ -57,6 +57,19 @@
     }
 }
 
+/// How hosts learn of each other.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Discovery {
+    /// From the platform's host list; what hosts say adds to it.
+    Listed,
+    /// From what hosts say, beginning with a few seeds.
+    Seeded,
+}
+
+/// Time after which a dead host that was only heard of is forgotten. Regions lose each other for an
+/// hour now and then.
+const FORGET_DEAD: Millis = Millis(2 * 3_600_000);
+
 /// Time after a host's start during which it suspects none that it has not heard yet: they may not
 /// have read its address and so cannot answer.
 const HEARD_WITHIN: Millis = Millis(3_000);
@@ -65,6 +78,7 @@
 #[derive(Debug)]
 pub struct Members {
     me: MemberInfo,
+    discovery: Discovery,
     /// Sorted by host.
     members: Vec<Member>,
     rumours: Rumours,
@@ -93,6 +107,7 @@
     pub fn new(host: HostId, zone: ZoneId, incarnation: u64) -> Members {
         Members {
             me: MemberInfo { host, zone, incarnation, state: MemberState::Live },
+            discovery: Discovery::Listed,
             members: Vec::new(),
             rumours: Rumours::default(),
             probing: Probing::default(),
@@ -108,6 +123,16 @@
         }
     }
 
+    /// Starts with a few hosts of which one may know the others; their zones are learned.
+    pub(crate) fn seeded(mut self, now: Millis, seeds: &[HostId]) -> Members {
+        self.discovery = Discovery::Seeded;
+        let zone = self.me.zone;
+        let row = |&host: &HostId| ListedHost { host, zone, leaving: false };
+        let rows: Vec<ListedHost> = seeds.iter().map(row).collect();
+        self.host_list(now, &rows);
+        self
+    }
+
     /// This host's own state.
     pub fn me(&self) -> MemberInfo {
         self.me
@@ -315,8 +340,8 @@
                     incarnation: 0,
                     state: MemberState::Dead,
                     since: now,
-                    listed: false,
-                    reachable: false,
+                    listed: self.discovery == Discovery::Seeded,
+                    reachable: self.discovery == Discovery::Seeded,
                 };
                 self.members.insert(at, member);
                 at
@@ -351,6 +376,19 @@
         }
     }
 
+    /// Forgets hosts that were only heard of and have been dead for long.
+    pub(crate) fn forget_dead(&mut self, now: Millis) {
+        if self.discovery == Discovery::Listed {
+            return;
+        }
+        let old = |it: &Member| it.state == MemberState::Dead && now.since(it.since) >= FORGET_DEAD;
+        if self.members.iter().any(old) {
+            self.members.retain(|it| !old(it));
+            let members = &self.members;
+            self.dead.retain(|host| members.binary_search_by_key(host, |it| it.host).is_ok());
+        }
+    }
+
     fn bury(&mut self, now: Millis, cfg: &CoreSettings) {
         while let Some(&(since, host)) = self.suspects.front() {
             if now.since(since) < cfg.suspect_ms {
--- a/crates/pomelorun-core/src/members/settling.rs
+++ b/crates/pomelorun-core/src/members/settling.rs
@@ -4,7 +4,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::{
-    members::{Members, Outbox},
+    members::{Discovery, Members, Outbox},
     settings::CoreSettings,
     time::Millis,
 };
@@ -85,10 +85,15 @@
         }
     }
 
-    /// What is not as the host list says, the newest changes first.
+    /// What the asker cannot know from elsewhere, the newest changes first: with a host list the
+    /// hosts that are not as it says, without one all.
     pub(super) fn views(&self, to: HostId, revision: u64) -> Outbox {
-        let mut found: Vec<_> =
-            self.members.iter().filter(|it| it.state != MemberState::Live).collect();
+        let all = self.discovery == Discovery::Seeded;
+        let mut found: Vec<_> = self
+            .members
+            .iter()
+            .filter(|it| it.state != MemberState::Live || all && it.incarnation > 0)
+            .collect();
         found.sort_by_key(|it| (it.host != to, std::cmp::Reverse(it.since)));
         found.truncate(PER_MESSAGE * MESSAGES);
         let mut infos: Vec<MemberInfo> = found.into_iter().map(|it| it.info()).collect();
--- a/crates/pomelorun/src/direct.rs
+++ b/crates/pomelorun/src/direct.rs
@@ -2,6 +2,8 @@
 //! platform. Everything that only one platform speaks is behind the traits of [`platform`].
 
 mod edge;
+mod feed;
+mod fleet;
 mod lines;
 mod platform;
 mod probes;
--- a/crates/pomelorun/src/direct/edge.rs
+++ b/crates/pomelorun/src/direct/edge.rs
@@ -7,9 +7,10 @@
 use pomelorun_core::{
     Millis,
     direct::{
-        DirectHost, DirectStats, Probe, ProbeFound, Published, StoreView, UpstreamKey, Verdict,
+        DirectHost, DirectStats, News, Probe, ProbeFound, Published, StoreView, UpstreamKey, Verdict,
     },
 };
+use pomelorun_wire::HostId;
 use spdlog::prelude::*;
 use tokio::{
     net::UdpSocket,
@@ -46,6 +47,7 @@
     malformed: u64,
     leaving: bool,
     probes: mpsc::UnboundedSender<Probe>,
+    news: mpsc::UnboundedSender<News>,
     lines: lines::Lines,
     status: Arc<Status>,
     held: Held,
@@ -112,6 +114,26 @@
         }
     }
 
+    /// Revision in force.
+    pub(crate) fn revision(&self) -> u64 {
+        self.host.revision()
+    }
+
+    /// Everything that is published, as far as it is known here.
+    pub(crate) fn everything(&self) -> Vec<Published> {
+        self.host.everything(now())
+    }
+
+    /// Takes in what another host of this zone has found.
+    pub(crate) fn told(&mut self, news: &News) {
+        self.host.told(now(), news);
+        self.finish();
+    }
+
+    pub(crate) fn set_hosts(&mut self, hosts: Vec<HostId>) {
+        self.host.set_hosts(hosts);
+    }
+
     pub(crate) fn store(&mut self, view: StoreView) {
         self.host.store(now(), view);
     }
@@ -202,6 +224,10 @@
             // Without a receiver the process is stopping.
             let _ = self.probes.send(it);
         }
+        let news = self.host.take_news();
+        if !news.is_empty() {
+            let _ = self.news.send(news);
+        }
         for it in self.host.take_notes() {
             self.lines.note(&it);
         }
@@ -232,7 +258,7 @@
 }
 
 /// Milliseconds that pass in a suspend too: what was known before one is old after it.
-fn now() -> Millis {
+pub(crate) fn now() -> Millis {
     let Ok(it) = clock_gettime(ClockId::CLOCK_BOOTTIME) else { return Millis(0) };
     let ms = it.tv_sec().unsigned_abs() * 1_000 + it.tv_nsec().unsigned_abs() / 1_000_000;
     Millis(ms)
@@ -253,6 +279,7 @@
         address: SocketAddrV4,
         status: Arc<Status>,
         probes: mpsc::UnboundedSender<Probe>,
+        news: mpsc::UnboundedSender<News>,
     ) -> Result<EdgeService, StartError> {
         let unbound = |e: std::io::Error| StartError {
             service: EDGE,
@@ -267,6 +294,7 @@
             malformed: 0,
             leaving: false,
             probes,
+            news,
             lines: lines::Lines::default(),
             status,
             held: Held::default(),
--- /dev/null
+++ b/crates/pomelorun/src/direct/fleet.rs
@@ -0,0 +1,219 @@
+//! The service `fleet`: datagrams between hosts.
+
+use std::{
+    cell::RefCell,
+    net::{SocketAddr, SocketAddrV4},
+    rc::Rc,
+    time::Duration,
+};
+
+use actix::Recipient;
+use pomelorun_core::{
+    Millis,
+    direct::{Fleet, FleetMsg, FleetOut, News, Readers, address_of, host_at},
+};
+use pomelorun_wire::{HostId, decode, encode};
+use spdlog::prelude::*;
+use tokio::{
+    net::UdpSocket,
+    sync::{mpsc, watch},
+    task::JoinHandle,
+    time::MissedTickBehavior,
+};
+
+use crate::{
+    batch::bind_datagrams,
+    control::Control,
+    direct::edge::{SharedEdge, now},
+    kernel::{Registry, Service, StartError, Stopped, join_aborted},
+};
+
+const FLEET: &str = "fleet";
+/// Time between two timer events of membership.
+const TICK: Duration = Duration::from_millis(100);
+/// Gap between two timer events after which the process counts as having slept: many events missed,
+/// and longer than a busy core makes them late.
+const SLEPT: Millis = Millis(1_500);
+/// Longest message: a view of forty hosts is a third of it.
+const LONGEST: usize = 4_096;
+
+/// Membership with its socket.
+pub(crate) struct FleetLink {
+    fleet: Fleet,
+    socket: Rc<UdpSocket>,
+    port: u16,
+    edge: SharedEdge,
+    readers: watch::Sender<Readers>,
+    last_tick: Millis,
+    sent_bytes: u64,
+}
+
+/// The link as the services of one thread share it.
+pub(crate) type SharedFleet = Rc<RefCell<FleetLink>>;
+
+impl FleetLink {
+    /// Tells all hosts that this one leaves.
+    pub(crate) fn leave(&mut self) {
+        let out = self.fleet.leave();
+        self.send(out);
+        self.renew();
+    }
+
+    fn tick(&mut self) {
+        let now = now();
+        if now.since(self.last_tick) >= SLEPT {
+            warn!("slept", kv: { code = "PR0302", gap_ms = now.since(self.last_tick).0 });
+            self.fleet.woke(now);
+        }
+        self.last_tick = now;
+        self.fleet.set_revision(self.edge.borrow().revision());
+        let out = self.fleet.tick(now);
+        self.send(out);
+        self.renew();
+    }
+
+    fn receive(&mut self, from: HostId, bytes: &[u8]) {
+        let msg = match decode::<FleetMsg>(bytes) {
+            Ok(it) => it,
+            Err(e) => {
+                debug!("message of a host dropped", kv: { error = e.to_string() });
+                return;
+            }
+        };
+        match msg {
+            FleetMsg::Member(msg) => {
+                let out = self.fleet.message(now(), from, &msg);
+                self.send(out);
+                self.renew();
+            }
+            FleetMsg::News(news) => self.edge.borrow_mut().told(&news),
+        }
+    }
+
+    fn spread(&mut self, news: &News) {
+        let out = self.fleet.neighbours();
+        let out = out.into_iter().map(|to| (to, FleetMsg::News(news.clone()))).collect();
+        self.send(out);
+    }
+
+    /// Tells the services that depend on who lives.
+    fn renew(&mut self) {
+        if !self.fleet.take_changed() {
+            return;
+        }
+        let live = self.fleet.live();
+        let readers = self.fleet.readers();
+        info!("hosts changed", kv: { live = live.len(), reads = readers.reads });
+        self.edge.borrow_mut().set_hosts(live);
+        self.readers.send_if_modified(|it| {
+            let changed = *it != readers;
+            *it = readers;
+            changed
+        });
+    }
+
+    fn send(&mut self, out: FleetOut) {
+        for (to, msg) in out {
+            let to = SocketAddr::from((address_of(to), self.port));
+            match encode(&msg) {
+                Ok(body) => {
+                    self.sent_bytes += body.len() as u64;
+                    // A datagram that cannot be sent is lost like any other; the next one follows.
+                    if let Err(e) = self.socket.try_send_to(&body, to) {
+                        debug!("message to a host lost", kv: { error = e.to_string() });
+                    }
+                }
+                Err(e) => error!("message to a host not written", kv: { error = e.to_string() }),
+            }
+        }
+    }
+}
+
+/// The service.
+pub(crate) struct FleetService {
+    link: SharedFleet,
+    socket: Rc<UdpSocket>,
+    news: Option<mpsc::UnboundedReceiver<News>>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl FleetService {
+    /// Binds the socket.
+    pub(crate) fn bind(
+        fleet: Fleet,
+        address: SocketAddrV4,
+        edge: SharedEdge,
+        readers: watch::Sender<Readers>,
+        news: mpsc::UnboundedReceiver<News>,
+    ) -> Result<FleetService, StartError> {
+        let unbound = |e: std::io::Error| StartError {
+            service: FLEET,
+            detail: format!("cannot bind {address}: {e}"),
+        };
+        let socket = Rc::new(bind_datagrams(address).map_err(unbound)?);
+        let link = FleetLink {
+            fleet,
+            socket: Rc::clone(&socket),
+            port: address.port(),
+            edge,
+            readers,
+            last_tick: now(),
+            sent_bytes: 0,
+        };
+        let link = Rc::new(RefCell::new(link));
+        Ok(FleetService { link, socket, news: Some(news), tasks: Vec::new() })
+    }
+
+    /// The link for other services.
+    pub(crate) fn shared(&self) -> SharedFleet {
+        Rc::clone(&self.link)
+    }
+}
+
+impl Service for FleetService {
+    fn name(&self) -> &'static str {
+        FLEET
+    }
+
+    fn start(&mut self, _: &Registry) -> Result<Option<Recipient<Control>>, StartError> {
+        self.tasks.push(actix_rt::spawn(receive(self.shared(), Rc::clone(&self.socket))));
+        self.tasks.push(actix_rt::spawn(tick(self.shared())));
+        if let Some(rx) = self.news.take() {
+            self.tasks.push(actix_rt::spawn(spread(self.shared(), rx)));
+        }
+        Ok(None)
+    }
+
+    fn stop(&mut self) -> Stopped {
+        join_aborted(std::mem::take(&mut self.tasks))
+    }
+}
+
+async fn receive(link: SharedFleet, socket: Rc<UdpSocket>) {
+    let mut buf = vec![0; LONGEST];
+    loop {
+        match socket.recv_from(&mut buf).await {
+            Ok((len, SocketAddr::V4(from))) => {
+                link.borrow_mut().receive(host_at(*from.ip()), &buf[..len]);
+            }
+            Ok(_) => {}
+            // A host's closed port shows as an error on this socket; go on reading.
+            Err(e) => debug!("receive failed", kv: { error = e.to_string() }),
+        }
+    }
+}
+
+async fn tick(link: SharedFleet) {
+    let mut timer = tokio::time::interval(TICK);
+    timer.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        timer.tick().await;
+        link.borrow_mut().tick();
+    }
+}
+
+async fn spread(link: SharedFleet, mut rx: mpsc::UnboundedReceiver<News>) {
+    while let Some(news) = rx.recv().await {
+        link.borrow_mut().spread(&news);
+    }
+}
--- a/crates/pomelorun/src/direct/reader.rs
+++ b/crates/pomelorun/src/direct/reader.rs
@@ -1,33 +1,46 @@
-//! The service `reader`: reads the directory and tells the service `edge`.
+//! The service `reader`: learns what is published, from the directory or from another host.
 
-use std::{rc::Rc, time::Duration};
+use std::{net::SocketAddrV4, rc::Rc, time::Duration};
 
 use actix::Recipient;
-use pomelorun_core::direct::{Next, Outcome, Reading, StoreView};
+use pomelorun_core::direct::{Next, Outcome, Readers, Sourcing, StoreView, address_of};
+use pomelorun_wire::HostId;
 use spdlog::prelude::*;
-use tokio::task::JoinHandle;
+use tokio::{sync::watch, task::JoinHandle, time::Instant};
 
 use crate::{
+    control::Control,
     direct::{
-        edge::SharedEdge,
+        edge::{SharedEdge, now},
+        feed::{FeedMsg, FeedStream, SharedFeed},
         platform::{Directory, SourceError},
     },
-    control::Control,
     kernel::{Registry, Service, StartError, Stopped, join_aborted},
 };
 
 const READER: &str = "reader";
+/// Time for which a followed host may be without the directory before another one is tried.
+const AWAY: Duration = Duration::from_millis(1_500);
+
+/// What the reader works with.
+pub(crate) struct Sources {
+    pub(crate) edge: SharedEdge,
+    pub(crate) feed: SharedFeed,
+    pub(crate) directory: Rc<dyn Directory>,
+    pub(crate) readers: watch::Receiver<Readers>,
+    /// Port at which other hosts give their feeds.
+    pub(crate) feed_port: u16,
+}
 
 /// The service.
 pub(crate) struct Reader {
-    edge: SharedEdge,
-    directory: Rc<dyn Directory>,
+    sources: Option<Sources>,
     task: Option<JoinHandle<()>>,
 }
 
 impl Reader {
-    pub(crate) fn new(edge: SharedEdge, directory: Rc<dyn Directory>) -> Reader {
-        Reader { edge, directory, task: None }
+    pub(crate) fn new(sources: Sources) -> Reader {
+        Reader { sources: Some(sources), task: None }
     }
 }
 
@@ -37,8 +50,9 @@
     }
 
     fn start(&mut self, _: &Registry) -> Result<Option<Recipient<Control>>, StartError> {
-        let (edge, directory) = (Rc::clone(&self.edge), Rc::clone(&self.directory));
-        self.task = Some(actix_rt::spawn(read(edge, directory)));
+        if let Some(it) = self.sources.take() {
+            self.task = Some(actix_rt::spawn(read(it)));
+        }
         Ok(None)
     }
 
@@ -47,74 +61,142 @@
     }
 }
 
-async fn read(edge: SharedEdge, directory: Rc<dyn Directory>) {
-    let mut reading = Reading::default();
+async fn read(mut sources: Sources) {
+    let mut sourcing = Sourcing::default();
     let mut outcome = None;
     let mut lost = false;
     loop {
-        let step = reading.next(outcome, rand::random());
-        let got = match step {
+        let readers = sources.readers.borrow_and_update().clone();
+        let step = sourcing.next(now(), outcome, &readers, rand::random());
+        sources.feed.borrow_mut().serve(sourcing.reads(now()));
+        outcome = Some(match step {
+            Next::Follow { host } => follow(&mut sources, host).await,
             Next::List { pause, limit } => {
                 tokio::time::sleep(span(pause.0)).await;
-                list(&edge, &*directory, span(limit.0)).await
+                let got = list(&sources, span(limit.0)).await;
+                settle(&sources, &mut lost, got)
             }
             Next::Watch { pause, after, wait, limit } => {
                 tokio::time::sleep(span(pause.0)).await;
-                watch(&edge, &*directory, after, span(wait.0), span(limit.0)).await
+                let got = watch(&sources, after, span(wait.0), span(limit.0)).await;
+                settle(&sources, &mut lost, got)
             }
-        };
-        let view = match &got {
-            Err(SourceError::Silent | SourceError::Failed(_)) => StoreView::Away,
-            Ok(_) | Err(SourceError::HistoryGone) => StoreView::Answering,
-        };
-        log_change(&mut lost, view, got.as_ref().err());
-        edge.borrow_mut().store(view);
-        outcome = Some(match got {
-            Ok(it) => it,
-            Err(SourceError::HistoryGone) => Outcome::HistoryGone,
-            Err(SourceError::Silent | SourceError::Failed(_)) => Outcome::Failed,
         });
     }
 }
 
-async fn list(
-    edge: &SharedEdge,
-    directory: &dyn Directory,
-    limit: Duration,
-) -> Result<Outcome, SourceError> {
-    let it = directory.list(limit).await?;
+/// Notes how the directory was reached.
+fn settle(sources: &Sources, lost: &mut bool, got: Result<Outcome, SourceError>) -> Outcome {
+    let view = match &got {
+        Err(SourceError::Silent | SourceError::Failed(_)) => StoreView::Away,
+        Ok(_) | Err(SourceError::HistoryGone) => StoreView::Answering,
+    };
+    match (view, *lost) {
+        (StoreView::Away, false) => {
+            let error = got.as_ref().err().map(ToString::to_string).unwrap_or_default();
+            warn!("directory lost", kv: { code = "PR0303", error });
+        }
+        (StoreView::Answering, true) => info!("directory regained"),
+        _ => {}
+    }
+    *lost = view == StoreView::Away;
+    sources.edge.borrow_mut().store(view);
+    sources.feed.borrow_mut().view(view);
+    match got {
+        Ok(it) => it,
+        Err(SourceError::HistoryGone) => Outcome::HistoryGone,
+        Err(SourceError::Silent | SourceError::Failed(_)) => Outcome::Failed,
+    }
+}
+
+async fn list(sources: &Sources, limit: Duration) -> Result<Outcome, SourceError> {
+    let it = sources.directory.list(limit).await?;
     log_unreadable(&it.unreadable);
-    let mut edge = edge.borrow_mut();
-    edge.store(StoreView::Answering);
-    edge.listing(&it.items);
+    let everything = {
+        let mut edge = sources.edge.borrow_mut();
+        edge.store(StoreView::Answering);
+        edge.listing(&it.items);
+        edge.everything()
+    };
+    sources.feed.borrow_mut().all(it.revision, everything);
     Ok(Outcome::Listed(it.revision))
 }
 
 async fn watch(
-    edge: &SharedEdge,
-    directory: &dyn Directory,
+    sources: &Sources,
     after: u64,
     wait: Duration,
     limit: Duration,
 ) -> Result<Outcome, SourceError> {
-    let it = directory.watch(after, wait, limit).await?;
+    let it = sources.directory.watch(after, wait, limit).await?;
     log_unreadable(&it.unreadable);
-    let mut edge = edge.borrow_mut();
-    edge.store(StoreView::Answering);
-    edge.published(&it.items);
-    Ok(Outcome::Watched { revision: it.revision, events: !it.items.is_empty() })
+    {
+        let mut edge = sources.edge.borrow_mut();
+        edge.store(StoreView::Answering);
+        edge.published(&it.items);
+    }
+    let events = !it.items.is_empty();
+    if events {
+        sources.feed.borrow_mut().events(it.revision, it.items);
+    }
+    Ok(Outcome::Watched { revision: it.revision, events })
 }
 
-fn log_change(lost: &mut bool, view: StoreView, error: Option<&SourceError>) {
-    match (view, *lost) {
-        (StoreView::Away, false) => {
-            let error = error.map(ToString::to_string).unwrap_or_default();
-            warn!("directory lost", kv: { code = "PR0303", error });
+/// Follows a host until it falls silent, loses the directory, or this host is to read itself.
+async fn follow(sources: &mut Sources, host: HostId) -> Outcome {
+    let address = SocketAddrV4::new(address_of(host), sources.feed_port);
+    let mut revision = None;
+    let mut stream = match FeedStream::connect(address).await {
+        Ok(it) => it,
+        Err(error) => {
+            info!("host not followed", kv: { host = address.to_string(), error });
+            return Outcome::Unfollowed { revision };
+        }
+    };
+    info!("following", kv: { host = address.to_string() });
+    let mut away_since: Option<Instant> = None;
+    loop {
+        let msg = tokio::select! {
+            msg = stream.next() => msg,
+            changed = sources.readers.changed() => {
+                if changed.is_err() || sources.readers.borrow_and_update().reads {
+                    return Outcome::Unfollowed { revision };
+                }
+                continue;
+            }
+        };
+        let away = match msg {
+            Ok(msg) => take(sources, &mut revision, msg),
+            Err(error) => {
+                info!("no longer following", kv: { host = address.to_string(), error });
+                return Outcome::Unfollowed { revision };
+            }
+        };
+        away_since = if away { away_since.or_else(|| Some(Instant::now())) } else { None };
+        if away_since.is_some_and(|it| it.elapsed() >= AWAY) {
+            info!("no longer following", kv: { host = address.to_string(), error = "it has lost the directory" });
+            return Outcome::Unfollowed { revision };
         }
-        (StoreView::Answering, true) => info!("directory regained"),
-        _ => {}
     }
-    *lost = view == StoreView::Away;
+}
+
+/// Takes in one message of a followed host; tells whether that host has lost the directory.
+fn take(sources: &Sources, revision: &mut Option<u64>, msg: FeedMsg) -> bool {
+    let mut edge = sources.edge.borrow_mut();
+    let (newest, away) = match &msg {
+        FeedMsg::All { revision, away, .. } | FeedMsg::Idle { revision, away } => (*revision, *away),
+        FeedMsg::Events { revision, .. } => (*revision, false),
+    };
+    if !away {
+        edge.store(StoreView::Answering);
+    }
+    match msg {
+        FeedMsg::All { items, .. } => edge.listing(&items),
+        FeedMsg::Events { items, .. } => edge.published(&items),
+        FeedMsg::Idle { .. } => {}
+    }
+    *revision = Some(newest);
+    away
 }
 
 fn log_unreadable(entries: &[String]) {
--- a/crates/pomelorun/src/direct/run.rs
+++ b/crates/pomelorun/src/direct/run.rs
@@ -1,21 +1,23 @@
 //! Running a daemon in direct return from start to shutdown.
 
-use std::{path::Path, rc::Rc, sync::Arc, time::Duration};
+use std::{cell::RefCell, path::Path, rc::Rc, sync::Arc, time::Duration};
 
-use pomelorun_core::direct::DirectHost;
+use pomelorun_core::direct::{DirectHost, Readers};
 use spdlog::prelude::*;
 use tokio::{
     signal::unix::{Signal, SignalKind, signal},
-    sync::mpsc,
+    sync::{mpsc, watch},
 };
 
 use crate::{
     daemon::DaemonError,
     direct::{
-        edge::{EdgeService, SharedEdge},
+        edge::{EdgeService, SharedEdge, now},
+        feed::{Feed, FeedService},
+        fleet::{FleetService, SharedFleet},
         platform::Platform,
         probes::Probes,
-        reader::Reader,
+        reader::{Reader, Sources},
         settings::DirectFile,
         web::{Status, Web},
     },
@@ -52,7 +54,7 @@
     let mut reload = signal(SignalKind::hangup()).map_err(set_up)?;
     let mut kernel = Kernel::default();
     let status = Arc::new(Status::default());
-    let edge = match start_packets(&mut kernel, file, platform, &status) {
+    let (edge, fleet) = match start_packets(&mut kernel, file, platform, &status) {
         Ok(it) => it,
         Err(e) => {
             kernel.stop().await;
@@ -69,6 +71,7 @@
     }
     wait(path, file, &mut terminate, &mut interrupt, &mut reload).await;
     edge.borrow_mut().leave();
+    fleet.borrow_mut().leave();
     let on = FORWARD_ON.min(Duration::from_secs_f64(file.bounds.grace_s * GRACE_SHARE));
     info!("leaving", kv: { forward_ms = u64::try_from(on.as_millis()).unwrap_or(u64::MAX) });
     tokio::time::sleep(on).await;
@@ -82,15 +85,33 @@
     file: &DirectFile,
     platform: Platform,
     status: &Arc<Status>,
-) -> Result<SharedEdge, StartError> {
+) -> Result<(SharedEdge, SharedFleet), StartError> {
+    let (probes, probes_rx) = mpsc::unbounded_channel();
+    let (news, news_rx) = mpsc::unbounded_channel();
+    let (readers, readers_rx) = watch::channel(Readers::default());
     let host = DirectHost::new(file.decisions());
-    let (probes, rx) = mpsc::unbounded_channel();
-    let edge = EdgeService::bind(host, platform.codec, file.packets, Arc::clone(status), probes)?;
-    let shared = edge.shared();
-    kernel.start(Box::new(edge))?;
-    kernel.start(Box::new(Probes::new(Rc::clone(&shared), platform.prober, rx)))?;
-    kernel.start(Box::new(Reader::new(Rc::clone(&shared), platform.directory)))?;
-    Ok(shared)
+    let status = Arc::clone(status);
+    let service =
+        EdgeService::bind(host, platform.codec, file.packets, status, probes, news)?;
+    let edge = service.shared();
+    kernel.start(Box::new(service))?;
+    let feed = Rc::new(RefCell::new(Feed::new()));
+    let peers = file.peers();
+    let fleet = file.fleet(now());
+    let service = FleetService::bind(fleet, peers, Rc::clone(&edge), readers, news_rx)?;
+    let fleet = service.shared();
+    let sources = Sources {
+        edge: Rc::clone(&edge),
+        feed: Rc::clone(&feed),
+        directory: platform.directory,
+        readers: readers_rx,
+        feed_port: peers.port(),
+    };
+    kernel.start(Box::new(Reader::new(sources)))?;
+    kernel.start(Box::new(service))?;
+    kernel.start(Box::new(FeedService::new(peers, Rc::clone(&edge), feed)))?;
+    kernel.start(Box::new(Probes::new(Rc::clone(&edge), platform.prober, probes_rx)))?;
+    Ok((edge, fleet))
 }
 
 /// Waits for a signal to stop; takes in the settings file again on each signal to reload.
--- a/crates/pomelorun/src/direct/settings.rs
+++ b/crates/pomelorun/src/direct/settings.rs
@@ -1,13 +1,18 @@
 //! Settings of a daemon in direct return.
 
-use std::{fs, net::SocketAddrV4, path::Path};
+use std::{
+    fs,
+    net::SocketAddrV4,
+    path::Path,
+    time::{SystemTime, UNIX_EPOCH},
+};
 
 use pomelorun_config::{Fault, Faults, from_json_strict};
 use pomelorun_core::{
-    Millis,
-    direct::{ColdRule, DirectSettings},
+    CoreSettings, Millis,
+    direct::{ColdRule, DirectSettings, Fleet, host_at},
 };
-use pomelorun_wire::{Code, HostId, ZoneId};
+use pomelorun_wire::{Code, HostId, MemberInfo, MemberState, ZoneId};
 use serde::{Deserialize, Serialize};
 
 use crate::settings::{LogSettings, SettingsError};
@@ -61,6 +66,8 @@
 const FLOWS_SHARE: u64 = 4;
 /// Bytes of one noted flow with its share of the table.
 const FLOW_BYTES: u64 = 128;
+/// Time between two probes of another host: a lost reader is noticed by its silent stream before.
+const PROBE_PERIOD: Millis = Millis(500);
 /// Time that the directory needs to list an upstream again that lapsed while it was away.
 const LAPSE_GRACE: Millis = Millis(2_000);
 /// Age of the directory's answer up to which an unknown address is refused rather than ignored:
@@ -124,12 +131,32 @@
         faults.or(file).map_err(SettingsError)
     }
 
+    /// Where other hosts reach this one, by datagram and by stream.
+    pub(crate) fn peers(&self) -> SocketAddrV4 {
+        SocketAddrV4::new(*self.packets.ip(), self.peer_ports[0])
+    }
+
+    /// The other hosts, of which only the seeds are known yet.
+    pub(crate) fn fleet(&self, now: Millis) -> Fleet {
+        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let incarnation = u64::try_from(since.as_millis()).unwrap_or(u64::MAX);
+        let me = MemberInfo {
+            host: host_at(*self.packets.ip()),
+            zone: ZoneId::from_name(&self.zone),
+            incarnation,
+            state: MemberState::Live,
+        };
+        let seeds: Vec<HostId> = self.seeds.iter().map(|it| host_at(*it.ip())).collect();
+        let cfg = CoreSettings { probe_period_ms: PROBE_PERIOD, ..CoreSettings::default() };
+        Fleet::new(now, me, &seeds, cfg, me.host.0 ^ incarnation)
+    }
+
     /// What the decisions need of the settings.
     pub(crate) fn decisions(&self) -> DirectSettings {
         let bounds = &self.bounds;
         let most = bounds.memory_mb * (1 << 20) / FLOWS_SHARE / FLOW_BYTES;
         DirectSettings {
-            host: HostId::from_name(&self.host),
+            host: host_at(*self.packets.ip()),
             zone: ZoneId::from_name(&self.zone),
             most_flows: usize::try_from(most).unwrap_or(usize::MAX),
             cold: ColdRule { over: bounds.cold_over, slack: bounds.cold_slack },
