--- a/crates/pomelorun-core/src/direct/fleet.rs
+++ b/crates/pomelorun-core/src/direct/fleet.rs
@@ -20,6 +20,9 @@
 
 /// Hosts of each zone that read the directory.
 const READERS: usize = 2;
+/// Age of a host's view of the others at which readers are chosen by it: hosts that start together
+/// have heard of each other by then.
+const SETTLED: Millis = Millis(1_500);
 /// Sets the ranking of readers apart from other rankings.
 const READER_SALT: u64 = 0x7265_6164_6572;
 
@@ -43,6 +46,8 @@
     cfg: CoreSettings,
     rng: ChaCha8Rng,
     revision: u64,
+    started: Millis,
+    settled: bool,
 }
 
 /// The identifier of the host at an address.
@@ -65,7 +70,7 @@
         seed: u64,
     ) -> Fleet {
         let members = Members::new(me.host, me.zone, me.incarnation).seeded(now, seeds);
-        Fleet { members, cfg, rng: ChaCha8Rng::seed_from_u64(seed), revision: 0 }
+        Fleet { members, cfg, rng: ChaCha8Rng::seed_from_u64(seed), revision: 0, started: now, settled: false }
     }
 
     /// Says which revision is in force here.
@@ -98,9 +103,11 @@
         out.into_iter().map(|(to, msg)| (to, FleetMsg::Member(msg))).collect()
     }
 
-    /// Tells whether who lives has changed since the last call.
-    pub fn take_changed(&mut self) -> bool {
-        self.members.take_changed()
+    /// Tells whether who lives, or who reads, may have changed since the last call.
+    pub fn take_changed(&mut self, now: Millis) -> bool {
+        let settled = self.members.has_joined() && now.since(self.started) >= SETTLED;
+        let became = settled && !std::mem::replace(&mut self.settled, settled);
+        self.members.take_changed() || became
     }
 
     /// All live hosts, this one included.
@@ -118,7 +125,7 @@
     /// Who reads the directory in this zone, the best first.
     pub fn readers(&self) -> Readers {
         let me = self.members.me();
-        if !self.members.has_joined() || me.state != MemberState::Live {
+        if !self.settled || me.state != MemberState::Live {
             return Readers::default();
         }
         let score = |it: &HostId| rendezvous_score(it.0, READER_SALT);
@@ -127,7 +134,7 @@
         ranked.truncate(READERS);
         let reads = ranked.contains(&me.host);
         ranked.retain(|it| *it != me.host);
-        Readers { ranked, reads }
+        Readers { ranked, reads, settled: true }
     }
 
     fn in_zone(&self, zone: ZoneId) -> impl Iterator<Item = HostId> {
--- a/crates/pomelorun-core/src/direct/sourcing.rs
+++ b/crates/pomelorun-core/src/direct/sourcing.rs
@@ -15,11 +15,13 @@
 /// Time that an answer may take beyond the wait: some hundred times the usual.
 const ANSWER: Millis = Millis(1_000);
 /// Pause after an event, which gathers those that come close together into one call.
-const GATHER: Millis = Millis(100);
+const GATHER: Millis = Millis(250);
 /// First pause after a failure, doubled with each further one.
 const RETRY_FIRST: Millis = Millis(100);
 /// Longest pause after failures. Far below the time in which a change must be in force.
 const RETRY_MOST: Millis = Millis(800);
+/// Pause of a host that has listed everything and does not know yet who reads in its zone.
+const SETTLE: Millis = Millis(300);
 /// Time for which a reader goes on after it was ranked lower, so that its followers need not move
 /// while the view of the zone's hosts changes to and fro.
 const READ_ON: Millis = Millis(5_000);
@@ -29,6 +31,8 @@
 /// How reading ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Outcome {
+    /// The pause is over.
+    Paused,
     /// Everything was listed, as of this revision of the directory.
     Listed(u64),
     /// Events came, or none did in time, as of this revision of the directory.
@@ -56,6 +60,8 @@
     pub ranked: Vec<HostId>,
     /// This host is one of them.
     pub reads: bool,
+    /// The view of the zone's hosts is old enough to go by it.
+    pub settled: bool,
 }
 
 /// What to do next.
@@ -79,6 +85,8 @@
         /// Time that the answer may take.
         limit: Millis,
     },
+    /// Wait, and ask again.
+    Pause(Millis),
     /// Follow another host.
     Follow {
         /// Which host.
@@ -118,6 +126,7 @@
         // The directory gets its turn, then the readers again.
         self.tries = 0;
         match self.after {
+            Some(_) if !readers.settled => Next::Pause(SETTLE),
             None => Next::List { pause, limit: ANSWER },
             Some(after) => Next::Watch { pause, after, wait: WATCH, limit: WATCH + ANSWER },
         }
@@ -130,6 +139,7 @@
 
     fn note(&mut self, outcome: Outcome, spread: f64) -> Millis {
         match outcome {
+            Outcome::Paused => Millis(0),
             Outcome::Listed(revision) => {
                 self.after = Some(revision);
                 self.failures = 0;
--- a/crates/pomelorun/src/direct/fleet.rs
+++ b/crates/pomelorun/src/direct/fleet.rs
@@ -98,7 +98,7 @@
 
     /// Tells the services that depend on who lives.
     fn renew(&mut self) {
-        if !self.fleet.take_changed() {
+        if !self.fleet.take_changed(now()) {
             return;
         }
         let live = self.fleet.live();
--- a/crates/pomelorun/src/direct/reader.rs
+++ b/crates/pomelorun/src/direct/reader.rs
@@ -69,7 +69,12 @@
         let readers = sources.readers.borrow_and_update().clone();
         let step = sourcing.next(now(), outcome, &readers, rand::random());
         sources.feed.borrow_mut().serve(sourcing.reads(now()));
+        debug!("step", kv: { step = format!("{step:?}") });
         outcome = Some(match step {
+            Next::Pause(pause) => {
+                tokio::time::sleep(span(pause.0)).await;
+                Outcome::Paused
+            }
             Next::Follow { host } => follow(&mut sources, host).await,
             Next::List { pause, limit } => {
                 tokio::time::sleep(span(pause.0)).await;
