Leave a followed host that has lost the directory, and never take in what is older

Change: a host with followers watches for 1 s at a time and tells them at once that the directory is gone; they turn to the other reader, then to the directory; a listing older than what is known is refused, since it would undo drains.

--- a/crates/pomelorun-core/src/direct.rs
+++ b/crates/pomelorun-core/src/direct.rs
@@ -35,6 +35,6 @@
     registry::{Announcement, Registry, Upstream, UpstreamIx, UpstreamKey},
     routing::{DirectRoute, RouteTarget, Routing, RoutingChange, ServiceLimits},
     segment::{Segment, SegmentKind},
-    sourcing::{Next, Outcome, Readers, Sourcing},
+    sourcing::{Followed, Next, Outcome, Readers, Sourcing},
     token::Token,
 };
--- a/crates/pomelorun-core/src/direct/sourcing.rs
+++ b/crates/pomelorun-core/src/direct/sourcing.rs
@@ -10,10 +10,17 @@
 use crate::time::Millis;
 
 /// How long a watch waits for an event. With the time that an answer may take, the longest time for
-/// which a silent connection goes unnoticed.
+/// which a silent connection goes unnoticed. A host that reads only for itself is the only one that
+/// suffers from it.
 const WATCH: Millis = Millis(3_000);
-/// Time that an answer may take beyond the wait: some hundred times the usual.
-const ANSWER: Millis = Millis(1_000);
+/// The same for a host that others follow. They must hear of a change within three seconds although
+/// the host that they follow is cut off from the directory: it notices, they turn to another host,
+/// and then to the directory itself.
+const WATCH_FOLLOWED: Millis = Millis(1_000);
+/// Time that an answer may take beyond the wait: over a hundred times the usual.
+const ANSWER: Millis = Millis(600);
+/// Time that a listing may take, of several pages.
+const LISTING: Millis = Millis(1_000);
 /// Pause after an event, which gathers those that come close together into one call.
 const GATHER: Millis = Millis(250);
 /// First pause after a failure, doubled with each further one.
@@ -64,6 +71,15 @@
     pub settled: bool,
 }
 
+/// Whether other hosts follow this one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Followed {
+    /// At least one does.
+    Yes,
+    /// None does.
+    No,
+}
+
 /// What to do next.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Next {
@@ -103,6 +119,8 @@
     failures: u32,
     /// Readers that were tried in vain in a row.
     tries: u32,
+    /// The host that was followed last.
+    last: Option<HostId>,
     /// When this host was last ranked as a reader.
     ranked: Option<Millis>,
 }
@@ -114,6 +132,7 @@
         now: Millis,
         outcome: Option<Outcome>,
         readers: &Readers,
+        followed: Followed,
         spread: f64,
     ) -> Next {
         let pause = outcome.map_or(Millis(0), |it| self.note(it, spread));
@@ -121,17 +140,29 @@
             self.ranked = Some(now);
         }
         if let Some(host) = self.reader_to_follow(now, readers, spread) {
+            self.last = Some(host);
             return Next::Follow { host };
         }
         // The directory gets its turn, then the readers again.
         self.tries = 0;
         match self.after {
             Some(_) if !readers.settled => Next::Pause(SETTLE),
-            None => Next::List { pause, limit: ANSWER },
-            Some(after) => Next::Watch { pause, after, wait: WATCH, limit: WATCH + ANSWER },
+            None => Next::List { pause, limit: LISTING },
+            Some(after) => {
+                let wait = match followed {
+                    Followed::Yes => WATCH_FOLLOWED,
+                    Followed::No => WATCH,
+                };
+                Next::Watch { pause, after, wait, limit: wait + ANSWER }
+            }
         }
     }
 
+    /// Revision of the directory up to which everything is known.
+    pub fn known(&self) -> Option<u64> {
+        self.after
+    }
+
     /// Tells whether this host reads the directory for others.
     pub fn reads(&self, now: Millis) -> bool {
         self.ranked.is_some_and(|it| now.since(it) < READ_ON)
@@ -161,7 +192,7 @@
             }
             Outcome::Unfollowed { revision } => {
                 self.tries = if revision.is_some() { 1 } else { self.tries + 1 };
-                self.after = revision.or(self.after);
+                self.after = revision.max(self.after);
                 Millis(0)
             }
         }
@@ -173,12 +204,10 @@
         if readers.reads || self.reads(now) || starting || self.tries >= TRIES {
             return None;
         }
-        let count = readers.ranked.len();
-        if count == 0 {
-            return None;
-        }
-        let first = (spread * count as f64) as usize;
-        readers.ranked.get((first + self.tries as usize) % count).copied()
+        // Another one than the last, which fell silent or has lost the directory.
+        let others = |it: &&HostId| self.tries == 0 || Some(**it) != self.last;
+        let usable: Vec<HostId> = readers.ranked.iter().filter(others).copied().collect();
+        usable.get((spread * usable.len() as f64) as usize).copied()
     }
 
     fn backoff(&self, spread: f64) -> Millis {
--- a/crates/pomelorun/src/direct/edge.rs
+++ b/crates/pomelorun/src/direct/edge.rs
@@ -100,6 +100,11 @@
 }
 
 impl Edge {
+    /// Tells whether enough is known to take callers.
+    pub(crate) fn is_informed(&self) -> bool {
+        self.host.is_ready()
+    }
+
     /// Tells whether callers' packets may come here.
     pub(crate) fn is_ready(&self) -> bool {
         !self.leaving && self.host.is_ready()
--- a/crates/pomelorun/src/direct/feed.rs
+++ b/crates/pomelorun/src/direct/feed.rs
@@ -7,7 +7,7 @@
 
 use actix::Recipient;
 use futures_util::{SinkExt, StreamExt};
-use pomelorun_core::direct::{Shared, StoreView};
+use pomelorun_core::direct::{Followed, Shared, StoreView};
 use pomelorun_wire::{decode, encode};
 use serde::{Deserialize, Serialize};
 use spdlog::prelude::*;
@@ -96,9 +96,17 @@
         self.serving = serving;
     }
 
-    /// Says how the directory is reached.
+    /// Says how the directory is reached; followers hear of a change at once.
     pub(crate) fn view(&mut self, view: StoreView) {
-        self.view = view;
+        if self.view != view {
+            self.view = view;
+            self.idle();
+        }
+    }
+
+    /// Tells whether other hosts follow this one.
+    pub(crate) fn followed(&self) -> Followed {
+        if self.tx.receiver_count() > 0 { Followed::Yes } else { Followed::No }
     }
 
     /// Notes a listing. Followers are closed, since only changes can be passed on; they begin anew.
--- a/crates/pomelorun/src/direct/reader.rs
+++ b/crates/pomelorun/src/direct/reader.rs
@@ -6,7 +6,7 @@
 use pomelorun_core::direct::{Next, Outcome, Readers, Sourcing, StoreView, address_of};
 use pomelorun_wire::HostId;
 use spdlog::prelude::*;
-use tokio::{sync::watch, task::JoinHandle, time::Instant};
+use tokio::{sync::watch, task::JoinHandle};
 
 use crate::{
     control::Control,
@@ -19,8 +19,6 @@
 };
 
 const READER: &str = "reader";
-/// Time for which a followed host may be without the directory before another one is tried.
-const AWAY: Duration = Duration::from_millis(1_500);
 
 /// What the reader works with.
 pub(crate) struct Sources {
@@ -67,7 +65,8 @@
     let mut lost = false;
     loop {
         let readers = sources.readers.borrow_and_update().clone();
-        let step = sourcing.next(now(), outcome, &readers, rand::random());
+        let followed = sources.feed.borrow().followed();
+        let step = sourcing.next(now(), outcome, &readers, followed, rand::random());
         sources.feed.borrow_mut().serve(sourcing.reads(now()));
         debug!("step", kv: { step = format!("{step:?}") });
         outcome = Some(match step {
@@ -75,7 +74,7 @@
                 tokio::time::sleep(span(pause.0)).await;
                 Outcome::Paused
             }
-            Next::Follow { host } => follow(&mut sources, host).await,
+            Next::Follow { host } => follow(&mut sources, host, sourcing.known()).await,
             Next::List { pause, limit } => {
                 tokio::time::sleep(span(pause.0)).await;
                 let got = list(&sources, span(limit.0)).await;
@@ -147,7 +146,8 @@
 }
 
 /// Follows a host until it falls silent, loses the directory, or this host is to read itself.
-async fn follow(sources: &mut Sources, host: HostId) -> Outcome {
+/// `known` is the revision of the directory up to which everything is known here.
+async fn follow(sources: &mut Sources, host: HostId, known: Option<u64>) -> Outcome {
     let address = SocketAddrV4::new(address_of(host), sources.feed_port);
     let mut revision = None;
     let has = sources.edge.borrow().revision();
@@ -158,36 +158,40 @@
             return Outcome::Unfollowed { revision };
         }
     };
-    info!("following", kv: { host = address.to_string() });
-    let mut away_since: Option<Instant> = None;
-    loop {
+    let end = loop {
         let msg = tokio::select! {
             msg = stream.next() => msg,
             changed = sources.readers.changed() => {
                 if changed.is_err() || sources.readers.borrow_and_update().reads {
-                    return Outcome::Unfollowed { revision };
+                    break "this host reads".to_owned();
                 }
                 continue;
             }
         };
-        let taken = msg.and_then(|msg| take(sources, &mut revision, msg));
-        let away = match taken {
-            Ok(it) => it,
-            Err(error) => {
-                info!("no longer following", kv: { host = address.to_string(), error });
-                return Outcome::Unfollowed { revision };
-            }
-        };
-        away_since = if away { away_since.or_else(|| Some(Instant::now())) } else { None };
-        if away_since.is_some_and(|it| it.elapsed() >= AWAY) {
-            info!("no longer following", kv: { host = address.to_string(), error = "it has lost the directory" });
-            return Outcome::Unfollowed { revision };
+        match msg.and_then(|msg| take(sources, known, &mut revision, msg)) {
+            Ok(Taken::Everything) => info!("following", kv: { host = address.to_string() }),
+            Ok(Taken::News) => {}
+            Err(e) => break e,
         }
-    }
+    };
+    info!("no longer following", kv: { host = address.to_string(), why = end });
+    Outcome::Unfollowed { revision }
+}
+
+/// What a followed host said.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Taken {
+    Everything,
+    News,
 }
 
-/// Takes in one message of a followed host; tells whether that host has lost the directory.
-fn take(sources: &Sources, revision: &mut Option<u64>, msg: FeedMsg) -> Result<bool, String> {
+/// Takes in one message of a followed host.
+fn take(
+    sources: &Sources,
+    known: Option<u64>,
+    revision: &mut Option<u64>,
+    msg: FeedMsg,
+) -> Result<Taken, String> {
     let mut edge = sources.edge.borrow_mut();
     let (newest, away) = match &msg {
         FeedMsg::All { revision, away, .. } | FeedMsg::Idle { revision, away } => {
@@ -195,9 +199,17 @@
         }
         FeedMsg::Events { revision, .. } => (*revision, false),
     };
+    // Old news would undo what is known here, but are better than none.
+    let informed = edge.is_informed();
+    if informed && known.is_some_and(|it| newest < it) {
+        return Err("it knows less than this host".to_owned());
+    }
     if !away {
         edge.store(StoreView::Answering);
+    } else if informed {
+        return Err("it has lost the directory".to_owned());
     }
+    let said = if matches!(msg, FeedMsg::All { .. }) { Taken::Everything } else { Taken::News };
     let taken = match msg {
         FeedMsg::All { items, .. } => edge.take_listing(items),
         FeedMsg::Events { items, .. } => edge.take_events(items),
@@ -205,7 +217,7 @@
     };
     taken.map_err(|e| e.to_string())?;
     *revision = Some(newest);
-    Ok(away)
+    Ok(said)
 }
 
 fn log_unreadable(entries: &[String]) {
