--- a/crates/pomelorun-core/src/direct/fleet.rs
+++ b/crates/pomelorun-core/src/direct/fleet.rs
@@ -23,6 +23,8 @@
 /// Age of a host's view of the others at which readers are chosen by it: hosts that start together
 /// have heard of each other by then.
 const SETTLED: Millis = Millis(1_500);
+/// Hosts that a host which knows nothing may ask.
+const ANYONE: usize = 8;
 /// Sets the ranking of readers apart from other rankings.
 const READER_SALT: u64 = 0x7265_6164_6572;
 
@@ -133,16 +135,30 @@
     /// Who reads the directory in this zone, the best first.
     pub fn readers(&self) -> Readers {
         let me = self.members.me();
-        if !self.settled || me.state != MemberState::Live {
+        if me.state != MemberState::Live {
             return Readers::default();
         }
+        let anyone = self.anyone();
+        if !self.settled {
+            return Readers { anyone, ..Readers::default() };
+        }
         let score = |it: &HostId| rendezvous_score(it.0, READER_SALT);
         let mut ranked: Vec<HostId> = self.in_zone(me.zone).chain([me.host]).collect();
         ranked.sort_by_key(|it| std::cmp::Reverse(score(it)));
         ranked.truncate(READERS);
         let reads = ranked.contains(&me.host);
         ranked.retain(|it| *it != me.host);
-        Readers { ranked, reads, settled: true }
+        Readers { ranked, reads, settled: true, anyone }
+    }
+
+    /// Hosts of this zone first, since the way is short, then some others.
+    fn anyone(&self) -> Vec<HostId> {
+        let zone = self.members.me().zone;
+        let others = self.members.others().iter().filter(|it| it.takes_work());
+        let mut hosts: Vec<(bool, HostId)> = others.map(|it| (it.zone != zone, it.host)).collect();
+        hosts.sort_unstable();
+        hosts.truncate(ANYONE);
+        hosts.into_iter().map(|it| it.1).collect()
     }
 
     fn in_zone(&self, zone: ZoneId) -> impl Iterator<Item = HostId> {
--- a/crates/pomelorun-core/src/direct/sourcing.rs
+++ b/crates/pomelorun-core/src/direct/sourcing.rs
@@ -69,6 +69,8 @@
     pub reads: bool,
     /// The view of the zone's hosts is old enough to go by it.
     pub settled: bool,
+    /// Hosts of any zone that may know what is published, for one that knows nothing.
+    pub anyone: Vec<HostId>,
 }
 
 /// Whether other hosts follow this one.
@@ -198,16 +200,20 @@
         }
     }
 
-    /// A host that knows nothing asks the directory first, which is there more often than not.
+    /// A host that knows nothing asks the directory first, which is there more often than not, and
+    /// then whoever may know, by turns with the directory.
     fn reader_to_follow(&self, now: Millis, readers: &Readers, spread: f64) -> Option<HostId> {
-        let starting = self.after.is_none() && self.failures == 0;
-        if readers.reads || self.reads(now) || starting || self.tries >= TRIES {
+        if self.after.is_none() {
+            let asked = self.failures == 0 || self.tries >= TRIES;
+            return if asked { None } else { pick(&readers.anyone, spread) };
+        }
+        if readers.reads || self.reads(now) || self.tries >= TRIES {
             return None;
         }
         // Another one than the last, which fell silent or has lost the directory.
         let others = |it: &&HostId| self.tries == 0 || Some(**it) != self.last;
         let usable: Vec<HostId> = readers.ranked.iter().filter(others).copied().collect();
-        usable.get((spread * usable.len() as f64) as usize).copied()
+        pick(&usable, spread)
     }
 
     fn backoff(&self, spread: f64) -> Millis {
@@ -216,3 +222,7 @@
         Millis((most * (0.5 + spread / 2.0)) as u64)
     }
 }
+
+fn pick(hosts: &[HostId], spread: f64) -> Option<HostId> {
+    hosts.get((spread * hosts.len() as f64) as usize).copied()
+}
--- a/crates/pomelorun-core/tests/core/direct/sourcing.rs
+++ b/crates/pomelorun-core/tests/core/direct/sourcing.rs
@@ -10,11 +10,11 @@
 const B: HostId = HostId(11);
 
 fn follower() -> Readers {
-    Readers { ranked: vec![A, B], reads: false, settled: true }
+    Readers { ranked: vec![A, B], reads: false, settled: true, anyone: vec![A, B] }
 }
 
 fn reader() -> Readers {
-    Readers { ranked: vec![B], reads: true, settled: true }
+    Readers { ranked: vec![B], reads: true, settled: true, anyone: vec![B] }
 }
 
 fn listed(sourcing: &mut Sourcing, readers: &Readers) -> Next {
@@ -116,3 +116,18 @@
     assert!(matches!(next, Next::Follow { .. }), "{next:?}");
     assert!(!sourcing.reads(Millis(9_000)));
 }
+
+#[test]
+fn a_host_that_knows_nothing_asks_whoever_may_while_the_directory_is_away() {
+    for readers in [follower(), reader()] {
+        let mut sourcing = Sourcing::default();
+        sourcing.next(Millis(0), None, &readers, Followed::No, 0.5);
+        let failed = Some(Outcome::Failed);
+        let next = sourcing.next(Millis(1_000), failed, &readers, Followed::No, 0.5);
+        assert!(matches!(next, Next::Follow { .. }), "{next:?}");
+        let vain = Some(Outcome::Unfollowed { revision: None });
+        sourcing.next(Millis(1_100), vain, &readers, Followed::No, 0.5);
+        let next = sourcing.next(Millis(1_200), vain, &readers, Followed::No, 0.5);
+        assert!(matches!(next, Next::List { .. }), "{next:?}");
+    }
+}
--- a/crates/pomelorun/src/direct/edge.rs
+++ b/crates/pomelorun/src/direct/edge.rs
@@ -48,6 +48,8 @@
     out: Outgoing,
     malformed: u64,
     leaving: bool,
+    /// Live hosts, this one included.
+    hosts: usize,
     probes: mpsc::UnboundedSender<Probe>,
     news: mpsc::UnboundedSender<News>,
     lines: lines::Lines,
@@ -98,6 +100,7 @@
     pub(crate) unsent: u64,
     pub(crate) flows: usize,
     pub(crate) revision: u64,
+    pub(crate) hosts: usize,
 }
 
 impl Edge {
@@ -123,6 +126,7 @@
             unsent: self.out.dropped(),
             flows: self.host.flows(),
             revision: self.host.revision(),
+            hosts: self.hosts,
         }
     }
 
@@ -181,6 +185,7 @@
     }
 
     pub(crate) fn set_hosts(&mut self, hosts: Vec<HostId>) {
+        self.hosts = hosts.len();
         self.host.set_hosts(hosts);
     }
 
@@ -294,6 +299,7 @@
             ("pomelorun_upstream_answering_total", it.answering),
             ("pomelorun_flows", self.flows as u64),
             ("pomelorun_revision", self.revision),
+            ("pomelorun_hosts_live", self.hosts as u64),
         ];
         rows.iter().map(|(name, value)| format!("{name} {value}\n")).collect()
     }
@@ -335,6 +341,7 @@
             out: Outgoing::new(),
             malformed: 0,
             leaving: false,
+            hosts: 0,
             probes,
             news,
             lines: lines::Lines::default(),
--- a/crates/pomelorun/src/direct/feed.rs
+++ b/crates/pomelorun/src/direct/feed.rs
@@ -196,7 +196,7 @@
     loop {
         tokio::select! {
             accepted = listener.accept() => match accepted {
-                Ok((stream, _)) if streams.len() < MOST_FOLLOWERS && feed.borrow().serving => {
+                Ok((stream, _)) if streams.len() < MOST_FOLLOWERS => {
                     streams.spawn_local(give(stream, Rc::clone(&edge), Rc::clone(&feed)));
                 }
                 // The follower asks another host.
@@ -211,7 +211,8 @@
     }
 }
 
-/// Serves one follower until it goes or this host stops reading.
+/// Serves one follower until it goes or this host stops reading. One that does not read says what it
+/// knows, which helps a host that knows nothing, and ends the stream.
 async fn give(stream: TcpStream, edge: SharedEdge, feed: SharedFeed) {
     let accepted = accept_async_with_config(stream, Some(limits()));
     let Ok(Ok(mut socket)) = timeout(STEP_TIME, accepted).await else { return };
@@ -219,11 +220,15 @@
         return;
     };
     let Ok(Hello { has }) = decode(&hello) else { return };
-    let (mut rx, first) = {
+    if !edge.borrow().is_informed() {
+        return;
+    }
+    let (mut rx, serving, first) = {
         let feed = feed.borrow();
         let items = edge.borrow().everything(has);
-        let all = FeedMsg::All { revision: feed.revision, away: feed.is_away(), items };
-        (feed.tx.subscribe(), encode(&all))
+        let away = feed.is_away() || !feed.serving;
+        let all = FeedMsg::All { revision: feed.revision, away, items };
+        (feed.tx.subscribe(), feed.serving, encode(&all))
     };
     let mut body: Bytes = match first {
         Ok(it) => it.into(),
@@ -238,6 +243,9 @@
             // The follower is gone, or too slow and starts anew.
             Ok(Err(_)) | Err(_) => return,
         }
+        if !serving {
+            return;
+        }
         body = match rx.recv().await {
             Ok(Push::Send(it)) => it,
             Ok(Push::Close) | Err(_) => return,
