--- a/crates/pomelorun-core/tests/core/direct/world.rs
+++ b/crates/pomelorun-core/tests/core/direct/world.rs
@@ -368,10 +368,10 @@
             },
             Phase::Thinking => return,
         };
-        self.to_host(caller, seg);
+        self.through_host(caller, seg);
     }
 
-    fn to_host(&mut self, caller: usize, seg: Segment) {
+    fn through_host(&mut self, caller: usize, seg: Segment) {
         let zone = self.callers[caller].zone;
         let per_zone = self.shape.hosts_per_zone as u64;
         let first = u64::from(zone.0 - 1) * per_zone;
@@ -451,7 +451,7 @@
         let (flow, token, seq, ack, step) = (it.flow, it.token, it.seq, it.ack, it.step);
         if !self.lost() {
             let kind = SegmentKind::Data;
-            self.to_host(caller, Segment { flow, kind, token, seq, ack, len: 0 });
+            self.through_host(caller, Segment { flow, kind, token, seq, ack, len: 0 });
         }
         let think = self.rng.random_range(1..=self.shape.think);
         self.at(think, Event::Think { caller, step });
