--- a/crates/pomelorun-core/src/direct.rs
+++ b/crates/pomelorun-core/src/direct.rs
@@ -8,6 +8,7 @@
 mod fleet;
 mod flows;
 mod host;
+mod latency;
 mod liveness;
 mod load;
 mod note;
@@ -27,6 +28,7 @@
         DirectHost, DirectSettings, DirectStats, Probe, Published, ResetSent, Shared, StoreView,
         Verdict,
     },
+    latency::{BOUNDS, Latency},
     liveness::{Evidence, Liveness, ProbeFound, ProbeKind, Probed, Standing},
     load::Load,
     note::{DropWhy, Lifecycle, Note, OpenWhy, ResetWhy},
--- a/crates/pomelorun-core/src/direct/host.rs
+++ b/crates/pomelorun-core/src/direct/host.rs
@@ -11,6 +11,7 @@
     direct::{
         cold::{ColdBudget, ColdRule},
         flows::{Flow, FlowNotes, Tried},
+        latency::Latency,
         liveness::{COPY_GAP, Liveness, ProbeFound, ProbeKind, Probed, Standing},
         load::Load,
         note::{DropWhy, Lifecycle, Note, OpenWhy, ResetWhy},
@@ -158,6 +159,12 @@
     pub answering: u64,
     /// Times that an upstream was not given up since most of the zone looked silent.
     pub own_faults: u64,
+    /// Probes sent.
+    pub probes: u64,
+    /// Time from an opening packet to the flow's next one.
+    pub open: Latency,
+    /// Time from a caller's data to its acknowledgement of the answer.
+    pub answer: Latency,
     /// Notes that were dropped since nobody took them.
     pub notes_lost: u64,
 }
@@ -232,6 +239,11 @@
         self.stats
     }
 
+    /// How the directory is reached.
+    pub fn store_view(&self) -> StoreView {
+        self.store
+    }
+
     /// Number of flows noted.
     pub fn flows(&self) -> usize {
         self.flows.len()
@@ -436,7 +448,8 @@
             let seen = &mut self.seen;
             self.flows.sweep(now - idle, parts, |flow| leave(seen, &flow));
         }
-        for ix in self.registry.forget_old(now, self.cfg.flow_lifetime) {
+        for (ix, upstream) in self.registry.forget_old(now, self.cfg.flow_lifetime) {
+            self.note(Note::Upstream { upstream, state: Lifecycle::Forgotten, cold: Millis(0) });
             for flow in self.flows.take_of(ix) {
                 leave(&mut self.seen, &flow);
             }
@@ -698,8 +711,8 @@
         flow.seen = now;
         if seq_after(seg.ack, flow.ack) {
             flow.ack = seg.ack;
-            let waited = flow.asked.take().is_some();
-            if waited {
+            if let Some(asked) = flow.asked.take() {
+                self.stats.answer.record(now.since(asked).0);
                 let load = &mut self.seen[ix.0 as usize].load;
                 load.waiting = load.waiting.saturating_sub(1);
             }
@@ -724,8 +737,10 @@
 
     /// Notes a flow at its first packet after the opening one, or when it comes from another host.
     fn adopt(&mut self, now: Millis, ix: UpstreamIx, seg: &Segment) {
-        let opened_here = self.flows.remove(&seg.flow).is_some();
-        if opened_here {
+        if let Some(opening) = self.flows.remove(&seg.flow) {
+            if let Some(asked) = opening.asked {
+                self.stats.open.record(now.since(asked).0);
+            }
             self.alive(now, ix);
         }
         let asks = seg.len > 0;
@@ -779,6 +794,7 @@
         let Some(it) = self.registry.get(ix).filter(|it| !it.ended) else { return };
         let limits = self.routing.limits(&it.said.service);
         let path = limits.map(|it| it.health_path.clone()).unwrap_or_default();
+        self.stats.probes += 1;
         self.probes.push(Probe { upstream: it.said.key, addr: it.said.addr, kind, path });
     }
 
--- a/crates/pomelorun-core/src/direct/note.rs
+++ b/crates/pomelorun-core/src/direct/note.rs
@@ -29,15 +29,11 @@
     Ended,
     /// No route leads from its address.
     NoRoute,
-    /// No upstream of its service can take it.
-    NoUpstream,
 }
 
 /// Why a packet was dropped.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum DropWhy {
-    /// Not a packet of a caller.
-    Malformed,
     /// No route leads from its address, and the revision may be old.
     NoRoute,
     /// No upstream of its service is known yet.
--- a/crates/pomelorun-core/src/direct/registry.rs
+++ b/crates/pomelorun-core/src/direct/registry.rs
@@ -199,11 +199,16 @@
         was
     }
 
-    /// Forgets upstreams whose last announcement is `keep` old; returns their positions.
-    pub(crate) fn forget_old(&mut self, now: Millis, keep: Millis) -> Vec<UpstreamIx> {
+    /// Forgets upstreams whose last announcement is `keep` old; returns where and who they were.
+    pub(crate) fn forget_old(
+        &mut self,
+        now: Millis,
+        keep: Millis,
+    ) -> Vec<(UpstreamIx, UpstreamKey)> {
         let old = |it: &Upstream| it.lapsed.is_some_and(|at| now.since(at) >= keep);
-        let found: Vec<UpstreamIx> = self.iter().filter(|it| old(it.1)).map(|it| it.0).collect();
-        for &ix in &found {
+        let found: Vec<(UpstreamIx, UpstreamKey)> =
+            self.iter().filter(|it| old(it.1)).map(|it| (it.0, it.1.said.key)).collect();
+        for &(ix, _) in &found {
             self.remove(ix);
         }
         found
--- a/crates/pomelorun-wire/src/code.rs
+++ b/crates/pomelorun-wire/src/code.rs
@@ -88,4 +88,36 @@
     WOKE_LATE = 302, "woke_late", "the process slept and checks its views before it acts", "look for an overloaded or frozen machine";
     CONFIG_STALE = 303, "config_stale", "the config service does not answer", "look at the service; the last revision stays in force";
     VIEW_UNCHECKED = 304, "view_unchecked", "the host has joined or slept and checks its view of the others", "none: the caller is told to come back";
+    DIRECTORY_REGAINED = 305, "directory_regained", "the directory answers again", "none";
+    HOSTS_CHANGED = 306, "hosts_changed", "another host was found, lost or is leaving", "look at the host if it was not meant";
+    FOLLOWING = 307, "following", "what is published is learned from another host", "none";
+    UNFOLLOWED = 308, "unfollowed", "the host that was followed fell silent, lost the directory or stopped reading", "none: another host or the directory is asked";
+    // Direct return.
+    FLOW_OPENED = 400, "flow_opened", "the opening packet of a flow was sent to an upstream", "none";
+    ENTRY_UNREADABLE = 401, "entry_unreadable", "an entry of the directory cannot be used", "look for who wrote it; the upstream it names gets no flow";
+    FLOW_COPIED = 402, "flow_copied", "a copy of an opening packet was sent to another upstream", "look at the upstream that did not answer the first one";
+    FLOW_RESET_UNREACHABLE = 403, "flow_reset_unreachable", "a flow was reset since its upstream does not answer", "look at the upstream and the way to it";
+    FLOW_RESET_ENDED = 404, "flow_reset_ended", "a flow was reset since its upstream has ended", "none: the caller opens a new flow";
+    FLOW_RESET_NO_ROUTE = 405, "flow_reset_no_route", "no route leads from the address that a caller opened a flow to", "publish the route or mend the caller";
+    PACKET_NO_ROUTE = 406, "packet_no_route", "a packet was dropped: no route is known and the revision may be old", "look at the directory; the caller repeats the packet";
+    PACKET_NO_UPSTREAM = 407, "packet_no_upstream", "an opening packet was dropped: no upstream of the service can take it", "look at the service's upstreams; the caller repeats the packet";
+    PACKET_UNKNOWN_TOKEN = 408, "packet_unknown_token", "a packet was dropped: no upstream has the token that it carries", "none if its upstream is long gone; the caller gives up at its time limit";
+    UPSTREAM_SUSPECTED = 410, "upstream_suspected", "a caller repeats a packet in vain; the upstream is probed", "none unless it recurs";
+    UPSTREAM_UNREACHABLE = 411, "upstream_unreachable", "an upstream does not answer callers nor a probe; its flows are reset", "look at the upstream and the way to it";
+    UPSTREAM_ANSWERS = 412, "upstream_answers", "an unreachable upstream answers again", "none";
+    OWN_FAULT = 413, "own_fault", "an upstream is kept since most of the host's zone looks silent", "look at the host's link and processor";
+    UPSTREAM_ANNOUNCED = 414, "upstream_announced", "an upstream is announced for the first time", "none";
+    UPSTREAM_CHANGED = 415, "upstream_changed", "an upstream says something else or is announced again", "none";
+    UPSTREAM_DRAINING = 416, "upstream_draining", "an upstream leaves and gets no new flow", "none";
+    UPSTREAM_LAPSED = 417, "upstream_lapsed", "an upstream is no longer announced", "look at it if it was not meant to leave";
+    UPSTREAM_ENDED = 418, "upstream_ended", "an upstream has ended: its identifier or address has a later owner", "none";
+    UPSTREAM_FORGOTTEN = 419, "upstream_forgotten", "an upstream lapsed so long ago that no flow of it can live", "none";
+    REVISION = 420, "revision", "a revision of the configuration is in force", "none";
+    ZONE_TAKEN_OUT = 421, "zone_taken_out", "nothing new goes to a zone", "none";
+    ZONE_TAKEN_BACK = 422, "zone_taken_back", "a zone is used again", "none";
+    LINES_LEFT_OUT = 427, "lines_left_out", "lines for flows that opened as they should, or for malformed packets, were not written", "none: counters have them all";
+    STARTED = 430, "started", "the daemon has started", "none";
+    LEAVING_HOST = 431, "leaving_host", "the daemon was asked to stop, refuses new flows and forwards on", "none";
+    STOPPED = 432, "stopped", "the daemon has stopped", "none";
+    RELOADED = 433, "reloaded", "the settings file was read again", "restart the daemon if the line says so";
 }
--- a/crates/pomelorun/src/direct.rs
+++ b/crates/pomelorun/src/direct.rs
@@ -5,6 +5,7 @@
 mod feed;
 mod fleet;
 mod lines;
+mod metrics;
 mod platform;
 mod probes;
 mod reader;
--- a/crates/pomelorun/src/direct/edge.rs
+++ b/crates/pomelorun/src/direct/edge.rs
@@ -101,6 +101,10 @@
     pub(crate) flows: usize,
     pub(crate) revision: u64,
     pub(crate) hosts: usize,
+    pub(crate) held_lost: u64,
+    pub(crate) directory_away: bool,
+    /// Set by the status, which the log's counter is shared with.
+    pub(crate) lines_dropped: u64,
 }
 
 impl Edge {
@@ -127,6 +131,9 @@
             flows: self.host.flows(),
             revision: self.host.revision(),
             hosts: self.hosts,
+            held_lost: self.held.lost,
+            directory_away: self.host.store_view() == StoreView::Away,
+            lines_dropped: 0,
         }
     }
 
@@ -252,7 +259,7 @@
         self.host.tick(now());
         self.finish();
         self.status.set(self.is_ready(), self.stats());
-        self.lines.flush();
+        self.lines.tick(now());
     }
 
     pub(crate) fn probed(&mut self, key: UpstreamKey, found: ProbeFound) {
@@ -281,30 +288,6 @@
     }
 }
 
-impl EdgeStats {
-    /// The counts as Prometheus text.
-    pub(crate) fn text(&self) -> String {
-        let it = &self.decisions;
-        let rows = [
-            ("pomelorun_packets_forwarded_total", it.forwarded),
-            ("pomelorun_flows_opened_total", it.opened),
-            ("pomelorun_flow_copies_total", it.copies),
-            ("pomelorun_flow_resets_total", it.resets),
-            ("pomelorun_packets_no_route_total", it.no_route),
-            ("pomelorun_packets_no_upstream_total", it.no_upstream),
-            ("pomelorun_packets_unknown_token_total", it.unknown_token),
-            ("pomelorun_packets_malformed_total", self.malformed),
-            ("pomelorun_packets_unsent_total", self.unsent),
-            ("pomelorun_upstream_unreachable_total", it.unreachable),
-            ("pomelorun_upstream_answering_total", it.answering),
-            ("pomelorun_flows", self.flows as u64),
-            ("pomelorun_revision", self.revision),
-            ("pomelorun_hosts_live", self.hosts as u64),
-        ];
-        rows.iter().map(|(name, value)| format!("{name} {value}\n")).collect()
-    }
-}
-
 /// Milliseconds that pass in a suspend too: what was known before one is old after it.
 pub(crate) fn now() -> Millis {
     let Ok(it) = clock_gettime(ClockId::CLOCK_BOOTTIME) else { return Millis(0) };
--- a/crates/pomelorun/src/direct/fleet.rs
+++ b/crates/pomelorun/src/direct/fleet.rs
@@ -12,7 +12,7 @@
     Millis,
     direct::{Fleet, FleetMsg, FleetOut, News, Readers, address_of, host_at},
 };
-use pomelorun_wire::{HostId, decode, encode};
+use pomelorun_wire::{Code, HostId, decode, encode};
 use spdlog::prelude::*;
 use tokio::{
     net::UdpSocket,
@@ -62,7 +62,7 @@
     fn tick(&mut self) {
         let now = now();
         if now.since(self.last_tick) >= SLEPT {
-            warn!("slept", kv: { code = "PR0302", gap_ms = now.since(self.last_tick).0 });
+            warn!("slept", kv: { code = Code::WOKE_LATE.to_string(), gap_ms = now.since(self.last_tick).0 });
             self.fleet.woke(now);
         }
         self.last_tick = now;
@@ -103,7 +103,7 @@
         }
         let live = self.fleet.live();
         let readers = self.fleet.readers();
-        info!("hosts changed", kv: { live = live.len(), reads = readers.reads });
+        info!("hosts changed", kv: { code = Code::HOSTS_CHANGED.to_string(), live = live.len(), reads = readers.reads });
         self.edge.borrow_mut().set_hosts(live);
         self.readers.send_if_modified(|it| {
             let changed = *it != readers;
--- a/crates/pomelorun/src/direct/lines.rs
+++ b/crates/pomelorun/src/direct/lines.rs
@@ -1,74 +1,173 @@
 //! Log lines for the decisions of the edge.
+//!
+//! One line for each decision. Of flows that open as they should only some are written in a second,
+//! and how many were left out is written too; failures and changes of belief are always written.
 
-use pomelorun_core::direct::{Note, UpstreamKey};
+use pomelorun_core::{
+    Millis,
+    direct::{DropWhy, Lifecycle, Note, ResetWhy, UpstreamKey},
+};
+use pomelorun_wire::{Code, FlowKey};
 use spdlog::prelude::*;
 
 use crate::direct::platform::Malformed;
 
+/// Lines a second for flows that open at the first packet. Ten seconds of them are read at a glance,
+/// and they cost less than a hundredth of a small core.
+const OPENED_PER_S: u32 = 20;
+/// Lines a second for packets that are no caller's: they may come in any number from anywhere.
+const MALFORMED_PER_S: u32 = 5;
+const SECOND: Millis = Millis(1_000);
+
 /// Writes notes as log lines.
 #[derive(Debug, Default)]
-pub(crate) struct Lines {}
+pub(crate) struct Lines {
+    opened: Sampled,
+    malformed: Sampled,
+    second: Millis,
+}
+
+/// A kind of line of which only some are written.
+#[derive(Debug, Default)]
+struct Sampled {
+    written: u32,
+    left_out: u64,
+}
+
+impl Sampled {
+    fn admit(&mut self, most: u32) -> bool {
+        if self.written < most {
+            self.written += 1;
+            return true;
+        }
+        self.left_out += 1;
+        false
+    }
+
+    fn begin(&mut self) -> u64 {
+        self.written = 0;
+        std::mem::take(&mut self.left_out)
+    }
+}
 
 impl Lines {
+    /// Notes a packet that is no caller's.
     pub(crate) fn malformed(&mut self, why: Malformed) {
-        debug!("packet dropped", kv: { code = "PR0100", why = why.to_string() });
+        if self.malformed.admit(MALFORMED_PER_S) {
+            info!("packet dropped", kv: { code = Code::PACKET_MALFORMED.to_string(), why = why.to_string() });
+        }
     }
 
+    /// Writes one decision.
     pub(crate) fn note(&mut self, note: &Note) {
         match note {
             Note::Opened { flow, upstream, why, revision } => {
-                debug!("flow opened", kv: {
-                    flow = flow.to_string(), upstream = id(upstream), choice = format!("{:?}", why.choice),
-                    candidates = why.candidates, waiting = why.waiting, copies = why.copies,
-                    revision = *revision
+                let copy = why.copies > 0;
+                if !copy && !self.opened.admit(OPENED_PER_S) {
+                    return;
+                }
+                let code = if copy { Code::FLOW_COPIED } else { Code::FLOW_OPENED };
+                info!("flow opened", kv: {
+                    code = code.to_string(), flow = flow.to_string(), upstream = id(upstream),
+                    choice = format!("{:?}", why.choice), candidates = why.candidates,
+                    waiting = why.waiting, copies = why.copies, revision = *revision
                 });
             }
             Note::Reset { flow, upstream, why, silent } => {
-                info!("flow reset", kv: {
-                    flow = flow.to_string(), upstream = upstream.as_ref().map(id).unwrap_or_default(),
-                    why = format!("{why:?}"), silent_ms = silent.0
-                });
+                reset(flow, upstream.as_ref(), *why, *silent)
             }
             Note::Dropped { flow, why, token } => {
-                info!("packet dropped", kv: {
-                    flow = flow.to_string(), why = format!("{why:?}"), token = token.to_string()
+                let code = match why {
+                    DropWhy::NoRoute => Code::PACKET_NO_ROUTE,
+                    DropWhy::NoUpstream => Code::PACKET_NO_UPSTREAM,
+                    DropWhy::UnknownToken => Code::PACKET_UNKNOWN_TOKEN,
+                };
+                warn!("packet dropped", kv: {
+                    code = code.to_string(), flow = flow.to_string(), token = token.to_string()
                 });
             }
             Note::Suspected { upstream, flow, silent } => {
                 info!("upstream suspected", kv: {
-                    upstream = id(upstream), flow = flow.to_string(), silent_ms = silent.0
+                    code = Code::UPSTREAM_SUSPECTED.to_string(), upstream = id(upstream),
+                    flow = flow.to_string(), waited_ms = silent.0
                 });
             }
-            Note::Unreachable { upstream, flows, silent, told } => {
-                warn!("upstream unreachable", kv: {
-                    upstream = id(upstream), flows = *flows, silent_ms = silent.0, told = *told
+            Note::OwnFault { upstream, silent } => {
+                warn!("upstream kept, most of the own zone looks silent", kv: {
+                    code = Code::OWN_FAULT.to_string(), upstream = id(upstream),
+                    waited_ms = silent.0
                 });
             }
-            Note::OwnFault { upstream, silent } => {
-                warn!("upstream kept, the whole zone looks silent", kv: {
-                    upstream = id(upstream), silent_ms = silent.0
+            Note::Unreachable { upstream, flows, silent, told } => {
+                warn!("upstream unreachable", kv: {
+                    code = Code::UPSTREAM_UNREACHABLE.to_string(), upstream = id(upstream),
+                    flows_reset = *flows, waited_ms = silent.0, told_by_another_host = *told
                 });
             }
             Note::Answering { upstream, after } => {
-                info!("upstream answers again", kv: { upstream = id(upstream), after_ms = after.0 });
+                info!("upstream answers again", kv: {
+                    code = Code::UPSTREAM_ANSWERS.to_string(), upstream = id(upstream),
+                    after_ms = after.0
+                });
             }
             Note::Upstream { upstream, state, cold } => {
+                let (code, text) = lifecycle(*state);
                 info!("upstream", kv: {
-                    upstream = id(upstream), state = format!("{state:?}"), cold_ms = cold.0
+                    code = code.to_string(), state = text, upstream = id(upstream),
+                    born = upstream.born, cold_ms = cold.0
                 });
             }
             Note::Revision { revision, routes } => {
-                info!("revision in force", kv: { revision = *revision, routes = *routes });
+                info!("revision in force", kv: {
+                    code = Code::REVISION.to_string(), revision = *revision, routes = *routes
+                });
+            }
+            Note::Zone { zone, out } => {
+                let code = if *out { Code::ZONE_TAKEN_OUT } else { Code::ZONE_TAKEN_BACK };
+                info!("zone", kv: { code = code.to_string(), zone = zone.0, out = *out });
             }
-            Note::Zone { zone, out } => info!("zone", kv: { zone = zone.0, out = *out }),
         }
     }
 
-    pub(crate) fn flush(&mut self) {
+    /// Begins a new second where one is over, and hands the lines to the reader of the log.
+    pub(crate) fn tick(&mut self, now: Millis) {
+        if now.since(self.second) >= SECOND {
+            self.second = now;
+            let opened = self.opened.begin();
+            let malformed = self.malformed.begin();
+            if opened + malformed > 0 {
+                info!("lines left out", kv: {
+                    code = Code::LINES_LEFT_OUT.to_string(), opened, malformed
+                });
+            }
+        }
         spdlog::default_logger().flush();
     }
 }
 
+fn reset(flow: &FlowKey, upstream: Option<&UpstreamKey>, why: ResetWhy, silent: Millis) {
+    let code = match why {
+        ResetWhy::Unreachable => Code::FLOW_RESET_UNREACHABLE,
+        ResetWhy::Ended => Code::FLOW_RESET_ENDED,
+        ResetWhy::NoRoute => Code::FLOW_RESET_NO_ROUTE,
+    };
+    warn!("flow reset", kv: {
+        code = code.to_string(), flow = flow.to_string(),
+        upstream = upstream.map(id).unwrap_or_default(), silent_ms = silent.0
+    });
+}
+
+fn lifecycle(state: Lifecycle) -> (Code, &'static str) {
+    match state {
+        Lifecycle::Announced => (Code::UPSTREAM_ANNOUNCED, "announced"),
+        Lifecycle::Changed => (Code::UPSTREAM_CHANGED, "changed"),
+        Lifecycle::Draining => (Code::UPSTREAM_DRAINING, "draining"),
+        Lifecycle::Lapsed => (Code::UPSTREAM_LAPSED, "lapsed"),
+        Lifecycle::Ended => (Code::UPSTREAM_ENDED, "ended"),
+        Lifecycle::Forgotten => (Code::UPSTREAM_FORGOTTEN, "forgotten"),
+    }
+}
+
 fn id(key: &UpstreamKey) -> String {
     format!("{:016x}", key.id)
 }
--- a/crates/pomelorun/src/direct/reader.rs
+++ b/crates/pomelorun/src/direct/reader.rs
@@ -4,7 +4,7 @@
 
 use actix::Recipient;
 use pomelorun_core::direct::{Next, Outcome, Readers, Sourcing, StoreView, address_of};
-use pomelorun_wire::HostId;
+use pomelorun_wire::{Code, HostId};
 use spdlog::prelude::*;
 use tokio::{sync::watch, task::JoinHandle};
 
@@ -98,9 +98,11 @@
     match (view, *lost) {
         (StoreView::Away, false) => {
             let error = got.as_ref().err().map(ToString::to_string).unwrap_or_default();
-            warn!("directory lost", kv: { code = "PR0303", error });
+            warn!("directory lost", kv: { code = Code::CONFIG_STALE.to_string(), error });
         }
-        (StoreView::Answering, true) => info!("directory regained"),
+        (StoreView::Answering, true) => info!("directory regained", kv: {
+            code = Code::DIRECTORY_REGAINED.to_string()
+        }),
         _ => {}
     }
     *lost = view == StoreView::Away;
@@ -154,7 +156,7 @@
     let mut stream = match FeedStream::connect(address, has).await {
         Ok(it) => it,
         Err(error) => {
-            info!("host not followed", kv: { host = address.to_string(), error });
+            info!("host not followed", kv: { code = Code::UNFOLLOWED.to_string(), host = address.to_string(), error });
             return Outcome::Unfollowed { revision };
         }
     };
@@ -169,12 +171,14 @@
             }
         };
         match msg.and_then(|msg| take(sources, known, &mut revision, msg)) {
-            Ok(Taken::Everything) => info!("following", kv: { host = address.to_string() }),
+            Ok(Taken::Everything) => {
+                info!("following", kv: { code = Code::FOLLOWING.to_string(), host = address.to_string() })
+            }
             Ok(Taken::News) => {}
             Err(e) => break e,
         }
     };
-    info!("no longer following", kv: { host = address.to_string(), why = end });
+    info!("no longer following", kv: { code = Code::UNFOLLOWED.to_string(), host = address.to_string(), why = end });
     Outcome::Unfollowed { revision }
 }
 
@@ -222,7 +226,7 @@
 
 fn log_unreadable(entries: &[String]) {
     for it in entries {
-        warn!("entry of the directory not used", kv: { code = "PR0401", entry = it.as_str() });
+        warn!("entry of the directory not used", kv: { code = Code::ENTRY_UNREADABLE.to_string(), entry = it.as_str() });
     }
 }
 
--- a/crates/pomelorun/src/direct/run.rs
+++ b/crates/pomelorun/src/direct/run.rs
@@ -1,8 +1,15 @@
 //! Running a daemon in direct return from start to shutdown.
 
-use std::{cell::RefCell, path::Path, rc::Rc, sync::Arc, time::Duration};
+use std::{
+    cell::RefCell,
+    path::Path,
+    rc::Rc,
+    sync::{Arc, atomic::AtomicU64},
+    time::Duration,
+};
 
 use pomelorun_core::direct::{DirectHost, Readers};
+use pomelorun_wire::Code;
 use spdlog::prelude::*;
 use tokio::{
     signal::unix::{Signal, SignalKind, signal},
@@ -38,22 +45,24 @@
 /// # Errors
 /// A service that does not start.
 pub fn run(path: &Path, file: &DirectFile, platform: Platform) -> Result<(), DaemonError> {
-    log::set_up(&file.log, log::Target::StandardOutput)
+    let lines_dropped = Arc::new(AtomicU64::new(0));
+    log::set_up(&file.log, log::Target::StandardOutput(Arc::clone(&lines_dropped)))
         .map_err(|e| DaemonError::SetUp(e.to_string()))?;
-    actix_rt::System::new().block_on(run_services(path, file, platform))
+    actix_rt::System::new().block_on(run_services(path, file, platform, lines_dropped))
 }
 
 async fn run_services(
     path: &Path,
     file: &DirectFile,
     platform: Platform,
+    lines_dropped: Arc<AtomicU64>,
 ) -> Result<(), DaemonError> {
     let set_up = |e: std::io::Error| DaemonError::SetUp(e.to_string());
     let mut terminate = signal(SignalKind::terminate()).map_err(set_up)?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(set_up)?;
     let mut reload = signal(SignalKind::hangup()).map_err(set_up)?;
     let mut kernel = Kernel::default();
-    let status = Arc::new(Status::default());
+    let status = Arc::new(Status::new(lines_dropped));
     let (edge, fleet) = match start_packets(&mut kernel, file, platform, &status) {
         Ok(it) => it,
         Err(e) => {
@@ -61,7 +70,10 @@
             return Err(e.into());
         }
     };
-    info!("started", kv: { host = file.host, zone = file.zone });
+    info!("started", kv: {
+        code = Code::STARTED.to_string(), host = file.host, zone = file.zone,
+        version = env!("CARGO_PKG_VERSION")
+    });
     let informed = edge.borrow().informed();
     // Callers may be waiting: the directory is read before anything else is set up.
     let _ = tokio::time::timeout(FIRST_READING, informed.notified()).await;
@@ -73,10 +85,11 @@
     edge.borrow_mut().leave();
     fleet.borrow_mut().leave();
     let on = FORWARD_ON.min(Duration::from_secs_f64(file.bounds.grace_s * GRACE_SHARE));
-    info!("leaving", kv: { forward_ms = u64::try_from(on.as_millis()).unwrap_or(u64::MAX) });
+    info!("leaving", kv: { code = Code::LEAVING_HOST.to_string(), forward_ms = u64::try_from(on.as_millis()).unwrap_or(u64::MAX) });
     tokio::time::sleep(on).await;
     kernel.stop().await;
-    info!("stopped");
+    info!("stopped", kv: { code = Code::STOPPED.to_string() });
+    spdlog::default_logger().flush();
     Ok(())
 }
 
@@ -133,12 +146,18 @@
 /// Checks the settings file. What a running process cannot change is said and waits for a restart.
 fn reread(path: &Path, file: &DirectFile) {
     match DirectFile::load(path) {
-        Ok(new) if new == *file => info!("settings reloaded", kv: { changed = false }),
+        Ok(new) if new == *file => info!("settings reloaded", kv: {
+            code = Code::RELOADED.to_string(), changed = false
+        }),
         Ok(new) => {
             log::set_level(&new.log);
             let kept = DirectFile { log: new.log.clone(), ..file.clone() } != new;
-            info!("settings reloaded", kv: { changed = true, restart_needed = kept });
+            info!("settings reloaded", kv: {
+                code = Code::RELOADED.to_string(), changed = true, restart_needed = kept
+            });
+        }
+        Err(e) => {
+            error!("settings not reloaded", kv: { code = Code::SETTINGS.to_string(), error = e.to_string() })
         }
-        Err(e) => error!("settings not reloaded", kv: { code = "PR0020", error = e.to_string() }),
     }
 }
--- a/crates/pomelorun/src/direct/web.rs
+++ b/crates/pomelorun/src/direct/web.rs
@@ -3,8 +3,8 @@
 use std::{
     net::SocketAddrV4,
     sync::{
-        Arc, Mutex, PoisonError,
-        atomic::{AtomicBool, Ordering},
+        Arc, Mutex, OnceLock, PoisonError,
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
 };
 
@@ -14,7 +14,7 @@
 
 use crate::{
     control::Control,
-    direct::edge::EdgeStats,
+    direct::{edge::EdgeStats, metrics::DirectMetrics},
     kernel::{Registry, Service, StartError, Stopped},
 };
 
@@ -23,13 +23,19 @@
 const STOP_S: u64 = 1;
 
 /// What the edge lets the web server see; the server answers on a thread of its own.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Status {
     ready: AtomicBool,
     stats: Mutex<EdgeStats>,
+    lines_dropped: Arc<AtomicU64>,
 }
 
 impl Status {
+    /// `lines_dropped` is counted by the log.
+    pub(crate) fn new(lines_dropped: Arc<AtomicU64>) -> Status {
+        Status { ready: AtomicBool::new(false), stats: Mutex::default(), lines_dropped }
+    }
+
     pub(crate) fn set(&self, ready: bool, stats: EdgeStats) {
         self.ready.store(ready, Ordering::Release);
         *self.stats.lock().unwrap_or_else(PoisonError::into_inner) = stats;
@@ -39,8 +45,9 @@
         self.ready.load(Ordering::Acquire)
     }
 
-    fn stats(&self) -> EdgeStats {
-        *self.stats.lock().unwrap_or_else(PoisonError::into_inner)
+    pub(crate) fn stats(&self) -> EdgeStats {
+        let stats = *self.stats.lock().unwrap_or_else(PoisonError::into_inner);
+        EdgeStats { lines_dropped: self.lines_dropped.load(Ordering::Relaxed), ..stats }
     }
 }
 
@@ -69,9 +76,11 @@
             detail: format!("cannot bind {address}: {e}"),
         };
         let status = web::Data::from(Arc::clone(&self.status));
+        let metrics_cell = web::Data::new(OnceLock::<DirectMetrics>::new());
         let server = HttpServer::new(move || {
             App::new()
                 .app_data(status.clone())
+                .app_data(metrics_cell.clone())
                 .route("/ready", web::get().to(ready))
                 .route("/metrics", web::get().to(metrics))
         })
@@ -105,6 +114,20 @@
     }
 }
 
-async fn metrics(status: web::Data<Status>) -> HttpResponse {
-    HttpResponse::Ok().content_type("text/plain; version=0.0.4").body(status.stats().text())
+/// Sets the instruments up when they are first asked for, so that the start does not wait for them.
+async fn metrics(
+    status: web::Data<Status>,
+    metrics: web::Data<OnceLock<DirectMetrics>>,
+) -> HttpResponse {
+    let metrics = match metrics.get() {
+        Some(it) => it,
+        None => match DirectMetrics::new(&status.into_inner()) {
+            Ok(it) => metrics.get_or_init(|| it),
+            Err(e) => return HttpResponse::InternalServerError().body(e.to_string()),
+        },
+    };
+    match metrics.text() {
+        Ok(text) => HttpResponse::Ok().content_type("text/plain; version=0.0.4").body(text),
+        Err(e) => HttpResponse::InternalServerError().body(e.to_string()),
+    }
 }
--- a/crates/pomelorun/src/log.rs
+++ b/crates/pomelorun/src/log.rs
@@ -1,31 +1,47 @@
 //! Setting up the log.
 
-use std::{io::IsTerminal, sync::Arc};
+mod bounded;
 
-use spdlog::{Level, LevelFilter, Logger, formatter::JsonFormatter, sink::StdStreamSink};
+use std::{
+    io::IsTerminal,
+    sync::{Arc, atomic::AtomicU64},
+};
 
-use crate::settings::{LogFormat, LogSettings};
+use spdlog::{
+    Level, LevelFilter, Logger,
+    formatter::{Formatter, FullFormatter, JsonFormatter},
+    sink::{Sink, StdStreamSink, WriteSink},
+};
+
+use crate::{
+    log::bounded::BoundedOutput,
+    settings::{LogFormat, LogSettings},
+};
 
 /// Where the log is written.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone)]
 pub(crate) enum Target {
     /// At once, for each line.
     StandardError,
-    /// When asked to, so that many lines are one write.
-    StandardOutput,
+    /// When asked to, as far as the reader takes it at once; counts the lines that found no room.
+    StandardOutput(Arc<AtomicU64>),
 }
 
 /// Makes the default logger write as the settings say.
 pub(crate) fn set_up(settings: &LogSettings, target: Target) -> Result<(), spdlog::Error> {
-    let (sink, flush) = match target {
-        Target::StandardError => (StdStreamSink::builder().stderr(), LevelFilter::All),
-        Target::StandardOutput => (StdStreamSink::builder().stdout(), LevelFilter::Off),
-    };
-    let sink = if wants_json(settings.format) {
-        sink.formatter(JsonFormatter::new()).build_arc()?
-    } else {
-        sink.build_arc()?
+    let json = wants_json(settings.format, &target);
+    let formatter: Box<dyn Formatter> =
+        if json { Box::new(JsonFormatter::new()) } else { Box::new(FullFormatter::new()) };
+    let (sink, flush): (Arc<dyn Sink>, _) = match target {
+        Target::StandardError => {
+            (Arc::new(StdStreamSink::builder().stderr().build()?), LevelFilter::All)
+        }
+        Target::StandardOutput(dropped) => {
+            let output = BoundedOutput::new(dropped);
+            (Arc::new(WriteSink::builder().target(output).build()?), LevelFilter::Off)
+        }
     };
+    sink.set_formatter(formatter);
     let level = level_of(&settings.level);
     let logger = Logger::builder()
         .sink(sink)
@@ -42,9 +58,12 @@
     spdlog::default_logger().set_level_filter(level);
 }
 
-fn wants_json(format: LogFormat) -> bool {
+fn wants_json(format: LogFormat, target: &Target) -> bool {
     match format {
-        LogFormat::Auto => !std::io::stderr().is_terminal(),
+        LogFormat::Auto => match target {
+            Target::StandardError => !std::io::stderr().is_terminal(),
+            Target::StandardOutput(_) => !std::io::stdout().is_terminal(),
+        },
         LogFormat::Json => true,
         LogFormat::Text => false,
     }
--- a/crates/pomelorun/src/metrics.rs
+++ b/crates/pomelorun/src/metrics.rs
@@ -16,6 +16,13 @@
 #[error("metrics: {0}")]
 pub struct MetricsError(String);
 
+impl MetricsError {
+    /// Keeps what another error says.
+    pub(crate) fn from_display(e: impl std::fmt::Display) -> MetricsError {
+        MetricsError(e.to_string())
+    }
+}
+
 /// The instruments of a host.
 pub struct Metrics {
     registry: Registry,
@@ -34,7 +41,7 @@
             .with_registry(registry.clone())
             .without_target_info()
             .build()
-            .map_err(|e| MetricsError(e.to_string()))?;
+            .map_err(MetricsError::from_display)?;
         let provider = SdkMeterProvider::builder().with_reader(exporter).build();
         let meter = provider.meter("pomelorun");
         add_counters(&meter, report);
@@ -52,8 +59,8 @@
         let mut buf = Vec::new();
         TextEncoder::new()
             .encode(&self.registry.gather(), &mut buf)
-            .map_err(|e| MetricsError(e.to_string()))?;
-        String::from_utf8(buf).map_err(|e| MetricsError(e.to_string()))
+            .map_err(MetricsError::from_display)?;
+        String::from_utf8(buf).map_err(MetricsError::from_display)
     }
 }
 
