Keep knowing what is known when the history is gone, and serve no followers while following

A failure followed by a lost history made each reader take itself for a host that knows nothing; they followed each other in a circle until 12.7 s. Ruled out: the new log. Change: what is known and whether it can be resumed are two things; a host that follows says that it has lost the directory. The new test failed before and passes.

--- a/crates/pomelorun-core/src/direct/sourcing.rs
+++ b/crates/pomelorun-core/src/direct/sourcing.rs
@@ -116,7 +116,9 @@
 #[derive(Debug, Clone, Default)]
 pub struct Sourcing {
     /// Revision of the directory up to which everything is known.
-    after: Option<u64>,
+    known: Option<u64>,
+    /// The directory still has the history after `known`.
+    resumable: bool,
     /// Failures of the directory in a row.
     failures: u32,
     /// Readers that were tried in vain in a row.
@@ -147,25 +149,25 @@
         }
         // The directory gets its turn, then the readers again.
         self.tries = 0;
-        match self.after {
+        match self.known {
             Some(_) if !readers.settled => Next::Pause(SETTLE),
-            None => Next::List { pause, limit: LISTING },
-            Some(after) => {
+            Some(after) if self.resumable => {
                 let wait = match followed {
                     Followed::Yes => WATCH_FOLLOWED,
                     Followed::No => WATCH,
                 };
                 Next::Watch { pause, after, wait, limit: wait + ANSWER }
             }
+            None | Some(_) => Next::List { pause, limit: LISTING },
         }
     }
 
     /// Revision of the directory up to which everything is known.
     pub fn known(&self) -> Option<u64> {
-        self.after
+        self.known
     }
 
-    /// Tells whether this host reads the directory for others.
+    /// Tells whether this host is to read the directory for others.
     pub fn reads(&self, now: Millis) -> bool {
         self.ranked.is_some_and(|it| now.since(it) < READ_ON)
     }
@@ -174,17 +176,19 @@
         match outcome {
             Outcome::Paused => Millis(0),
             Outcome::Listed(revision) => {
-                self.after = Some(revision);
+                self.known = Some(revision);
+                self.resumable = true;
                 self.failures = 0;
                 Millis(0)
             }
             Outcome::Watched { revision, events } => {
-                self.after = Some(revision);
+                self.known = Some(revision);
                 self.failures = 0;
                 if events { GATHER } else { Millis(0) }
             }
             Outcome::HistoryGone => {
-                self.after = None;
+                self.resumable = false;
+                self.failures = 0;
                 Millis(0)
             }
             Outcome::Failed => {
@@ -194,7 +198,8 @@
             }
             Outcome::Unfollowed { revision } => {
                 self.tries = if revision.is_some() { 1 } else { self.tries + 1 };
-                self.after = revision.max(self.after);
+                self.resumable |= revision.is_some();
+                self.known = revision.max(self.known);
                 Millis(0)
             }
         }
@@ -203,7 +208,7 @@
     /// A host that knows nothing asks the directory first, which is there more often than not, and
     /// then whoever may know, by turns with the directory.
     fn reader_to_follow(&self, now: Millis, readers: &Readers, spread: f64) -> Option<HostId> {
-        if self.after.is_none() {
+        if self.known.is_none() {
             let asked = self.failures == 0 || self.tries >= TRIES;
             return if asked { None } else { pick(&readers.anyone, spread) };
         }
--- a/crates/pomelorun-core/tests/core/direct/sourcing.rs
+++ b/crates/pomelorun-core/tests/core/direct/sourcing.rs
@@ -131,3 +131,19 @@
         assert!(matches!(next, Next::List { .. }), "{next:?}");
     }
 }
+
+#[test]
+fn a_reader_whose_history_is_gone_after_a_failure_lists_and_follows_nobody() {
+    // Traced on the bench: all readers lost their connections, found the history gone, took
+    // themselves for hosts that know nothing, and followed each other in a circle for ten seconds.
+    let mut sourcing = Sourcing::default();
+    listed(&mut sourcing, &reader());
+    sourcing.next(Millis(1_000), Some(Outcome::Failed), &reader(), Followed::Yes, 0.5);
+    let gone = Some(Outcome::HistoryGone);
+    let next = sourcing.next(Millis(1_100), gone, &reader(), Followed::Yes, 0.5);
+    assert!(matches!(next, Next::List { .. }), "{next:?}");
+    let failed = Some(Outcome::Failed);
+    let next = sourcing.next(Millis(1_200), failed, &reader(), Followed::Yes, 0.5);
+    assert!(matches!(next, Next::List { .. }), "{next:?}");
+    assert_eq!(sourcing.known(), Some(7));
+}
--- a/crates/pomelorun/src/direct/reader.rs
+++ b/crates/pomelorun/src/direct/reader.rs
@@ -67,7 +67,8 @@
         let readers = sources.readers.borrow_and_update().clone();
         let followed = sources.feed.borrow().followed();
         let step = sourcing.next(now(), outcome, &readers, followed, rand::random());
-        sources.feed.borrow_mut().serve(sourcing.reads(now()));
+        let follows = matches!(step, Next::Follow { .. });
+        sources.feed.borrow_mut().serve(sourcing.reads(now()) && !follows);
         debug!("step", kv: { step = format!("{step:?}") });
         outcome = Some(match step {
             Next::Pause(pause) => {
