Pause before following again when nobody can be followed

Change: a pause of 0.1 s after a host could not be followed, and the directory's own backoff before the next one; a test counts steps.

--- a/crates/pomelorun-core/src/direct/sourcing.rs
+++ b/crates/pomelorun-core/src/direct/sourcing.rs
@@ -27,6 +27,9 @@
 const RETRY_FIRST: Millis = Millis(100);
 /// Longest pause after failures. Far below the time in which a change must be in force.
 const RETRY_MOST: Millis = Millis(800);
+/// Pause after a host could not be followed: long against a connection, short against the time in
+/// which a change must be in force.
+const IN_VAIN: Millis = Millis(100);
 /// Pause of a host that has listed everything and does not know yet who reads in its zone.
 const SETTLE: Millis = Millis(300);
 /// Time for which a reader goes on after it was ranked lower, so that its followers need not move
@@ -105,8 +108,10 @@
     },
     /// Wait, and ask again.
     Pause(Millis),
-    /// Follow another host.
+    /// Follow another host after a pause.
     Follow {
+        /// The pause.
+        pause: Millis,
         /// Which host.
         host: HostId,
     },
@@ -145,7 +150,7 @@
         }
         if let Some(host) = self.reader_to_follow(now, readers, spread) {
             self.last = Some(host);
-            return Next::Follow { host };
+            return Next::Follow { pause, host };
         }
         // The directory gets its turn, then the readers again.
         self.tries = 0;
@@ -200,7 +205,7 @@
                 self.tries = if revision.is_some() { 1 } else { self.tries + 1 };
                 self.resumable |= revision.is_some();
                 self.known = revision.max(self.known);
-                Millis(0)
+                if revision.is_some() { Millis(0) } else { IN_VAIN }
             }
         }
     }
--- a/crates/pomelorun-core/tests/core/direct/sourcing.rs
+++ b/crates/pomelorun-core/tests/core/direct/sourcing.rs
@@ -27,7 +27,7 @@
 fn a_host_lists_first_and_then_follows_a_reader_of_its_zone() {
     let mut sourcing = Sourcing::default();
     let next = listed(&mut sourcing, &follower());
-    assert!(matches!(next, Next::Follow { host } if host == A || host == B), "{next:?}");
+    assert!(matches!(next, Next::Follow { host, .. } if host == A || host == B), "{next:?}");
 }
 
 #[test]
@@ -73,10 +73,10 @@
 fn a_follower_turns_to_the_other_reader_and_then_to_the_directory() {
     for spread in [0.0, 0.3, 0.6, 0.99] {
         let mut sourcing = Sourcing::default();
-        let Next::Follow { host: first } = listed(&mut sourcing, &follower()) else { panic!() };
+        let Next::Follow { host: first, .. } = listed(&mut sourcing, &follower()) else { panic!() };
         let lost = Some(Outcome::Unfollowed { revision: Some(8) });
         let next = sourcing.next(Millis(5_000), lost, &follower(), Followed::No, spread);
-        let Next::Follow { host: second } = next else { panic!("{next:?}") };
+        let Next::Follow { host: second, .. } = next else { panic!("{next:?}") };
         assert_ne!(first, second);
         let lost = Some(Outcome::Unfollowed { revision: None });
         let next = sourcing.next(Millis(5_100), lost, &follower(), Followed::No, spread);
@@ -147,3 +147,25 @@
     assert!(matches!(next, Next::List { .. }), "{next:?}");
     assert_eq!(sourcing.known(), Some(7));
 }
+
+#[test]
+fn a_host_that_finds_nobody_asks_at_a_bounded_rate() {
+    // Traced on the bench: while the directory was down for all, followers went round some hundred
+    // times a second.
+    for readers in [follower(), reader()] {
+        let mut sourcing = Sourcing::default();
+        let mut next = listed(&mut sourcing, &readers);
+        let (mut now, mut steps) = (20, 0);
+        while now < 10_020 {
+            let (pause, outcome) = match next {
+                Next::Follow { pause, .. } => (pause, Outcome::Unfollowed { revision: None }),
+                Next::Watch { pause, .. } | Next::List { pause, .. } => (pause, Outcome::Failed),
+                Next::Pause(pause) => (pause, Outcome::Paused),
+            };
+            now += pause.0 + 1;
+            steps += 1;
+            next = sourcing.next(Millis(now), Some(outcome), &readers, Followed::No, 0.5);
+        }
+        assert!(steps < 100, "{steps} steps in ten seconds");
+    }
+}
--- a/crates/pomelorun/src/direct/reader.rs
+++ b/crates/pomelorun/src/direct/reader.rs
@@ -75,7 +75,10 @@
                 tokio::time::sleep(span(pause.0)).await;
                 Outcome::Paused
             }
-            Next::Follow { host } => follow(&mut sources, host, sourcing.known()).await,
+            Next::Follow { pause, host } => {
+                tokio::time::sleep(span(pause.0)).await;
+                follow(&mut sources, host, sourcing.known()).await
+            }
             Next::List { pause, limit } => {
                 tokio::time::sleep(span(pause.0)).await;
                 let got = list(&sources, span(limit.0)).await;
