Refuse a caller at once when no upstream of the service answers

Opening packets went on to upstreams that were known to be unreachable; each caller waited 1.4 s a try, and after the cut each host took up to 4 s to probe again. Ruled out: using the zone's own upstreams, which the operators had taken out. Change: an opening packet is reset when the best choice is an upstream whose last probe failed; such upstreams are probed every 0.3 s while callers want them. The same where no upstream is left and none is cold. The test of it failed before (openings forwarded to an unreachable upstream).

--- a/crates/pomelorun-core/src/direct/host.rs
+++ b/crates/pomelorun-core/src/direct/host.rs
@@ -574,7 +574,10 @@
         let Some(route) = routing.route(seg.flow.service) else { return self.no_route(now, seg) };
         let Some(service) = route.service_of(&seg.flow) else { return self.no_route(now, seg) };
         let candidates = self.candidates(now, service, &seg.flow, &tried);
-        let Some(best) = choose(&candidates) else { return self.no_upstream(seg) };
+        let Some(best) = choose(&candidates) else { return self.no_upstream(now, service, seg) };
+        if best.choice == Choice::Unreachable {
+            return self.all_unreachable(now, &candidates, seg);
+        }
         let seen = &mut self.seen[best.ix.0 as usize];
         seen.load.opened(now);
         if self.registry.get(best.ix).is_some_and(|it| now < it.cold_until) {
@@ -622,7 +625,7 @@
             let Some(it) = self.registry.get(ix) else { continue };
             let Some(choice) = self.choice(now, ix, it, cold_room) else { continue };
             // A copy goes to one that was already tried only for want of another.
-            let choice = if tried.contains(&ix) { Choice::Unreachable } else { choice };
+            let choice = if tried.contains(&ix) { choice.max(Choice::Tried) } else { choice };
             let seen = &self.seen[ix.0 as usize];
             found.push(Candidate {
                 ix,
@@ -896,12 +899,36 @@
         Verdict::Drop
     }
 
-    fn no_upstream(&mut self, seg: &Segment) -> Verdict {
+    /// An opening packet is met with silence while a cold upstream may take its copy, and refused
+    /// while the service is known to have no upstream.
+    fn no_upstream(&mut self, now: Millis, service: &str, seg: &Segment) -> Verdict {
         self.stats.no_upstream += 1;
+        let cold = |ix: &UpstreamIx| {
+            self.registry.get(*ix).is_some_and(|it| it.is_offered() && now < it.cold_until)
+        };
+        let hope = self.registry.of_service(service).iter().any(cold);
+        if self.store == StoreView::Answering && !hope {
+            return self.reset(now, None, seg.flow, seg.ack, ResetWhy::NoUpstream);
+        }
         self.note(Note::Dropped { flow: seg.flow, why: DropWhy::NoUpstream, token: seg.token });
         Verdict::Drop
     }
 
+    /// No upstream of the service answered its last probe: the caller is refused at once, and they
+    /// are probed again soon.
+    fn all_unreachable(
+        &mut self,
+        now: Millis,
+        candidates: &[Candidate],
+        seg: &Segment,
+    ) -> Verdict {
+        self.stats.no_upstream += 1;
+        for it in candidates {
+            self.seen[it.ix.0 as usize].liveness.want_trial(now);
+        }
+        self.reset(now, None, seg.flow, seg.ack, ResetWhy::NoUpstream)
+    }
+
     fn forward(&mut self, ix: UpstreamIx) -> Verdict {
         let Some(it) = self.registry.get(ix) else { return Verdict::Drop };
         self.stats.forwarded += 1;
--- a/crates/pomelorun-core/src/direct/liveness.rs
+++ b/crates/pomelorun-core/src/direct/liveness.rs
@@ -25,6 +25,8 @@
 const STALE: Millis = Millis(2_000);
 /// Time after which an unreachable upstream is probed again, doubled each time.
 const TRIAL_FIRST: Millis = Millis(500);
+/// Least time between two probes while callers have no other upstream.
+const TRIAL_WANTED: Millis = Millis(300);
 /// Longest time between two trials.
 const TRIAL_MOST: Millis = Millis(4_000);
 
@@ -103,6 +105,7 @@
 #[derive(Debug, Clone, Copy)]
 struct Trials {
     since: Millis,
+    last: Millis,
     next: Millis,
     gap: Millis,
 }
@@ -193,7 +196,12 @@
     pub fn give_up(&mut self, now: Millis) {
         self.evidence.clear();
         self.probing = false;
-        self.unreachable = Some(Trials { since: now, next: now + TRIAL_FIRST, gap: TRIAL_FIRST });
+        self.unreachable = Some(Trials {
+            since: now,
+            last: now,
+            next: now + TRIAL_FIRST,
+            gap: TRIAL_FIRST,
+        });
     }
 
     /// Tells whether it is time to probe an unreachable upstream again, and notes that it is done.
@@ -203,10 +211,18 @@
             return false;
         }
         it.gap = Millis((it.gap.0 * 2).min(TRIAL_MOST.0));
+        it.last = now;
         it.next = now + it.gap;
         true
     }
 
+    /// Asks for the next probe of an unreachable upstream early, since callers have no other one.
+    pub(crate) fn want_trial(&mut self, now: Millis) {
+        if let Some(it) = &mut self.unreachable {
+            it.next = it.next.min(now.max(it.last + TRIAL_WANTED));
+        }
+    }
+
     /// Drops evidence that has grown old, so that a suspect is not avoided for good.
     pub(crate) fn expire(&mut self, now: Millis) {
         self.evidence.retain(|it| now.since(it.sent) < STALE);
--- a/crates/pomelorun-core/src/direct/note.rs
+++ b/crates/pomelorun-core/src/direct/note.rs
@@ -29,6 +29,8 @@
     Ended,
     /// No route leads from its address.
     NoRoute,
+    /// No upstream of its service answers, or none is left.
+    NoUpstream,
 }
 
 /// Why a packet was dropped.
--- a/crates/pomelorun-core/src/direct/placement.rs
+++ b/crates/pomelorun-core/src/direct/placement.rs
@@ -24,6 +24,8 @@
     Lapsed,
     /// Some callers wait for it in vain.
     Suspect,
+    /// A copy of the opening packet went there already.
+    Tried,
     /// It does not answer.
     Unreachable,
 }
--- a/crates/pomelorun-core/tests/core/direct/host.rs
+++ b/crates/pomelorun-core/tests/core/direct/host.rs
@@ -347,3 +347,29 @@
     host.set_hosts(vec![ME]);
     assert!(sent_to(host.packet(Millis(300), &open(flow(1), 1))).is_some());
 }
+
+#[test]
+fn callers_are_refused_at_once_while_no_upstream_answers_and_served_soon_after_one_does() {
+    // From an incident: the callers' zone was cut off while its own upstreams were taken out. They
+    // waited 1.4 s for each opening.
+    let mut host = host(&[said(1, NEAR), said(11, FAR)]);
+    host.published(Millis(100), &Published::ZoneOut(NEAR));
+    let (_, token) = opened(&mut host, Millis(500), flow(1));
+    host.packet(Millis(1_000), &data(flow(1), token, 1, 100, 50));
+    host.packet(Millis(1_200), &data(flow(1), token, 1, 100, 50));
+    host.take_probes().clear();
+    host.probed(Millis(1_350), key(11), ProbeFound::Nobody);
+    let refused = host.packet(Millis(5_000), &open(flow(2), 0));
+    assert!(matches!(refused, Verdict::Reset(_)), "{refused:?}");
+    host.tick(Millis(5_000));
+    let mut probes = host.take_probes().len();
+    for step in 1..=20 {
+        let now = Millis(5_000 + step * 50);
+        host.packet(now, &open(flow(2 + step as u32), 0));
+        host.tick(now);
+        probes += host.take_probes().len();
+    }
+    assert!((3..=5).contains(&probes), "{probes} probes in a second");
+    host.probed(Millis(6_010), key(11), ProbeFound::Answered);
+    assert_eq!(opened(&mut host, Millis(6_020), flow(100)).0, 11);
+}
--- a/crates/pomelorun-wire/src/code.rs
+++ b/crates/pomelorun-wire/src/code.rs
@@ -102,6 +102,7 @@
     PACKET_NO_ROUTE = 406, "packet_no_route", "a packet was dropped: no route is known and the revision may be old", "look at the directory; the caller repeats the packet";
     PACKET_NO_UPSTREAM = 407, "packet_no_upstream", "an opening packet was dropped: no upstream of the service can take it", "look at the service's upstreams; the caller repeats the packet";
     PACKET_UNKNOWN_TOKEN = 408, "packet_unknown_token", "a packet was dropped: no upstream has the token that it carries", "none if its upstream is long gone; the caller gives up at its time limit";
+    FLOW_RESET_NO_UPSTREAM = 409, "flow_reset_no_upstream", "an opening packet was refused: no upstream of the service answers, or none is left", "look at the service's upstreams and the ways to them";
     UPSTREAM_SUSPECTED = 410, "upstream_suspected", "a caller repeats a packet in vain; the upstream is probed", "none unless it recurs";
     UPSTREAM_UNREACHABLE = 411, "upstream_unreachable", "an upstream does not answer callers nor a probe; its flows are reset", "look at the upstream and the way to it";
     UPSTREAM_ANSWERS = 412, "upstream_answers", "an unreachable upstream answers again", "none";
--- a/crates/pomelorun/src/direct/lines.rs
+++ b/crates/pomelorun/src/direct/lines.rs
@@ -150,6 +150,7 @@
         ResetWhy::Unreachable => Code::FLOW_RESET_UNREACHABLE,
         ResetWhy::Ended => Code::FLOW_RESET_ENDED,
         ResetWhy::NoRoute => Code::FLOW_RESET_NO_ROUTE,
+        ResetWhy::NoUpstream => Code::FLOW_RESET_NO_UPSTREAM,
     };
     warn!("flow reset", kv: {
         code = code.to_string(), flow = flow.to_string(),
