Judge an own fault over all zones, and tell doubted upstreams with the zone's silence

Change: an own fault needs most of all upstreams in use, not only of the own zone; a doubted upstream is silent since its zone is. Both tests failed before.

--- a/crates/pomelorun-core/src/direct/host.rs
+++ b/crates/pomelorun-core/src/direct/host.rs
@@ -177,6 +177,24 @@
     cold: ColdBudget,
 }
 
+/// How many upstreams in use wait for a probe's result.
+#[derive(Debug, Clone, Copy, Default)]
+struct Waits {
+    in_use: usize,
+    waiting: usize,
+}
+
+impl Waits {
+    fn count(&mut self, waits: bool) {
+        self.in_use += 1;
+        self.waiting += usize::from(waits);
+    }
+
+    fn is_most(self) -> bool {
+        self.waiting * 2 > self.in_use
+    }
+}
+
 /// One host in direct return.
 #[derive(Debug)]
 pub struct DirectHost {
@@ -801,23 +819,23 @@
         self.probes.push(Probe { upstream: it.said.key, addr: it.said.addr, kind, path });
     }
 
-    /// Tells whether most of the upstreams in use in this host's own zone wait at once. They do not
-    /// fail together while this host lives: its own link or core is too slow.
+    /// Tells whether most of the upstreams in use wait at once, in this host's own zone and over all.
+    /// They do not fail together while this host lives: its own link or core is too slow.
     fn is_own_fault(&self, now: Millis) -> bool {
-        let mut in_use = 0;
-        let mut waiting = 0;
+        let (mut near, mut all) = (Waits::default(), Waits::default());
         for (ix, it) in self.registry.iter() {
             let seen = &self.seen[ix.0 as usize];
-            if it.said.zone != self.cfg.zone
-                || it.ended
-                || seen.load.waiting == 0 && now.since(seen.liveness.answered()) >= IN_USE
-            {
+            let answered_lately = now.since(seen.liveness.answered()) < IN_USE;
+            if it.ended || seen.load.waiting == 0 && !answered_lately {
                 continue;
             }
-            in_use += 1;
-            waiting += usize::from(seen.liveness.standing() == Standing::Suspect);
+            let waits = seen.liveness.standing() == Standing::Suspect;
+            all.count(waits);
+            if it.said.zone == self.cfg.zone {
+                near.count(waits);
+            }
         }
-        waiting >= SELF_FAULT_LEAST && waiting * 2 > in_use
+        near.waiting >= SELF_FAULT_LEAST && near.is_most() && all.is_most()
     }
 
     /// If a zone has given no sign of life since the caller of one of its upstreams began to wait,
--- a/crates/pomelorun-core/src/direct/liveness.rs
+++ b/crates/pomelorun-core/src/direct/liveness.rs
@@ -83,8 +83,8 @@
     unreachable: Option<Trials>,
     /// A probe is on its way.
     probing: bool,
-    /// A failed probe is enough, since the whole zone looks silent.
-    doubted: bool,
+    /// Since when the whole zone looks silent, so that a failed probe is enough.
+    doubted: Option<Millis>,
     /// The last connection that was accepted, until a caller is answered.
     accepted: Option<Millis>,
 }
@@ -159,14 +159,14 @@
         if self.unreachable.is_some() || self.answered > silent_since {
             return false;
         }
-        self.doubted = true;
+        self.doubted = Some(silent_since);
         !std::mem::replace(&mut self.probing, true)
     }
 
     /// Takes in what a probe found; tells whether the upstream is to be held unreachable.
     pub fn probed(&mut self, now: Millis, found: ProbeFound) -> Probed {
         self.probing = false;
-        let doubted = std::mem::take(&mut self.doubted);
+        let doubted = self.doubted.take().is_some();
         match found {
             ProbeFound::Answered => {
                 self.accepted = Some(now);
@@ -183,13 +183,14 @@
         self.answered = now;
         self.evidence.clear();
         self.probing = false;
-        self.doubted = false;
+        self.doubted = None;
         self.unreachable.take().is_some()
     }
 
-    /// Longest time that a flow has waited in vain.
+    /// Longest time that a flow, or the zone as a whole, has waited in vain.
     pub fn silent_for(&self, now: Millis) -> Millis {
-        self.evidence.iter().map(|it| now.since(it.sent)).max().unwrap_or_default()
+        let since = self.evidence.iter().map(|it| it.sent).chain(self.doubted).min();
+        since.map(|it| now.since(it)).unwrap_or_default()
     }
 
     /// Holds the upstream unreachable.
--- a/crates/pomelorun-core/tests/core/direct/host.rs
+++ b/crates/pomelorun-core/tests/core/direct/host.rs
@@ -373,3 +373,49 @@
     host.probed(Millis(6_010), key(11), ProbeFound::Answered);
     assert_eq!(opened(&mut host, Millis(6_020), flow(100)).0, 11);
 }
+
+#[test]
+fn three_dark_upstreams_of_a_small_zone_are_given_up_while_the_other_zones_answer() {
+    // From an incident: a host took three dark upstreams of its four for a fault of its own, and
+    // gave one up 1.3 s late.
+    let near: Vec<_> = (1..=4).map(|it| said(it, NEAR)).collect();
+    let far: Vec<_> = (11..=16).map(|it| said(it, FAR)).collect();
+    let mut host = host(&[near, far].concat());
+    let ids: Vec<u64> = (1..=4).chain(11..=16).collect();
+    for (at, id) in ids.iter().enumerate() {
+        let flow = flow(at as u32);
+        host.packet(Millis(900), &data(flow, Token::of(key(*id)), 1, 100, 0));
+        host.packet(Millis(1_000), &data(flow, Token::of(key(*id)), 1, 200, 50));
+    }
+    for (at, id) in ids.iter().enumerate().filter(|it| *it.1 >= 4) {
+        host.packet(Millis(1_050), &data(flow(at as u32), Token::of(key(*id)), 51, 300, 0));
+    }
+    for (at, id) in ids.iter().enumerate().take(3) {
+        host.packet(Millis(1_200), &data(flow(at as u32), Token::of(key(*id)), 1, 200, 50));
+    }
+    for id in 1..=3 {
+        host.probed(Millis(1_350), key(id), ProbeFound::Nobody);
+    }
+    assert_eq!(host.take_resets().len(), 3);
+}
+
+#[test]
+fn what_is_told_of_a_doubted_upstream_does_not_outweigh_an_answer_since() {
+    // From an incident: a host whose callers had not used an upstream told it as silent for 0 ms.
+    let far: Vec<_> = (11..=13).map(|it| said(it, FAR)).collect();
+    let mut teller = host(&[vec![said(1, NEAR)], far.clone()].concat());
+    let token = Token::of(key(11));
+    teller.packet(Millis(900), &data(flow(1), token, 1, 100, 0));
+    teller.packet(Millis(1_000), &data(flow(1), token, 1, 200, 50));
+    teller.packet(Millis(1_200), &data(flow(1), token, 1, 200, 50));
+    teller.probed(Millis(1_350), key(11), ProbeFound::Nobody);
+    teller.probed(Millis(1_500), key(12), ProbeFound::Nobody);
+    let news = teller.take_news();
+    assert_eq!(news.unreachable.len(), 2);
+    let mut told = host(&[vec![said(1, NEAR)], far].concat());
+    let (other, token) = (flow(2), Token::of(key(12)));
+    told.packet(Millis(1_100), &data(other, token, 1, 100, 0));
+    told.packet(Millis(1_490), &data(other, token, 1, 200, 0));
+    told.told(Millis(1_500), &news);
+    assert!(told.take_resets().is_empty());
+}
