--- a/crates/pomelorun-core/src/direct/host.rs
+++ b/crates/pomelorun-core/src/direct/host.rs
@@ -934,12 +934,7 @@
 
     /// No upstream of the service answered its last probe: the caller is refused at once, and they
     /// are probed again soon.
-    fn all_unreachable(
-        &mut self,
-        now: Millis,
-        candidates: &[Candidate],
-        seg: &Segment,
-    ) -> Verdict {
+    fn all_unreachable(&mut self, now: Millis, candidates: &[Candidate], seg: &Segment) -> Verdict {
         self.stats.no_upstream += 1;
         for it in candidates {
             self.seen[it.ix.0 as usize].liveness.want_trial(now);
--- a/crates/pomelorun-core/src/direct/liveness.rs
+++ b/crates/pomelorun-core/src/direct/liveness.rs
@@ -197,12 +197,8 @@
     pub fn give_up(&mut self, now: Millis) {
         self.evidence.clear();
         self.probing = false;
-        self.unreachable = Some(Trials {
-            since: now,
-            last: now,
-            next: now + TRIAL_FIRST,
-            gap: TRIAL_FIRST,
-        });
+        self.unreachable =
+            Some(Trials { since: now, last: now, next: now + TRIAL_FIRST, gap: TRIAL_FIRST });
     }
 
     /// Tells whether it is time to probe an unreachable upstream again, and notes that it is done.
--- a/crates/pomelorunctl/src/main.rs
+++ b/crates/pomelorunctl/src/main.rs
@@ -6,6 +6,7 @@
 mod hosts;
 mod objects;
 mod status;
+mod trace;
 
 use std::process::ExitCode;
 
@@ -38,6 +39,8 @@
     Explain(explain::ExplainArgs),
     /// show how fast services spend their error budgets
     Burn(burn::BurnArgs),
+    /// show what hosts logged of a flow, in order
+    Trace(trace::TraceArgs),
 }
 
 #[actix_rt::main]
@@ -53,6 +56,7 @@
         Some(Command::Status(it)) => status::status(&it).await,
         Some(Command::Explain(it)) => explain::explain(&it).await,
         Some(Command::Burn(it)) => burn::burn(&it).await,
+        Some(Command::Trace(it)) => trace::trace(&it),
         None => Answer::usage(format!("a command is required\n\n{}", Args::usage())),
     };
     answer.give()
--- a/crates/pomelorunctl/tests/ctl/main.rs
+++ b/crates/pomelorunctl/tests/ctl/main.rs
@@ -6,3 +6,4 @@
 mod objects;
 mod run;
 mod status;
+mod trace;
