--- a/crates/pomelorun-config/src/lib.rs
+++ b/crates/pomelorun-config/src/lib.rs
@@ -13,6 +13,7 @@
 mod load;
 mod object;
 mod strict;
+mod unique;
 
 pub use crate::{
     bundle::{Bundle, BundleError, ChunkRef, MAX_VALUE_BYTES, Manifest, chunk_hash, join_chunks},
--- a/crates/pomelorun-config/src/load.rs
+++ b/crates/pomelorun-config/src/load.rs
@@ -9,6 +9,7 @@
     fault::{Fault, Faults},
     object::{AvailabilityZone, Named, Object, ObjectSet, Service, UpstreamPool},
     strict::{StrictError, from_value_strict},
+    unique::parse_unique,
 };
 
 /// Largest file of objects, bytes.
@@ -71,7 +72,7 @@
 
 /// Reads one object or an array of objects from JSON text.
 pub fn parse_objects(file: &str, text: &str, set: &mut ObjectSet, faults: &mut Faults) {
-    let value: Value = match serde_json::from_str(text) {
+    let value: Value = match parse_unique(text) {
         Ok(it) => it,
         Err(e) => {
             faults.push(Fault::new(Code::CONFIG_JSON, file, "", e.to_string()));
--- a/crates/pomelorun-config/src/strict.rs
+++ b/crates/pomelorun-config/src/strict.rs
@@ -6,6 +6,8 @@
 use serde_path_to_error::{Path, Segment};
 use thiserror::Error;
 
+use crate::unique::parse_unique;
+
 /// Least similarity of a name for it to be suggested.
 const SUGGEST_AT_LEAST: f64 = 0.7;
 /// Faults that are listed before reading stops.
@@ -28,7 +30,7 @@
 /// # Errors
 /// As [`from_value_strict`], or the place where the text stops being JSON.
 pub fn from_json_strict<T: DeserializeOwned>(text: &str) -> Result<T, Vec<StrictError>> {
-    let value = serde_json::from_str(text).map_err(|e| {
+    let value = parse_unique(text).map_err(|e| {
         vec![StrictError { path: ".".to_owned(), message: e.to_string(), code: Code::CONFIG_JSON }]
     })?;
     from_value_strict(value)
--- a/crates/pomelorun-config/tests/config/faults.rs
+++ b/crates/pomelorun-config/tests/config/faults.rs
@@ -115,3 +115,11 @@
     let (json, field) = (Code::CONFIG_JSON, Code::CONFIG_UNKNOWN_FIELD);
     assert_eq!(codes, [field, json, json, json], "{faults:?}");
 }
+
+#[test]
+fn an_object_that_names_a_field_twice() {
+    let twice = POOL.replacen("\"slots\":2", "\"slots\":2,\"slots\":3", 1);
+    let fault = only(&[("z.json", ZONES), ("p.json", &twice), ("s.json", SERVICE)]);
+    assert_eq!(fault.code, Code::CONFIG_JSON);
+    assert!(fault.file.ends_with("p.json") && fault.message.contains("`slots`"), "{fault:?}");
+}
--- a/crates/pomelorun/src/batch.rs
+++ b/crates/pomelorun/src/batch.rs
@@ -7,6 +7,7 @@
 };
 
 use nix::sys::socket::{MsgFlags, MultiHeaders, SockaddrIn, recvmmsg, sendmmsg};
+use spdlog::prelude::*;
 use tokio::{io::Interest, net::UdpSocket};
 
 /// Datagrams in one system call.
@@ -76,6 +77,28 @@
     }
 }
 
+/// Receives datagrams in batches and hands them to `take` until the socket fails.
+pub(crate) async fn receive_all(
+    socket: &UdpSocket,
+    longest: usize,
+    mut take: impl FnMut(&Incoming),
+) {
+    let mut incoming = Incoming::new(longest);
+    loop {
+        if let Err(e) = socket.readable().await {
+            error!("packet socket failed", kv: { error = e.to_string() });
+            return;
+        }
+        match incoming.receive(socket) {
+            Ok(()) => take(&incoming),
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+            // A peer's closed port shows as an error on this socket; go on reading.
+            Err(e) => debug!("receive failed", kv: { error = e.to_string() }),
+        }
+        tokio::task::yield_now().await;
+    }
+}
+
 /// Datagrams that wait to be sent together.
 pub(crate) struct Outgoing {
     headers: MultiHeaders<SockaddrIn>,
--- a/crates/pomelorun/src/direct/edge.rs
+++ b/crates/pomelorun/src/direct/edge.rs
@@ -12,7 +12,6 @@
     },
 };
 use pomelorun_wire::HostId;
-use spdlog::prelude::*;
 use thiserror::Error;
 use tokio::{
     net::UdpSocket,
@@ -22,7 +21,7 @@
 };
 
 use crate::{
-    batch::{Incoming, Outgoing, bind_datagrams},
+    batch::{Incoming, Outgoing, bind_datagrams, receive_all},
     control::Control,
     direct::{lines, platform::PacketCodec, web::Status},
     kernel::{Registry, Service, StartError, Stopped, join_aborted},
@@ -359,20 +358,7 @@
 }
 
 async fn receive(edge: SharedEdge, socket: Rc<UdpSocket>) {
-    let mut incoming = Incoming::new(LONGEST);
-    loop {
-        if let Err(e) = socket.readable().await {
-            error!("packet socket failed", kv: { error = e.to_string() });
-            return;
-        }
-        match incoming.receive(&socket) {
-            Ok(()) => edge.borrow_mut().datagrams(&incoming),
-            Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => {}
-            // An upstream's closed port shows as an error on this socket; go on reading.
-            Err(e) => debug!("receive failed", kv: { error = e.to_string() }),
-        }
-        tokio::task::yield_now().await;
-    }
+    receive_all(&socket, LONGEST, |it| edge.borrow_mut().datagrams(it)).await;
 }
 
 async fn tick(edge: SharedEdge) {
--- a/crates/pomelorun/src/direct/lines.rs
+++ b/crates/pomelorun/src/direct/lines.rs
@@ -74,7 +74,7 @@
                 });
             }
             Note::Reset { flow, upstream, why, silent } => {
-                reset(flow, upstream.as_ref(), *why, *silent)
+                reset(flow, upstream.as_ref(), *why, *silent);
             }
             Note::Dropped { flow, why, token } => {
                 let code = match why {
--- a/crates/pomelorun/src/direct/metrics.rs
+++ b/crates/pomelorun/src/direct/metrics.rs
@@ -6,14 +6,14 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use pomelorun_core::direct::{BOUNDS, Latency};
 use prometheus::{
-    Encoder, Registry, TextEncoder,
+    Registry,
     core::{Collector, Desc},
     proto,
 };
 
 use crate::{
     direct::{edge::EdgeStats, web::Status},
-    metrics::MetricsError,
+    metrics::{MetricsError, instruments, prometheus_text},
 };
 
 type Read = fn(&EdgeStats) -> u64;
@@ -85,13 +85,7 @@
 impl DirectMetrics {
     /// Makes instruments that read the newest counts.
     pub(crate) fn new(status: &Arc<Status>) -> Result<DirectMetrics, MetricsError> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .without_target_info()
-            .build()
-            .map_err(MetricsError::from_display)?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let (registry, provider) = instruments()?;
         let meter = provider.meter("pomelorun");
         for (name, description, read) in COUNTERS {
             let status = Arc::clone(status);
@@ -118,11 +112,7 @@
 
     /// All metrics as Prometheus text.
     pub(crate) fn text(&self) -> Result<String, MetricsError> {
-        let mut buf = Vec::new();
-        TextEncoder::new()
-            .encode(&self.registry.gather(), &mut buf)
-            .map_err(MetricsError::from_display)?;
-        String::from_utf8(buf).map_err(MetricsError::from_display)
+        prometheus_text(&self.registry)
     }
 }
 
--- a/crates/pomelorun/src/direct/reader.rs
+++ b/crates/pomelorun/src/direct/reader.rs
@@ -176,7 +176,7 @@
         };
         match msg.and_then(|msg| take(sources, known, &mut revision, msg)) {
             Ok(Taken::Everything) => {
-                info!("following", kv: { code = Code::FOLLOWING.to_string(), host = address.to_string() })
+                info!("following", kv: { code = Code::FOLLOWING.to_string(), host = address.to_string() });
             }
             Ok(Taken::News) => {}
             Err(e) => break e,
--- a/crates/pomelorun/src/direct/run.rs
+++ b/crates/pomelorun/src/direct/run.rs
@@ -157,7 +157,7 @@
             });
         }
         Err(e) => {
-            error!("settings not reloaded", kv: { code = Code::SETTINGS.to_string(), error = e.to_string() })
+            error!("settings not reloaded", kv: { code = Code::SETTINGS.to_string(), error = e.to_string() });
         }
     }
 }
--- a/crates/pomelorun/src/direct/settings.rs
+++ b/crates/pomelorun/src/direct/settings.rs
@@ -1,13 +1,12 @@
 //! Settings of a daemon in direct return.
 
 use std::{
-    fs,
     net::SocketAddrV4,
     path::Path,
     time::{SystemTime, UNIX_EPOCH},
 };
 
-use pomelorun_config::{Fault, Faults, from_json_strict};
+use pomelorun_config::{Fault, Faults};
 use pomelorun_core::{
     CoreSettings, Millis,
     direct::{ColdRule, DirectSettings, Fleet, host_at},
@@ -15,7 +14,7 @@
 use pomelorun_wire::{Code, HostId, MemberInfo, MemberState, ZoneId};
 use serde::{Deserialize, Serialize};
 
-use crate::settings::{LogSettings, SettingsError};
+use crate::settings::{LogSettings, SettingsError, read_shape, read_text};
 
 /// Bounds that the platform promises or asks for.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -80,10 +79,7 @@
     /// # Errors
     /// Every fault of the file, each with its path and a numbered code.
     pub fn load(path: &Path) -> Result<DirectFile, SettingsError> {
-        let shown = path.display().to_string();
-        let text = fs::read_to_string(path).map_err(|e| {
-            SettingsError(Faults(vec![Fault::new(Code::CONFIG_READ, &shown, "", e.to_string())]))
-        })?;
+        let (shown, text) = read_text(path)?;
         DirectFile::parse(&shown, &text)
     }
 
@@ -93,15 +89,7 @@
     /// As [`DirectFile::load`].
     pub fn parse(shown: &str, text: &str) -> Result<DirectFile, SettingsError> {
         let mut faults = Faults::default();
-        let file: DirectFile = match from_json_strict(text) {
-            Ok(it) => it,
-            Err(errors) => {
-                for e in errors {
-                    faults.push(Fault::new(e.code, shown, &e.path, e.message));
-                }
-                return Err(SettingsError(faults));
-            }
-        };
+        let file: DirectFile = read_shape(shown, text)?;
         let mut fault = |path: &str, message: String| {
             faults.push(Fault::new(Code::SETTINGS, shown, path, message));
         };
--- a/crates/pomelorun/src/metrics.rs
+++ b/crates/pomelorun/src/metrics.rs
@@ -36,13 +36,7 @@
     /// # Errors
     /// An exporter that cannot be registered.
     pub fn new(report: &SharedReport) -> Result<Metrics, MetricsError> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .without_target_info()
-            .build()
-            .map_err(MetricsError::from_display)?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let (registry, provider) = instruments()?;
         let meter = provider.meter("pomelorun");
         add_counters(&meter, report);
         add_gauges(&meter, report);
@@ -56,14 +50,28 @@
     /// # Errors
     /// Metrics that cannot be encoded.
     pub fn text(&self) -> Result<String, MetricsError> {
-        let mut buf = Vec::new();
-        TextEncoder::new()
-            .encode(&self.registry.gather(), &mut buf)
-            .map_err(MetricsError::from_display)?;
-        String::from_utf8(buf).map_err(MetricsError::from_display)
+        prometheus_text(&self.registry)
     }
 }
 
+/// A registry and the provider whose instruments are read from it.
+pub(crate) fn instruments() -> Result<(Registry, SdkMeterProvider), MetricsError> {
+    let registry = Registry::new();
+    let exporter = opentelemetry_prometheus::exporter()
+        .with_registry(registry.clone())
+        .without_target_info()
+        .build()
+        .map_err(MetricsError::from_display)?;
+    Ok((registry, SdkMeterProvider::builder().with_reader(exporter).build()))
+}
+
+/// Everything in a registry as Prometheus text.
+pub(crate) fn prometheus_text(registry: &Registry) -> Result<String, MetricsError> {
+    let mut buf = Vec::new();
+    TextEncoder::new().encode(&registry.gather(), &mut buf).map_err(MetricsError::from_display)?;
+    String::from_utf8(buf).map_err(MetricsError::from_display)
+}
+
 type Read = fn(&HostReport) -> u64;
 
 fn add_counters(meter: &Meter, report: &SharedReport) {
--- a/crates/pomelorun/src/packets.rs
+++ b/crates/pomelorun/src/packets.rs
@@ -9,7 +9,7 @@
 use tokio::{net::UdpSocket, task::JoinHandle, time::MissedTickBehavior};
 
 use crate::{
-    batch::{Incoming, bind_datagrams},
+    batch::{bind_datagrams, receive_all},
     control::Control,
     engine::{Engine, SharedEngine},
     kernel::{Registry, Service, StartError, Stopped, join_aborted},
@@ -79,20 +79,7 @@
 }
 
 async fn receive(engine: SharedEngine, socket: Rc<UdpSocket>) {
-    let mut incoming = Incoming::new(LONGEST);
-    loop {
-        if let Err(e) = socket.readable().await {
-            error!("packet socket failed", kv: { error = e.to_string() });
-            return;
-        }
-        match incoming.receive(&socket) {
-            Ok(()) => engine.borrow_mut().datagrams(&incoming),
-            Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => {}
-            // A peer's closed port shows as an error on this socket; go on reading.
-            Err(e) => debug!("receive failed", kv: { error = e.to_string() }),
-        }
-        tokio::task::yield_now().await;
-    }
+    receive_all(&socket, LONGEST, |it| engine.borrow_mut().datagrams(it)).await;
 }
 
 async fn tick(engine: SharedEngine, report: SharedReport, plan: PlanTx) {
--- a/crates/pomelorun/src/settings.rs
+++ b/crates/pomelorun/src/settings.rs
@@ -2,10 +2,10 @@
 
 use std::{fs, net::SocketAddrV4, path::Path};
 
-use pomelorun_config::{Fault, Faults, from_json_strict};
+use pomelorun_config::{Fault, Faults, StrictError, from_json_strict};
 use pomelorun_core::CoreSettings;
 use pomelorun_wire::Code;
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use thiserror::Error;
 
 /// Form of the log lines.
@@ -102,10 +102,7 @@
     /// # Errors
     /// Every fault of the file, each with its path and a numbered code.
     pub fn load(path: &Path) -> Result<Settings, SettingsError> {
-        let shown = path.display().to_string();
-        let text = fs::read_to_string(path).map_err(|e| {
-            SettingsError(Faults(vec![Fault::new(Code::CONFIG_READ, &shown, "", e.to_string())]))
-        })?;
+        let (shown, text) = read_text(path)?;
         Settings::parse(&shown, &text)
     }
 
@@ -115,15 +112,7 @@
     /// As [`Settings::load`].
     pub fn parse(shown: &str, text: &str) -> Result<Settings, SettingsError> {
         let mut faults = Faults::default();
-        let file = match from_json_strict::<File>(text) {
-            Ok(it) => it,
-            Err(errors) => {
-                for e in errors {
-                    faults.push(Fault::new(e.code, shown, &e.path, e.message));
-                }
-                return Err(SettingsError(faults));
-            }
-        };
+        let file: File = read_shape(shown, text)?;
         let mut check = Check { shown, faults: &mut faults };
         let ip = file.packets.map_or(*DEFAULT_ADMIN.ip(), |it| *it.ip());
         let settings = Settings {
@@ -145,6 +134,26 @@
     }
 }
 
+/// Reads a settings file; returns the name by which faults call it, and its text.
+pub(crate) fn read_text(path: &Path) -> Result<(String, String), SettingsError> {
+    let shown = path.display().to_string();
+    match fs::read_to_string(path) {
+        Ok(text) => Ok((shown, text)),
+        Err(e) => {
+            let fault = Fault::new(Code::CONFIG_READ, &shown, "", e.to_string());
+            Err(SettingsError(Faults(vec![fault])))
+        }
+    }
+}
+
+/// Reads JSON of the expected shape.
+pub(crate) fn read_shape<T: DeserializeOwned>(shown: &str, text: &str) -> Result<T, SettingsError> {
+    from_json_strict(text).map_err(|errors| {
+        let fault = |e: StrictError| Fault::new(e.code, shown, &e.path, e.message);
+        SettingsError(Faults(errors.into_iter().map(fault).collect()))
+    })
+}
+
 struct Check<'a> {
     shown: &'a str,
     faults: &'a mut Faults,
