--- /dev/null
+++ b/crates/pomelorun-core/src/direct/host/detecting.rs
@@ -0,0 +1,282 @@
+//! Detection: what packets and probes show of upstreams, and what follows for their flows.
+
+use pomelorun_wire::FlowKey;
+use smallvec::SmallVec;
+
+use crate::{
+    direct::{
+        flows::Flow,
+        host::{DirectHost, Probe, ResetSent, Verdict, leave},
+        liveness::{ProbeFound, ProbeKind, Probed, Standing},
+        note::{Lifecycle, Note, ResetWhy},
+        peers::News,
+        registry::{UpstreamIx, UpstreamKey},
+        segment::{Segment, seq_after},
+    },
+    time::Millis,
+};
+
+/// Suspects in this host's zone at which it may be the host itself that does not get through.
+const SELF_FAULT_LEAST: usize = 3;
+/// Time within which an upstream must have been used to count as in use.
+const IN_USE: Millis = Millis(3_000);
+
+impl DirectHost {
+    /// Takes in what a probe found.
+    pub fn probed(&mut self, now: Millis, key: UpstreamKey, found: ProbeFound) {
+        let Some(ix) = self.registry.by_key(key) else { return };
+        let liveness = &mut self.seen[ix.0 as usize].liveness;
+        let silent = liveness.silent_for(now);
+        let since = match liveness.standing() {
+            Standing::Unreachable { since } => since,
+            Standing::Answering | Standing::Suspect => now,
+        };
+        match liveness.probed(now, found) {
+            Probed::Nothing => {}
+            Probed::AnswersAgain => self.answers_again(now, key, since),
+            Probed::Unreachable if self.is_own_fault(now) => {
+                self.stats.own_faults += 1;
+                self.note(Note::OwnFault { upstream: key, silent });
+            }
+            Probed::Unreachable => {
+                let silent_ms = u32::try_from(silent.0).unwrap_or(u32::MAX);
+                self.news.unreachable.push((key.id, key.born, silent_ms));
+                self.give_up(now, ix, silent, false);
+                self.doubt_zone(now, ix, silent);
+            }
+            Probed::Ended => {
+                self.registry.end(ix);
+                self.give_up_ended(now);
+            }
+        }
+    }
+
+    /// Takes in what another host of this zone has found.
+    pub fn told(&mut self, now: Millis, news: &News) {
+        for &(id, born, silent) in &news.unreachable {
+            let Some(ix) = self.registry.by_key(UpstreamKey { id, born }) else { continue };
+            let silent = Millis(u64::from(silent));
+            let liveness = &self.seen[ix.0 as usize].liveness;
+            let answered_since = now.since(liveness.answered()) < silent;
+            if !answered_since && !matches!(liveness.standing(), Standing::Unreachable { .. }) {
+                self.give_up(now, ix, silent, true);
+            }
+        }
+    }
+
+    /// Resets the flows of upstreams that a newer announcement shows to have ended.
+    pub(super) fn give_up_ended(&mut self, now: Millis) {
+        let ended: Vec<(UpstreamIx, UpstreamKey)> =
+            self.registry.iter().filter(|it| it.1.ended).map(|it| (it.0, it.1.said.key)).collect();
+        for (ix, key) in ended {
+            let reset = self.reset_flows(now, ix, ResetWhy::Ended);
+            if reset > 0 {
+                self.note(Note::Upstream {
+                    upstream: key,
+                    state: Lifecycle::Ended,
+                    cold: Millis(0),
+                });
+            }
+        }
+    }
+
+    /// Reads from a packet of an open flow whether its upstream answers.
+    pub(super) fn observe(&mut self, now: Millis, ix: UpstreamIx, seg: &Segment) {
+        let Some(flow) = self.flows.get_mut(&seg.flow).filter(|it| it.open) else {
+            self.adopt(now, ix, seg);
+            return;
+        };
+        flow.seen = now;
+        if seq_after(seg.ack, flow.ack) {
+            flow.ack = seg.ack;
+            if let Some(asked) = flow.asked.take() {
+                self.stats.answer.record(now.since(asked).0);
+                let load = &mut self.seen[ix.0 as usize].load;
+                load.waiting = load.waiting.saturating_sub(1);
+            }
+            self.alive(now, ix);
+        }
+        let Some(flow) = self.flows.get_mut(&seg.flow) else { return };
+        if seg.len == 0 {
+            return;
+        }
+        match flow.asked {
+            None => {
+                flow.asked = Some(now);
+                flow.asked_seq = seg.seq;
+                self.seen[ix.0 as usize].load.waiting += 1;
+            }
+            Some(sent) if seg.seq == flow.asked_seq => {
+                self.unanswered(now, ix, seg.flow, sent);
+            }
+            Some(_) => {}
+        }
+    }
+
+    /// Notes a flow at its first packet after the opening one, or when it comes from another host.
+    pub(super) fn adopt(&mut self, now: Millis, ix: UpstreamIx, seg: &Segment) {
+        if let Some(opening) = self.flows.remove(&seg.flow) {
+            if let Some(asked) = opening.asked {
+                self.stats.open.record(now.since(asked).0);
+            }
+            self.alive(now, ix);
+        }
+        let asks = seg.len > 0;
+        let noted = self.flows.insert(Flow {
+            key: seg.flow,
+            tried: SmallVec::from_slice(&[ix]),
+            open: true,
+            seen: now,
+            ack: seg.ack,
+            asked_seq: seg.seq,
+            asked: asks.then_some(now),
+        });
+        if noted {
+            let load = &mut self.seen[ix.0 as usize].load;
+            load.flows += 1;
+            load.waiting += u32::from(asks);
+        }
+    }
+
+    pub(super) fn alive(&mut self, now: Millis, ix: UpstreamIx) {
+        let Some(it) = self.registry.get(ix) else { return };
+        let (key, zone) = (it.said.key, it.said.zone);
+        match self.zones_answered.binary_search_by_key(&zone, |it| it.0) {
+            Ok(at) => self.zones_answered[at].1 = now,
+            Err(at) => self.zones_answered.insert(at, (zone, now)),
+        }
+        let liveness = &mut self.seen[ix.0 as usize].liveness;
+        let standing = liveness.standing();
+        if liveness.sign_of_life(now)
+            && let Standing::Unreachable { since } = standing
+        {
+            self.answers_again(now, key, since);
+        }
+    }
+
+    pub(super) fn answers_again(&mut self, now: Millis, upstream: UpstreamKey, since: Millis) {
+        self.stats.answering += 1;
+        self.note(Note::Answering { upstream, after: now - since });
+    }
+
+    pub(super) fn unanswered(&mut self, now: Millis, ix: UpstreamIx, flow: FlowKey, sent: Millis) {
+        let Some(seen) = self.seen.get_mut(ix.0 as usize) else { return };
+        let Some(kind) = seen.liveness.unanswered(now, flow, sent) else { return };
+        let Some(it) = self.registry.get(ix) else { return };
+        let upstream = it.said.key;
+        self.note(Note::Suspected { upstream, flow, silent: now - sent });
+        self.send_probe(ix, kind);
+    }
+
+    pub(super) fn send_probe(&mut self, ix: UpstreamIx, kind: ProbeKind) {
+        let Some(it) = self.registry.get(ix).filter(|it| !it.ended) else { return };
+        let limits = self.routing.limits(&it.said.service);
+        let path = limits.map(|it| it.health_path.clone()).unwrap_or_default();
+        self.stats.probes += 1;
+        self.probes.push(Probe { upstream: it.said.key, addr: it.said.addr, kind, path });
+    }
+
+    /// Tells whether most of the upstreams in use wait at once, in this host's own zone and over all.
+    /// They do not fail together while this host lives: its own link or core is too slow.
+    pub(super) fn is_own_fault(&self, now: Millis) -> bool {
+        let (mut near, mut all) = (Waits::default(), Waits::default());
+        for (ix, it) in self.registry.iter() {
+            let seen = &self.seen[ix.0 as usize];
+            let answered_lately = now.since(seen.liveness.answered()) < IN_USE;
+            if it.ended || seen.load.waiting == 0 && !answered_lately {
+                continue;
+            }
+            let waits = seen.liveness.standing() == Standing::Suspect;
+            all.count(waits);
+            if it.said.zone == self.cfg.zone {
+                near.count(waits);
+            }
+        }
+        near.waiting >= SELF_FAULT_LEAST && near.is_most() && all.is_most()
+    }
+
+    /// If a zone has given no sign of life since the caller of one of its upstreams began to wait,
+    /// the path to the whole zone may be cut: its other upstreams are probed at once instead of one
+    /// after the other as callers run into them.
+    pub(super) fn doubt_zone(&mut self, now: Millis, lost: UpstreamIx, silent: Millis) {
+        let Some(zone) = self.registry.get(lost).map(|it| it.said.zone) else { return };
+        let since = now - silent;
+        let answered = self.zones_answered.binary_search_by_key(&zone, |it| it.0);
+        let answered = answered.is_ok_and(|at| self.zones_answered[at].1 > since);
+        if zone == self.cfg.zone || answered {
+            return;
+        }
+        let rest: Vec<UpstreamIx> = self
+            .registry
+            .iter()
+            .filter(|it| it.1.said.zone == zone && !it.1.ended)
+            .map(|it| it.0)
+            .collect();
+        for ix in rest {
+            if self.seen[ix.0 as usize].liveness.doubt(since) {
+                self.send_probe(ix, ProbeKind::Connect);
+            }
+        }
+    }
+
+    pub(super) fn give_up(&mut self, now: Millis, ix: UpstreamIx, silent: Millis, told: bool) {
+        self.seen[ix.0 as usize].liveness.give_up(now);
+        self.stats.unreachable += 1;
+        let flows = self.reset_flows(now, ix, ResetWhy::Unreachable);
+        let Some(it) = self.registry.get(ix) else { return };
+        let upstream = it.said.key;
+        self.note(Note::Unreachable { upstream, flows, silent, told });
+    }
+
+    /// Resets all open flows of an upstream, the idle ones included, so that callers open new ones
+    /// before their next request; returns how many.
+    pub(super) fn reset_flows(&mut self, now: Millis, ix: UpstreamIx, why: ResetWhy) -> usize {
+        let mut count = 0;
+        for flow in self.flows.take_of(ix) {
+            if !flow.open {
+                // Its copies go elsewhere.
+                self.flows.insert(flow);
+                continue;
+            }
+            leave(&mut self.seen, &flow);
+            count += 1;
+            if let Verdict::Reset(it) = self.reset(now, Some(ix), flow.key, flow.ack, why) {
+                self.resets.push(it);
+            }
+        }
+        count
+    }
+
+    pub(super) fn reset(
+        &mut self,
+        now: Millis,
+        ix: Option<UpstreamIx>,
+        flow: FlowKey,
+        seq: u32,
+        why: ResetWhy,
+    ) -> Verdict {
+        self.stats.resets += 1;
+        let upstream = ix.and_then(|it| self.registry.get(it)).map(|it| it.said.key);
+        let answered = ix.map_or(now, |it| self.seen[it.0 as usize].liveness.answered());
+        self.note(Note::Reset { flow, upstream, why, silent: now - answered });
+        Verdict::Reset(ResetSent { flow, seq })
+    }
+}
+
+/// How many upstreams in use wait for a probe's result.
+#[derive(Debug, Clone, Copy, Default)]
+struct Waits {
+    in_use: usize,
+    waiting: usize,
+}
+
+impl Waits {
+    fn count(&mut self, waits: bool) {
+        self.in_use += 1;
+        self.waiting += usize::from(waits);
+    }
+
+    fn is_most(self) -> bool {
+        self.waiting * 2 > self.in_use
+    }
+}
