Remove what nothing reads in direct return, and look a flow up only without its token

Found on a last read of the change: a count of flows by upstream, a count of bytes, and three accessors that nothing read; the flow table was searched for every packet although the token had named the upstream; forgetting a flow stood four times; a reset was wrapped in a verdict and taken out again. Behaviour stays as it was.

--- a/crates/pomelorun-core/src/direct/flows.rs
+++ b/crates/pomelorun-core/src/direct/flows.rs
@@ -127,11 +127,6 @@
         self.buckets.len()
     }
 
-    /// All flows.
-    pub fn iter(&self) -> impl Iterator<Item = &Flow> {
-        self.buckets.iter().flatten()
-    }
-
     /// Doubles the buckets once they are full.
     fn grow(&mut self) {
         if self.len <= self.buckets.len() * PER_BUCKET {
--- a/crates/pomelorun-core/src/direct/host.rs
+++ b/crates/pomelorun-core/src/direct/host.rs
@@ -6,7 +6,7 @@
 
 use std::{net::SocketAddrV4, sync::Arc};
 
-use pomelorun_wire::{FlowKey, HostId, ServiceAddr, ZoneId};
+use pomelorun_wire::{FlowKey, HostId, ZoneId};
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -346,16 +346,14 @@
             self.unanswered(now, ix, seg.flow, sent);
             return self.place(now, seg, tried);
         }
-        if let Some(old) = self.flows.remove(&seg.flow) {
-            leave(&mut self.seen, &old);
-        }
+        self.forget(&seg.flow);
         self.place(now, seg, Tried::new())
     }
 
     fn carry(&mut self, now: Millis, seg: &Segment) -> Verdict {
         let by_token = self.registry.by_token(seg.token);
-        let noted = self.flows.get_mut(&seg.flow).map(|it| it.upstream());
-        let Some(ix) = by_token.or(noted) else {
+        let noted = || self.flows.get_mut(&seg.flow).map(|it| it.upstream());
+        let Some(ix) = by_token.or_else(noted) else {
             self.stats.unknown_token += 1;
             let (flow, token) = (seg.flow, seg.token);
             self.note(Note::Dropped { flow, why: DropWhy::UnknownToken, token });
@@ -366,15 +364,11 @@
             && (ended || matches!(self.standing(ix), Standing::Unreachable { .. }))
         {
             let why = if ended { ResetWhy::Ended } else { ResetWhy::Unreachable };
-            if let Some(flow) = self.flows.remove(&seg.flow) {
-                leave(&mut self.seen, &flow);
-            }
-            return self.reset(now, Some(ix), seg.flow, seg.ack, why);
+            self.forget(&seg.flow);
+            return Verdict::Reset(self.reset(now, Some(ix), seg.flow, seg.ack, why));
         }
         if seg.kind == SegmentKind::Abort {
-            if let Some(flow) = self.flows.remove(&seg.flow) {
-                leave(&mut self.seen, &flow);
-            }
+            self.forget(&seg.flow);
             return self.forward(ix);
         }
         self.observe(now, ix, seg);
@@ -387,7 +381,7 @@
         self.stats.no_route += 1;
         let fresh = self.heard.is_some_and(|it| now.since(it) < self.cfg.fresh);
         if fresh && self.store == StoreView::Answering {
-            return self.reset(now, None, seg.flow, seg.ack, ResetWhy::NoRoute);
+            return Verdict::Reset(self.reset(now, None, seg.flow, seg.ack, ResetWhy::NoRoute));
         }
         self.note(Note::Dropped { flow: seg.flow, why: DropWhy::NoRoute, token: seg.token });
         Verdict::Drop
@@ -402,7 +396,7 @@
         };
         let hope = self.registry.of_service(service).iter().any(cold);
         if self.store == StoreView::Answering && !hope {
-            return self.reset(now, None, seg.flow, seg.ack, ResetWhy::NoUpstream);
+            return Verdict::Reset(self.reset(now, None, seg.flow, seg.ack, ResetWhy::NoUpstream));
         }
         self.note(Note::Dropped { flow: seg.flow, why: DropWhy::NoUpstream, token: seg.token });
         Verdict::Drop
@@ -415,7 +409,14 @@
         for it in candidates {
             self.seen[it.ix.0 as usize].liveness.want_trial(now);
         }
-        self.reset(now, None, seg.flow, seg.ack, ResetWhy::NoUpstream)
+        Verdict::Reset(self.reset(now, None, seg.flow, seg.ack, ResetWhy::NoUpstream))
+    }
+
+    /// Forgets a flow.
+    fn forget(&mut self, flow: &FlowKey) {
+        if let Some(flow) = self.flows.remove(flow) {
+            leave(&mut self.seen, &flow);
+        }
     }
 
     fn forward(&mut self, ix: UpstreamIx) -> Verdict {
@@ -423,11 +424,6 @@
         self.stats.forwarded += 1;
         Verdict::Forward { to: it.said.addr, id: it.said.key.id, token: it.token }
     }
-
-    /// The service that a new flow to an address would go to.
-    pub fn service_of(&self, addr: ServiceAddr, flow: &FlowKey) -> Option<String> {
-        Some(self.routing.route(addr)?.service_of(flow)?.to_owned())
-    }
 }
 
 /// Time within which copies of an opening packet come.
@@ -439,6 +435,5 @@
         return;
     }
     let Some(it) = seen.get_mut(flow.upstream().0 as usize) else { return };
-    it.load.flows = it.load.flows.saturating_sub(1);
     it.load.waiting = it.load.waiting.saturating_sub(u32::from(flow.asked.is_some()));
 }
--- a/crates/pomelorun-core/src/direct/host/detecting.rs
+++ b/crates/pomelorun-core/src/direct/host/detecting.rs
@@ -6,7 +6,7 @@
 use crate::{
     direct::{
         flows::Flow,
-        host::{DirectHost, Probe, ResetSent, Verdict, leave},
+        host::{DirectHost, Probe, ResetSent, leave},
         liveness::{ProbeFound, ProbeKind, Probed, Standing},
         note::{Lifecycle, Note, ResetWhy},
         peers::News,
@@ -133,7 +133,6 @@
         });
         if noted {
             let load = &mut self.seen[ix.0 as usize].load;
-            load.flows += 1;
             load.waiting += u32::from(asks);
         }
     }
@@ -240,9 +239,8 @@
             }
             leave(&mut self.seen, &flow);
             count += 1;
-            if let Verdict::Reset(it) = self.reset(now, Some(ix), flow.key, flow.ack, why) {
-                self.resets.push(it);
-            }
+            let reset = self.reset(now, Some(ix), flow.key, flow.ack, why);
+            self.resets.push(reset);
         }
         count
     }
@@ -254,12 +252,12 @@
         flow: FlowKey,
         seq: u32,
         why: ResetWhy,
-    ) -> Verdict {
+    ) -> ResetSent {
         self.stats.resets += 1;
         let upstream = ix.and_then(|it| self.registry.get(it)).map(|it| it.said.key);
         let answered = ix.map_or(now, |it| self.seen[it.0 as usize].liveness.answered());
         self.note(Note::Reset { flow, upstream, why, silent: now - answered });
-        Verdict::Reset(ResetSent { flow, seq })
+        ResetSent { flow, seq }
     }
 }
 
--- a/crates/pomelorun-core/src/direct/liveness.rs
+++ b/crates/pomelorun-core/src/direct/liveness.rs
@@ -125,11 +125,6 @@
         self.answered
     }
 
-    /// Evidence that counts.
-    pub fn evidence(&self) -> &[Evidence] {
-        &self.evidence
-    }
-
     /// Notes a sign of life; tells whether the upstream was unreachable.
     pub fn sign_of_life(&mut self, now: Millis) -> bool {
         self.accepted = None;
--- a/crates/pomelorun-core/src/direct/load.rs
+++ b/crates/pomelorun-core/src/direct/load.rs
@@ -14,8 +14,6 @@
     at: Millis,
     /// Requests that wait for an answer.
     pub waiting: u32,
-    /// Flows that live there.
-    pub flows: u32,
 }
 
 impl Load {
--- a/crates/pomelorun/src/direct/fleet.rs
+++ b/crates/pomelorun/src/direct/fleet.rs
@@ -45,7 +45,6 @@
     edge: SharedEdge,
     readers: watch::Sender<Readers>,
     last_tick: Millis,
-    sent_bytes: u64,
 }
 
 /// The link as the services of one thread share it.
@@ -117,7 +116,6 @@
             let to = SocketAddr::from((address_of(to), self.port));
             match encode(&msg) {
                 Ok(body) => {
-                    self.sent_bytes += body.len() as u64;
                     // A datagram that cannot be sent is lost like any other; the next one follows.
                     if let Err(e) = self.socket.try_send_to(&body, to) {
                         debug!("message to a host lost", kv: { error = e.to_string() });
@@ -158,7 +156,6 @@
             edge,
             readers,
             last_tick: now(),
-            sent_bytes: 0,
         };
         let link = Rc::new(RefCell::new(link));
         Ok(FleetService { link, socket, news: Some(news), tasks: Vec::new() })
