Eject upstreams that fail requests while they look healthy

Change: `outlier` judges each answer by the bytes acknowledged, or missing after 0.5 s, against its route's usual share; hosts report failures four times a second at most to one judge of the zone by rendezvous; it ejects for 6 s, doubled, and the zone's other hosts are told. An ejected upstream seems to have four requests more a slot, so that it is used again when the others are nearly full; more than a third ejected counts as nobody's fault. A flow counts as failed once.

Flows that are open at a grey upstream stay there; that is what is left.

--- a/crates/pomelorun-core/src/direct.rs
+++ b/crates/pomelorun-core/src/direct.rs
@@ -12,6 +12,7 @@
 mod liveness;
 mod load;
 mod note;
+mod outlier;
 mod peers;
 mod placement;
 mod registry;
@@ -32,6 +33,7 @@
     liveness::{Evidence, Liveness, ProbeFound, ProbeKind, Probed, Standing},
     load::Load,
     note::{DropWhy, Lifecycle, Note, OpenWhy, ResetWhy},
+    outlier::Report,
     peers::News,
     placement::{Candidate, Choice, choose},
     registry::{Announcement, Registry, Upstream, UpstreamIx, UpstreamKey},
--- a/crates/pomelorun-core/src/direct/fleet.rs
+++ b/crates/pomelorun-core/src/direct/fleet.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     choice::rendezvous_score,
-    direct::{peers::News, sourcing::Readers},
+    direct::{outlier::Report, peers::News, sourcing::Readers},
     members::Members,
     settings::CoreSettings,
     time::Millis,
@@ -36,6 +36,8 @@
     Member(PeerMsg),
     /// About upstreams; only hosts of one zone tell each other.
     News(News),
+    /// What an upstream's answers look like, for the host that judges it.
+    Reports(Vec<Report>),
 }
 
 /// Messages to send, with their receivers.
--- a/crates/pomelorun-core/src/direct/flows.rs
+++ b/crates/pomelorun-core/src/direct/flows.rs
@@ -29,6 +29,19 @@
     pub asked_seq: u32,
     /// When the opening packet or the data that waits for an answer was sent on.
     pub asked: Option<Millis>,
+    /// The last request, until its answer is judged.
+    pub(crate) request: Option<Request>,
+    /// A request of it has failed.
+    pub(crate) failed: bool,
+}
+
+/// A request whose answer is not judged yet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Request {
+    /// When it was sent on.
+    pub(crate) sent: Millis,
+    /// The first byte of its answer.
+    pub(crate) ack: u32,
 }
 
 impl Flow {
--- a/crates/pomelorun-core/src/direct/host.rs
+++ b/crates/pomelorun-core/src/direct/host.rs
@@ -1,10 +1,11 @@
 //! The decisions of one host in direct return.
 
 mod detecting;
+mod judging;
 mod placing;
 mod publishing;
 
-use std::{net::SocketAddrV4, sync::Arc};
+use std::{collections::VecDeque, net::SocketAddrV4, sync::Arc};
 
 use pomelorun_wire::{FlowKey, HostId, ZoneId};
 use serde::{Deserialize, Serialize};
@@ -17,6 +18,7 @@
         liveness::{COPY_GAP, Liveness, ProbeKind, Standing},
         load::Load,
         note::{DropWhy, Lifecycle, Note, ResetWhy},
+        outlier::{Outlier, REPORT_EVERY, Report, Routes, Tally},
         peers::News,
         placement::Candidate,
         registry::{Announcement, Registry, UpstreamIx, UpstreamKey},
@@ -159,6 +161,8 @@
     pub own_faults: u64,
     /// Probes sent.
     pub probes: u64,
+    /// Times that an upstream was ejected for failing requests.
+    pub ejected: u64,
     /// Time from an opening packet to the flow's next one.
     pub open: Latency,
     /// Time from a caller's data to its acknowledgement of the answer.
@@ -173,6 +177,8 @@
     liveness: Liveness,
     load: Load,
     cold: ColdBudget,
+    tally: Tally,
+    outlier: Outlier,
 }
 
 /// One host in direct return.
@@ -193,6 +199,15 @@
     back: Option<Millis>,
     /// Live hosts, this one included, sorted; empty while they are not known.
     hosts: Vec<HostId>,
+    /// Live hosts of this zone, this one included, sorted.
+    near: Vec<HostId>,
+    /// Answers by route.
+    answers: Routes,
+    /// Requests whose answers are judged when their time is over, oldest first.
+    asking: VecDeque<(Millis, FlowKey)>,
+    /// Reports to other hosts that wait to be sent.
+    reports: Vec<(HostId, Vec<Report>)>,
+    reported: Millis,
     /// Probes that wait to be sent.
     probes: Vec<Probe>,
     /// Last sign of life from each zone, sorted by zone.
@@ -209,7 +224,6 @@
     pub fn new(cfg: DirectSettings) -> DirectHost {
         DirectHost {
             flows: FlowNotes::new(cfg.most_flows),
-            cfg,
             routing: Arc::default(),
             registry: Registry::default(),
             seen: Vec::new(),
@@ -217,13 +231,19 @@
             store: StoreView::Away,
             heard: None,
             back: None,
+            near: vec![cfg.host],
             hosts: Vec::new(),
+            answers: Routes::default(),
+            asking: VecDeque::new(),
+            reports: Vec::new(),
+            reported: Millis(0),
             probes: Vec::new(),
             zones_answered: Vec::new(),
             resets: Vec::new(),
             news: News::default(),
             notes: Vec::new(),
             stats: DirectStats::default(),
+            cfg,
         }
     }
 
@@ -289,6 +309,24 @@
         self.hosts = hosts;
     }
 
+    /// Says which other hosts of this zone live.
+    pub fn set_neighbours(&mut self, mut hosts: Vec<HostId>) {
+        hosts.push(self.cfg.host);
+        hosts.sort_unstable();
+        hosts.dedup();
+        self.near = hosts;
+    }
+
+    /// Takes what single hosts of this zone are to be told.
+    pub fn take_reports(&mut self) -> Vec<(HostId, Vec<Report>)> {
+        std::mem::take(&mut self.reports)
+    }
+
+    /// Tells whether an upstream is ejected.
+    pub fn is_ejected(&self, now: Millis, ix: UpstreamIx) -> bool {
+        self.seen.get(ix.0 as usize).is_some_and(|it| it.outlier.is_ejected(now))
+    }
+
     /// Decides about a caller's packet.
     pub fn packet(&mut self, now: Millis, seg: &Segment) -> Verdict {
         match seg.kind {
@@ -306,6 +344,11 @@
                 self.send_probe(UpstreamIx(at as u32), ProbeKind::Identify);
             }
         }
+        self.judge_late(now);
+        if now.since(self.reported) >= REPORT_EVERY {
+            self.reported = now;
+            self.send_reports(now);
+        }
         let idle =
             if self.routing.idle > Millis(0) { self.routing.idle } else { self.cfg.flow_lifetime };
         if now > idle {
@@ -372,6 +415,9 @@
             return self.forward(ix);
         }
         self.observe(now, ix, seg);
+        if seg.kind == SegmentKind::Finish {
+            self.judge_answered(now, ix, &seg.flow);
+        }
         self.forward(ix)
     }
 
--- a/crates/pomelorun-core/src/direct/host/detecting.rs
+++ b/crates/pomelorun-core/src/direct/host/detecting.rs
@@ -9,6 +9,7 @@
         host::{DirectHost, Probe, ResetSent, leave},
         liveness::{ProbeFound, ProbeKind, Probed, Standing},
         note::{Lifecycle, Note, ResetWhy},
+        outlier::Eject,
         peers::News,
         registry::{UpstreamIx, UpstreamKey},
         segment::{Segment, seq_after},
@@ -62,6 +63,12 @@
                 self.give_up(now, ix, silent, true);
             }
         }
+        for &(id, born, lasts) in &news.ejected {
+            let Some(ix) = self.registry.by_key(UpstreamKey { id, born }) else { continue };
+            let lasts = Millis(u64::from(lasts));
+            self.seen[ix.0 as usize].outlier.eject(now, lasts);
+            self.note_ejected(ix, Eject { lasts, failed: 0.0, total: 0.0 }, true);
+        }
     }
 
     /// Resets the flows of upstreams that a newer announcement shows to have ended.
@@ -105,6 +112,7 @@
                 flow.asked = Some(now);
                 flow.asked_seq = seg.seq;
                 self.seen[ix.0 as usize].load.waiting += 1;
+                self.next_request(now, ix, seg);
             }
             Some(sent) if seg.seq == flow.asked_seq => {
                 self.unanswered(now, ix, seg.flow, sent);
@@ -130,7 +138,12 @@
             ack: seg.ack,
             asked_seq: seg.seq,
             asked: asks.then_some(now),
+            request: None,
+            failed: false,
         });
+        if noted && asks {
+            self.next_request(now, ix, seg);
+        }
         if noted {
             let load = &mut self.seen[ix.0 as usize].load;
             load.waiting += u32::from(asks);
--- a/crates/pomelorun-core/src/direct/host/placing.rs
+++ b/crates/pomelorun-core/src/direct/host/placing.rs
@@ -57,6 +57,8 @@
             ack: 0,
             asked_seq: seg.seq,
             asked: Some(now),
+            request: None,
+            failed: false,
         });
         self.forward(best.ix)
     }
@@ -85,6 +87,7 @@
                 waiting: f64::from(seen.load.waiting),
                 opens: seen.load.opens(now),
                 slots: it.said.slots,
+                penalty: seen.outlier.penalty(now),
                 tie: rendezvous_score(tie, it.said.key.id),
             });
         }
--- a/crates/pomelorun-core/src/direct/note.rs
+++ b/crates/pomelorun-core/src/direct/note.rs
@@ -129,6 +129,19 @@
         /// Time for which it was held unreachable.
         after: Millis,
     },
+    /// An upstream fails more requests than others and gets fewer new flows.
+    Ejected {
+        /// The upstream.
+        upstream: UpstreamKey,
+        /// For how long.
+        lasts: Millis,
+        /// Requests that failed lately, as the zone's hosts saw it; zero where another host decided.
+        failed: f64,
+        /// Requests that were answered or failed lately.
+        total: f64,
+        /// Another host of the zone decided.
+        told: bool,
+    },
     /// What became of an upstream.
     Upstream {
         /// The upstream.
--- a/crates/pomelorun-core/src/direct/peers.rs
+++ b/crates/pomelorun-core/src/direct/peers.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-/// Upstreams that the sender has found unreachable since it last spoke.
+/// Upstreams that the sender has found unreachable, or ejected, since it last spoke.
 ///
 /// Only hosts of the sender's zone go by it: another zone may reach what this one does not.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -10,11 +10,14 @@
 pub struct News {
     /// Identifier and start of each, and how long it had been silent, milliseconds.
     pub unreachable: Vec<(u64, u64, u32)>,
+    /// Identifier and start of each upstream that is ejected, and for how long, milliseconds.
+    #[serde(default)]
+    pub ejected: Vec<(u64, u64, u32)>,
 }
 
 impl News {
     /// Tells whether there is nothing to tell.
     pub fn is_empty(&self) -> bool {
-        self.unreachable.is_empty()
+        self.unreachable.is_empty() && self.ejected.is_empty()
     }
 }
--- a/crates/pomelorun-core/src/direct/placement.rs
+++ b/crates/pomelorun-core/src/direct/placement.rs
@@ -13,6 +13,10 @@
 /// Weight of a flow opened just now.
 const OPENED: f64 = 0.5;
 
+/// Share of the candidates, as a fraction, that may bear a penalty: the others must be able to take
+/// over, and a fault of all of them has another cause.
+const PENALISED_MOST: (usize, usize) = (1, 3);
+
 /// How well an upstream can take a new flow, best first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Choice {
@@ -45,6 +49,8 @@
     pub opens: f64,
     /// Requests that it works on at a time.
     pub slots: u32,
+    /// Load that it seems to have on top since it fails requests, in waiting requests a slot.
+    pub penalty: f64,
     /// Breaks ties; differs from host to host, so that hosts do not all choose alike.
     pub tie: u64,
 }
@@ -54,14 +60,18 @@
     pub fn score(&self) -> f64 {
         let slots = f64::from(self.slots.max(1));
         let zone = if self.near { 0.0 } else { OTHER_ZONE };
-        (self.waiting * WAITING + self.opens * OPENED) / slots + zone
+        (self.waiting * WAITING + self.opens * OPENED) / slots + zone + self.penalty
     }
 }
 
-/// Chooses among candidates: the best kind first, then the least waiting.
+/// Chooses among candidates: the best kind first, then the least waiting. Penalties of more than a
+/// few are not the upstreams' own fault and do not count.
 pub fn choose(candidates: &[Candidate]) -> Option<Candidate> {
+    let penalised = candidates.iter().filter(|it| it.penalty > 0.0).count();
+    let counts = penalised * PENALISED_MOST.1 <= candidates.len() * PENALISED_MOST.0;
+    let score = |it: &Candidate| it.score() - if counts { 0.0 } else { it.penalty };
     let order = |a: &&Candidate, b: &&Candidate| {
-        a.choice.cmp(&b.choice).then(a.score().total_cmp(&b.score())).then(a.tie.cmp(&b.tie))
+        a.choice.cmp(&b.choice).then(score(a).total_cmp(&score(b))).then(a.tie.cmp(&b.tie))
     };
     candidates.iter().min_by(order).copied()
 }
--- a/crates/pomelorun-core/tests/core/direct.rs
+++ b/crates/pomelorun-core/tests/core/direct.rs
@@ -3,6 +3,7 @@
 mod fleet;
 mod host;
 mod kit;
+mod outliers;
 mod play;
 mod registry;
 mod routing;
--- a/crates/pomelorun-core/tests/core/direct/fleet.rs
+++ b/crates/pomelorun-core/tests/core/direct/fleet.rs
@@ -202,6 +202,6 @@
 
 #[test]
 fn news_is_one_small_datagram() {
-    let news = News { unreachable: vec![(u64::MAX, 1_773_131_158_246, 350); 16] };
+    let news = News { unreachable: vec![(u64::MAX, 1_773_131_158_246, 350); 16], ejected: vec![] };
     assert!(encode(&FleetMsg::News(news)).unwrap().len() < 1_200);
 }
--- a/crates/pomelorun-core/tests/core/direct/play.rs
+++ b/crates/pomelorun-core/tests/core/direct/play.rs
@@ -3,7 +3,7 @@
 use pomelorun_core::direct::Standing;
 use pomelorun_wire::ZoneId;
 
-use crate::direct::world::{Health, Shape, World};
+use crate::direct::world::{Health, Judging, Shape, World};
 
 /// The users' deployment of today: three zones of two hosts and five upstreams, a hundred callers
 /// with long flows.
@@ -15,6 +15,8 @@
     think: 500,
     work: 30,
     loss: 0,
+    judging: Judging::Together,
+    flow_requests: u32::MAX,
 };
 const SEEDS: u64 = 20;
 /// When trouble begins, and how long it lasts.
--- a/crates/pomelorun-core/tests/core/direct/world.rs
+++ b/crates/pomelorun-core/tests/core/direct/world.rs
@@ -9,8 +9,8 @@
 use pomelorun_core::{
     Millis,
     direct::{
-        DirectHost, ProbeFound, ProbeKind, Published, ResetSent, Segment, SegmentKind, StoreView,
-        Token, Verdict,
+        DirectHost, Note, ProbeFound, ProbeKind, Published, ResetSent, Segment, SegmentKind,
+        StoreView, Token, Verdict,
     },
 };
 use pomelorun_wire::{FlowKey, HostId, ZoneId};
@@ -34,7 +34,11 @@
 const PROBE_LIMIT: u64 = 150;
 /// Bytes of a question, and of an answer.
 const QUESTION: u32 = 120;
+const BAD_QUESTION: u16 = 121;
 const ANSWER: u32 = 2_000;
+const ERROR: u32 = 160;
+/// Most bytes of a packet.
+const PACKET: u32 = 1_200;
 
 /// What an upstream does with what it gets.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -44,6 +48,19 @@
     Slow(u64),
     /// Neither answers nor refuses.
     Dark,
+    /// Answers so many of a hundred requests with an error.
+    Failing(u32),
+    /// Leaves so many of a hundred requests without an answer.
+    Mute(u32),
+}
+
+/// Who judges the answers of an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Judging {
+    /// Each host for itself, by what it sees.
+    Alone,
+    /// One host of each zone, by what all of them see.
+    Together,
 }
 
 /// Shape of a deployment.
@@ -59,6 +76,9 @@
     pub(crate) work: u64,
     /// One packet in this many is lost, zero for none.
     pub(crate) loss: u32,
+    pub(crate) judging: Judging,
+    /// Requests that a caller makes on one flow.
+    pub(crate) flow_requests: u32,
 }
 
 struct Upstream {
@@ -90,6 +110,10 @@
     since: u64,
     /// Names the present step; events of earlier ones are void.
     step: u64,
+    /// Asks what every upstream answers with an error.
+    bad: bool,
+    /// Requests of its flow that were answered.
+    answered: u32,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -112,6 +136,7 @@
         caller: usize,
         step: u64,
         upstream: u64,
+        bytes: u32,
     },
     Think {
         caller: usize,
@@ -134,6 +159,11 @@
     pub(crate) answered: u64,
     pub(crate) in_time: u64,
     pub(crate) expired: u64,
+    /// Requests that were answered with an error.
+    pub(crate) failed: u64,
+    /// Upstreams that hosts ejected although they were well.
+    pub(crate) false_ejections: u64,
+    pub(crate) ejections: u64,
     /// Flows that were reset although their upstream lived and could be reached.
     pub(crate) false_resets: u64,
     pub(crate) resets: u64,
@@ -199,6 +229,12 @@
             let mut host = DirectHost::new(cfg);
             host.store(Millis(0), StoreView::Answering);
             host.listing(Millis(0), &all);
+            let per_zone = shape.hosts_per_zone as usize;
+            let first = at / per_zone * per_zone;
+            let near = (first..first + per_zone).map(|it| HostId(it as u64 + 1)).collect();
+            if shape.judging == Judging::Together {
+                host.set_neighbours(near);
+            }
             world.hosts.push((*zone, host));
             world.at(at as u64, Event::Tick(at));
         }
@@ -215,6 +251,8 @@
                     ack: 0,
                     since: 0,
                     step: 0,
+                    bad: false,
+                    answered: 0,
                 });
                 let start = world.rng.random_range(0..1_000);
                 world.now = start;
@@ -231,6 +269,27 @@
         }
     }
 
+    /// Lets a caller ask what every upstream answers with an error.
+    pub(crate) fn spoil_caller(&mut self, caller: usize) {
+        self.callers[caller].bad = true;
+    }
+
+    pub(crate) fn upstreams(&self) -> usize {
+        self.upstreams.len()
+    }
+
+    /// Upstreams that some host of a zone holds ejected.
+    pub(crate) fn ejected(&self) -> usize {
+        let ejected = |id: &&u64| {
+            let holds = |it: &(ZoneId, DirectHost)| {
+                let ix = it.1.registry().by_id(**id);
+                ix.is_some_and(|ix| it.1.is_ejected(Millis(self.now), ix))
+            };
+            self.hosts.iter().any(holds)
+        };
+        self.upstreams.keys().filter(ejected).count()
+    }
+
     /// Cuts a zone off from the others; its callers still reach its hosts.
     pub(crate) fn cut(&mut self, zone: Option<ZoneId>) {
         self.cut = zone;
@@ -286,7 +345,9 @@
             Event::Accepted { caller, step, upstream, token } => {
                 self.accepted(caller, step, upstream, Token(token));
             }
-            Event::Answered { caller, step, upstream } => self.answered(caller, step, upstream),
+            Event::Answered { caller, step, upstream, bytes } => {
+                self.answered(caller, step, upstream, bytes);
+            }
             Event::Think { caller, step } => {
                 if self.callers[caller].step == step {
                     self.ask(caller);
@@ -321,6 +382,7 @@
         it.step += 1;
         it.seq = 1;
         it.ack = 0;
+        it.answered = 0;
         it.since = self.now;
         let step = it.step;
         self.at(0, Event::Send { caller, step, copy: 0 });
@@ -364,7 +426,7 @@
                 token: it.token,
                 seq: it.seq,
                 ack: it.ack,
-                len: QUESTION as u16,
+                len: if it.bad { BAD_QUESTION } else { QUESTION as u16 },
             },
             Phase::Thinking => return,
         };
@@ -397,9 +459,9 @@
         let step = self.callers[caller].step;
         let Some(it) = self.upstreams.get_mut(&id) else { return };
         let slow = match it.health {
-            Health::Well => 1,
             Health::Slow(x) => x,
             Health::Dark => return,
+            Health::Well | Health::Failing(_) | Health::Mute(_) => 1,
         };
         if seg.kind == SegmentKind::Open {
             let token = token.0;
@@ -410,13 +472,20 @@
             return;
         }
         it.begun.insert(seg.flow, seg.seq);
+        let chance = self.rng.random_range(0..100);
+        let bytes = match it.health {
+            Health::Failing(share) if chance < share => ERROR,
+            Health::Mute(share) if chance < share => return,
+            _ if seg.len == BAD_QUESTION => ERROR,
+            _ => ANSWER,
+        };
         let work = self.rng.random_range(1..=self.shape.work) * slow;
         let free = if it.slots[0] <= it.slots[1] { 0 } else { 1 };
         let end = it.slots[free].max(now) + work;
         it.slots[free] = end;
         it.open += 1;
         self.counts.most_waiting = self.counts.most_waiting.max(it.open);
-        self.at(end - self.now + back, Event::Answered { caller, step, upstream: id });
+        self.at(end - self.now + back, Event::Answered { caller, step, upstream: id, bytes });
     }
 
     fn accepted(&mut self, caller: usize, step: u64, upstream: u64, token: Token) {
@@ -430,7 +499,7 @@
         self.ask(caller);
     }
 
-    fn answered(&mut self, caller: usize, step: u64, upstream: u64) {
+    fn answered(&mut self, caller: usize, step: u64, upstream: u64, bytes: u32) {
         let dark = match self.upstreams.get_mut(&upstream) {
             Some(it) => {
                 it.open = it.open.saturating_sub(1);
@@ -442,16 +511,29 @@
         if dark || it.step != step || it.phase != Phase::Asking {
             return;
         }
-        self.counts.answered += 1;
-        self.counts.in_time += u64::from(self.now - it.since <= self.aim);
+        let failed = bytes == ERROR;
+        self.counts.answered += u64::from(!failed);
+        self.counts.failed += u64::from(failed);
+        self.counts.in_time += u64::from(!failed && self.now - it.since <= self.aim);
+        it.answered += 1;
         it.seq += QUESTION;
-        it.ack += ANSWER;
+        it.ack += bytes;
         it.phase = Phase::Thinking;
         it.step += 1;
         let (flow, token, seq, ack, step) = (it.flow, it.token, it.seq, it.ack, it.step);
-        if !self.lost() {
-            let kind = SegmentKind::Data;
-            self.through_host(caller, Segment { flow, kind, token, seq, ack, len: 0 });
+        // Each packet of the answer is acknowledged.
+        for left in (0..bytes.div_ceil(PACKET)).rev() {
+            if !self.lost() {
+                let ack = ack - left * (bytes - PACKET.min(bytes));
+                let kind = SegmentKind::Data;
+                self.through_host(caller, Segment { flow, kind, token, seq, ack, len: 0 });
+            }
+        }
+        let it = &self.callers[caller];
+        if failed && !it.bad || it.answered >= self.shape.flow_requests {
+            // The next try, or the next request, is a new flow.
+            self.reopen(caller);
+            return;
         }
         let think = self.rng.random_range(1..=self.shape.think);
         self.at(think, Event::Think { caller, step });
@@ -475,6 +557,32 @@
             };
             self.at(delay, Event::Probed { host, upstream: id, found });
         }
+        self.count_ejections(host);
+        for (to, reports) in self.hosts[host].1.take_reports() {
+            let Some(at) = self.host_at(to) else { continue };
+            self.hosts[at].1.reported(Millis(self.now + NEAR_MS), &reports);
+            self.spread(at);
+        }
+        self.spread(host);
+    }
+
+    fn host_at(&self, id: HostId) -> Option<usize> {
+        let at = usize::try_from(id.0).ok()?.checked_sub(1)?;
+        (at < self.hosts.len()).then_some(at)
+    }
+
+    fn count_ejections(&mut self, host: usize) {
+        for note in self.hosts[host].1.take_notes() {
+            if let Note::Ejected { upstream, told: false, .. } = note {
+                let well = self.upstreams[&upstream.id].health == Health::Well;
+                self.counts.ejections += 1;
+                self.counts.false_ejections += u64::from(well);
+            }
+        }
+    }
+
+    /// Gives a host's news to the others of its zone.
+    fn spread(&mut self, host: usize) {
         let news = self.hosts[host].1.take_news();
         if news.is_empty() {
             return;
--- a/crates/pomelorun-wire/src/code.rs
+++ b/crates/pomelorun-wire/src/code.rs
@@ -116,6 +116,7 @@
     REVISION = 420, "revision", "a revision of the configuration is in force", "none";
     ZONE_TAKEN_OUT = 421, "zone_taken_out", "nothing new goes to a zone", "none";
     ZONE_TAKEN_BACK = 422, "zone_taken_back", "a zone is used again", "none";
+    UPSTREAM_EJECTED = 423, "upstream_ejected", "an upstream fails more requests than others of its service; new flows go elsewhere for a time", "look at the upstream";
     LINES_LEFT_OUT = 427, "lines_left_out", "lines for flows that opened as they should, or for malformed packets, were not written", "none: counters have them all";
     STARTED = 430, "started", "the daemon has started", "none";
     LEAVING_HOST = 431, "leaving_host", "the daemon was asked to stop, refuses new flows and forwards on", "none";
--- a/crates/pomelorun/src/direct/edge.rs
+++ b/crates/pomelorun/src/direct/edge.rs
@@ -7,7 +7,7 @@
 use pomelorun_core::{
     Millis,
     direct::{
-        DirectHost, DirectStats, News, Probe, ProbeFound, Published, Shared, StoreView,
+        DirectHost, DirectStats, News, Probe, ProbeFound, Published, Report, Shared, StoreView,
         UpstreamKey, Verdict,
     },
 };
@@ -190,9 +190,22 @@
         self.finish();
     }
 
-    pub(crate) fn set_hosts(&mut self, hosts: Vec<HostId>) {
+    /// Takes in what another host of this zone has seen of upstreams that this one judges.
+    pub(crate) fn reported(&mut self, reports: &[Report]) {
+        self.host.reported(now(), reports);
+        self.finish();
+    }
+
+    /// Takes what single hosts of this zone are to be told.
+    pub(crate) fn take_reports(&mut self) -> Vec<(HostId, Vec<Report>)> {
+        self.host.take_reports()
+    }
+
+    /// Says which hosts live, and which others of them are in this zone.
+    pub(crate) fn set_hosts(&mut self, hosts: Vec<HostId>, neighbours: Vec<HostId>) {
         self.hosts = hosts.len();
         self.host.set_hosts(hosts);
+        self.host.set_neighbours(neighbours);
     }
 
     pub(crate) fn store(&mut self, view: StoreView) {
--- a/crates/pomelorun/src/direct/fleet.rs
+++ b/crates/pomelorun/src/direct/fleet.rs
@@ -66,6 +66,8 @@
         }
         self.last_tick = now;
         self.fleet.set_revision(self.edge.borrow().revision());
+        let reports = self.edge.borrow_mut().take_reports();
+        self.send(reports.into_iter().map(|(to, it)| (to, FleetMsg::Reports(it))).collect());
         let out = self.fleet.tick(now);
         self.send(out);
         self.renew();
@@ -86,6 +88,7 @@
                 self.renew();
             }
             FleetMsg::News(news) => self.edge.borrow_mut().told(&news),
+            FleetMsg::Reports(reports) => self.edge.borrow_mut().reported(&reports),
         }
     }
 
@@ -103,7 +106,7 @@
         let live = self.fleet.live();
         let readers = self.fleet.readers();
         info!("hosts changed", kv: { code = Code::HOSTS_CHANGED.to_string(), live = live.len(), reads = readers.reads });
-        self.edge.borrow_mut().set_hosts(live);
+        self.edge.borrow_mut().set_hosts(live, self.fleet.neighbours());
         self.readers.send_if_modified(|it| {
             let changed = *it != readers;
             *it = readers;
--- a/crates/pomelorun/src/direct/lines.rs
+++ b/crates/pomelorun/src/direct/lines.rs
@@ -110,6 +110,13 @@
                     after_ms = after.0
                 });
             }
+            Note::Ejected { upstream, lasts, failed, total, told } => {
+                warn!("upstream ejected", kv: {
+                    code = Code::UPSTREAM_EJECTED.to_string(), upstream = id(upstream),
+                    for_ms = lasts.0, failed = failed.round(), judged = total.round(),
+                    told_by_another_host = *told
+                });
+            }
             Note::Upstream { upstream, state, cold } => {
                 let (code, text) = lifecycle(*state);
                 info!("upstream", kv: {
--- a/crates/pomelorun/src/direct/metrics.rs
+++ b/crates/pomelorun/src/direct/metrics.rs
@@ -19,7 +19,7 @@
 type Read = fn(&EdgeStats) -> u64;
 
 /// Counters, with what each one counts. `docs/operators/metrics.md` says what to do when one rises.
-const COUNTERS: [(&str, &str, Read); 15] = [
+const COUNTERS: [(&str, &str, Read); 16] = [
     ("pomelorun_packets_forwarded", "Packets sent on to upstreams", |it| it.decisions.forwarded),
     ("pomelorun_flows_opened", "Flows opened, copies not counted", |it| it.decisions.opened),
     ("pomelorun_flow_copies", "Opening packets sent to another upstream", |it| it.decisions.copies),
@@ -47,6 +47,11 @@
     ("pomelorun_own_faults", "Upstreams kept since the own zone looked silent", |it| {
         it.decisions.own_faults
     }),
+    (
+        "pomelorun_upstream_ejected",
+        "Times that an upstream was ejected for failing requests",
+        |it| it.decisions.ejected,
+    ),
     ("pomelorun_probes", "Probes of upstreams", |it| it.decisions.probes),
     ("pomelorun_log_lines_dropped", "Log lines that the reader did not take in time", |it| {
         it.lines_dropped
