Answer operators on hosts in direct return: status, explain, burn

Cause: on the new path an on-call engineer had logs and counters only; what a running host believes of an upstream, and why a flow goes where it goes, could not be asked, and no error budget was counted.

Change: the decisions give a view of themselves (`view`, `explaining`); why an upstream gets no flow is now a value (`Barred`), so that placement and explanation cannot differ. Outcomes are counted by address and summed by service, with the route's goal as the bound; routes carry it. The `ready` address serves /v1/status, /v1/explain and /v1/burn; questions go to the service `edge` by a channel, so that packets are never locked out. `pomelorunctl` tells hosts in direct return by `mode`.

Not proved: the time that /v1/status takes with 20,000 upstreams.

--- a/crates/pomelorun-core/src/direct.rs
+++ b/crates/pomelorun-core/src/direct.rs
@@ -12,6 +12,7 @@
 mod liveness;
 mod load;
 mod note;
+mod outcomes;
 mod outlier;
 mod peers;
 mod placement;
@@ -20,6 +21,7 @@
 mod segment;
 mod sourcing;
 mod token;
+mod view;
 
 pub use crate::direct::{
     cold::{ColdBudget, ColdRule},
@@ -33,6 +35,7 @@
     liveness::{Evidence, Liveness, ProbeFound, ProbeKind, Probed, Standing},
     load::Load,
     note::{DropWhy, Lifecycle, Note, OpenWhy, ResetWhy},
+    outcomes::ServiceOutcomes,
     outlier::Report,
     peers::News,
     placement::{Candidate, Choice, choose},
@@ -41,4 +44,5 @@
     segment::{Segment, SegmentKind},
     sourcing::{Followed, Next, Outcome, Readers, Sourcing},
     token::Token,
+    view::{Barred, DirectView, FlowView, KnownFrom, StandingView, UpstreamView},
 };
--- a/crates/pomelorun-core/src/direct/host.rs
+++ b/crates/pomelorun-core/src/direct/host.rs
@@ -1,6 +1,7 @@
 //! The decisions of one host in direct return.
 
 mod detecting;
+mod explaining;
 mod judging;
 mod placing;
 mod publishing;
@@ -18,6 +19,7 @@
         liveness::{COPY_GAP, Liveness, ProbeKind, Standing},
         load::Load,
         note::{DropWhy, Lifecycle, Note, ResetWhy},
+        outcomes::{OutcomesByRoute, ServiceOutcomes},
         outlier::{Outlier, REPORT_EVERY, Report, Routes, Tally},
         peers::News,
         placement::Candidate,
@@ -201,6 +203,7 @@
     hosts: Vec<HostId>,
     /// Live hosts of this zone, this one included, sorted.
     near: Vec<HostId>,
+    outcomes: OutcomesByRoute,
     /// Answers by route.
     answers: Routes,
     /// Requests whose answers are judged when their time is over, oldest first.
@@ -233,6 +236,7 @@
             back: None,
             near: vec![cfg.host],
             hosts: Vec::new(),
+            outcomes: OutcomesByRoute::default(),
             answers: Routes::default(),
             asking: VecDeque::new(),
             reports: Vec::new(),
@@ -272,6 +276,11 @@
         self.routing.revision
     }
 
+    /// Outcomes since the start by service, sorted by name.
+    pub fn outcomes(&self) -> Vec<ServiceOutcomes> {
+        self.outcomes.by_service(&self.routing)
+    }
+
     /// The upstreams.
     pub fn registry(&self) -> &Registry {
         &self.registry
@@ -407,7 +416,7 @@
             && (ended || matches!(self.standing(ix), Standing::Unreachable { .. }))
         {
             let why = if ended { ResetWhy::Ended } else { ResetWhy::Unreachable };
-            self.forget(&seg.flow);
+            self.lose(&seg.flow);
             return Verdict::Reset(self.reset(now, Some(ix), seg.flow, seg.ack, why));
         }
         if seg.kind == SegmentKind::Abort {
@@ -437,6 +446,7 @@
     /// while the service is known to have no upstream.
     fn no_upstream(&mut self, now: Millis, service: &str, seg: &Segment) -> Verdict {
         self.stats.no_upstream += 1;
+        self.count_refused(&seg.flow);
         let cold = |ix: &UpstreamIx| {
             self.registry.get(*ix).is_some_and(|it| it.is_offered() && now < it.cold_until)
         };
@@ -452,12 +462,22 @@
     /// are probed again soon.
     fn all_unreachable(&mut self, now: Millis, candidates: &[Candidate], seg: &Segment) -> Verdict {
         self.stats.no_upstream += 1;
+        self.count_refused(&seg.flow);
         for it in candidates {
             self.seen[it.ix.0 as usize].liveness.want_trial(now);
         }
         Verdict::Reset(self.reset(now, None, seg.flow, seg.ack, ResetWhy::NoUpstream))
     }
 
+    /// Forgets a flow that is reset.
+    fn lose(&mut self, key: &FlowKey) {
+        let flow = self.flows.remove(key);
+        self.count_broken(key, flow.as_ref());
+        if let Some(flow) = flow {
+            leave(&mut self.seen, &flow);
+        }
+    }
+
     /// Forgets a flow.
     fn forget(&mut self, flow: &FlowKey) {
         if let Some(flow) = self.flows.remove(flow) {
--- a/crates/pomelorun-core/src/direct/host/detecting.rs
+++ b/crates/pomelorun-core/src/direct/host/detecting.rs
@@ -97,7 +97,14 @@
         if seq_after(seg.ack, flow.ack) {
             flow.ack = seg.ack;
             if let Some(asked) = flow.asked.take() {
-                self.stats.answer.record(now.since(asked).0);
+                let waited = now.since(asked);
+                self.stats.answer.record(waited.0);
+                let route = self.routing.route(seg.flow.service);
+                let in_time = route.is_some_and(|it| waited <= it.answer_within);
+                if let Some(it) = self.outcomes.of(&self.routing, seg.flow.service) {
+                    it.answered += 1;
+                    it.in_time += u64::from(in_time);
+                }
                 let load = &mut self.seen[ix.0 as usize].load;
                 load.waiting = load.waiting.saturating_sub(1);
             }
@@ -127,6 +134,9 @@
             if let Some(asked) = opening.asked {
                 self.stats.open.record(now.since(asked).0);
             }
+            if let Some(it) = self.outcomes.of(&self.routing, seg.flow.service) {
+                it.opened += 1;
+            }
             self.alive(now, ix);
         }
         let asks = seg.len > 0;
@@ -251,6 +261,7 @@
                 continue;
             }
             leave(&mut self.seen, &flow);
+            self.count_broken(&flow.key, Some(&flow));
             count += 1;
             let reset = self.reset(now, Some(ix), flow.key, flow.ack, why);
             self.resets.push(reset);
@@ -258,6 +269,21 @@
         count
     }
 
+    /// Counts a flow that was lost, and the request that waits in it.
+    pub(super) fn count_broken(&mut self, key: &FlowKey, flow: Option<&Flow>) {
+        if let Some(it) = self.outcomes.of(&self.routing, key.service) {
+            it.broken += 1;
+            it.unknown += u64::from(flow.is_some_and(|it| it.open && it.asked.is_some()));
+        }
+    }
+
+    /// Counts a flow that was not opened.
+    pub(super) fn count_refused(&mut self, key: &FlowKey) {
+        if let Some(it) = self.outcomes.of(&self.routing, key.service) {
+            it.refused += 1;
+        }
+    }
+
     pub(super) fn reset(
         &mut self,
         now: Millis,
--- /dev/null
+++ b/crates/pomelorun-core/src/direct/host/explaining.rs
@@ -0,0 +1,96 @@
+//! Telling operators what the host believes and where flows go.
+
+use pomelorun_wire::FlowKey;
+
+use crate::{
+    direct::{
+        host::{DirectHost, StoreView},
+        liveness::Standing,
+        placement::choose,
+        registry::{Upstream, UpstreamIx},
+        token::Token,
+        view::{DirectView, FlowView, KnownFrom, StandingView, UpstreamView},
+    },
+    time::Millis,
+};
+
+impl DirectHost {
+    /// What the host believes.
+    pub fn view(&self, now: Millis) -> DirectView {
+        DirectView {
+            revision: self.routing.revision,
+            routes: self.routing.routes().len(),
+            directory_answers: self.store == StoreView::Answering,
+            directory_ago_ms: self.heard.map(|it| now.since(it).0),
+            flows: self.flows.len(),
+            hosts: self.hosts.len(),
+            near_hosts: self.near.len(),
+            zones_out: self.out.clone(),
+            upstreams: self
+                .registry
+                .iter()
+                .map(|(ix, it)| self.upstream_view(now, ix, it))
+                .collect(),
+        }
+    }
+
+    /// Where a flow goes and why; `token` is what its packets carry, where that is known.
+    pub fn explain(&mut self, now: Millis, flow: &FlowKey, token: Option<Token>) -> FlowView {
+        let by_token = token.and_then(|it| self.registry.by_token(it));
+        let noted = self.flows.get_mut(flow).map(|it| it.upstream());
+        let known_from = match (noted, by_token) {
+            (Some(_), _) => Some(KnownFrom::Packets),
+            (None, Some(_)) => Some(KnownFrom::Token),
+            (None, None) => None,
+        };
+        let name = |ix: UpstreamIx| self.registry.get(ix).map(id_text);
+        let service = self.routing.route(flow.service).and_then(|it| it.service_of(flow));
+        let candidates = service.map(|it| self.candidates(now, it, flow, &[])).unwrap_or_default();
+        let of_service = service.map(|it| self.registry.of_service(it)).unwrap_or_default();
+        let views = of_service.iter().filter_map(|&ix| Some((ix, self.registry.get(ix)?)));
+        let mut upstreams: Vec<UpstreamView> =
+            views.map(|(ix, it)| self.upstream_view(now, ix, it)).collect();
+        upstreams.sort_by(|a, b| {
+            let rank = |it: &UpstreamView| it.choice.map_or(usize::MAX, |it| it as usize);
+            rank(a).cmp(&rank(b)).then(a.score.total_cmp(&b.score))
+        });
+        FlowView {
+            revision: self.routing.revision,
+            service: service.map(str::to_owned),
+            lives_at: noted.or(by_token).and_then(name),
+            known_from,
+            would_go_to: choose(&candidates).and_then(|it| name(it.ix)),
+            upstreams,
+        }
+    }
+
+    fn upstream_view(&self, now: Millis, ix: UpstreamIx, it: &Upstream) -> UpstreamView {
+        let seen = &self.seen[ix.0 as usize];
+        let cold_per_s = self.routing.limits(&it.said.service).map_or(0.0, |it| it.cold_per_s);
+        let choice = self.choice(now, ix, it, self.cfg.cold.per_s(cold_per_s));
+        UpstreamView {
+            upstream: id_text(it),
+            token: it.token.to_string(),
+            service: it.said.service.clone(),
+            zone: it.said.zone,
+            address: it.said.addr,
+            standing: match seen.liveness.standing() {
+                Standing::Answering => StandingView::Answering,
+                Standing::Suspect => StandingView::Suspect,
+                Standing::Unreachable { .. } => StandingView::Unreachable,
+            },
+            answered_ago_ms: now.since(seen.liveness.answered()).0,
+            ejected: seen.outlier.is_ejected(now),
+            cold_left_ms: it.cold_until.since(now).0,
+            lapsed_ms: it.lapsed.map(|at| now.since(at).0),
+            waiting: seen.load.waiting,
+            choice: choice.ok(),
+            barred: choice.err(),
+            score: self.candidate(now, ix, it).score(),
+        }
+    }
+}
+
+fn id_text(it: &Upstream) -> String {
+    format!("{:016x}", it.said.key.id)
+}
--- a/crates/pomelorun-core/src/direct/host/judging.rs
+++ b/crates/pomelorun-core/src/direct/host/judging.rs
@@ -66,6 +66,9 @@
     }
 
     fn judge(&mut self, now: Millis, ix: UpstreamIx, key: &FlowKey, answer: Answer) {
+        if self.routing.route(key.service).is_none() {
+            return;
+        }
         let Sign::Judged { failed, usual } = self.answers.judge(now, key.service, answer) else {
             return;
         };
--- a/crates/pomelorun-core/src/direct/host/placing.rs
+++ b/crates/pomelorun-core/src/direct/host/placing.rs
@@ -15,6 +15,7 @@
         placement::{Candidate, Choice, choose},
         registry::{Upstream, UpstreamIx, UpstreamKey},
         segment::Segment,
+        view::Barred,
     },
     time::Millis,
 };
@@ -76,53 +77,83 @@
         let tie = flow.stable_hash();
         for &ix in self.registry.of_service(service) {
             let Some(it) = self.registry.get(ix) else { continue };
-            let Some(choice) = self.choice(now, ix, it, cold_room) else { continue };
+            let Ok(choice) = self.choice(now, ix, it, cold_room) else { continue };
             // A copy goes to one that was already tried only for want of another.
             let choice = if tried.contains(&ix) { choice.max(Choice::Tried) } else { choice };
-            let seen = &self.seen[ix.0 as usize];
-            found.push(Candidate {
-                ix,
-                choice,
-                near: it.said.zone == self.cfg.zone,
-                waiting: f64::from(seen.load.waiting),
-                opens: seen.load.opens(now),
-                slots: it.said.slots,
-                penalty: seen.outlier.penalty(now),
-                tie: rendezvous_score(tie, it.said.key.id),
-            });
+            let tie = rendezvous_score(tie, it.said.key.id);
+            found.push(Candidate { choice, tie, ..self.candidate(now, ix, it) });
         }
         found
     }
 
+    /// An upstream with its load, taken as good.
+    pub(super) fn candidate(&self, now: Millis, ix: UpstreamIx, it: &Upstream) -> Candidate {
+        let seen = &self.seen[ix.0 as usize];
+        Candidate {
+            ix,
+            choice: Choice::Good,
+            near: it.said.zone == self.cfg.zone,
+            waiting: f64::from(seen.load.waiting),
+            opens: seen.load.opens(now),
+            slots: it.said.slots,
+            penalty: seen.outlier.penalty(now),
+            tie: 0,
+        }
+    }
+
     pub(super) fn choice(
         &self,
         now: Millis,
         ix: UpstreamIx,
         it: &Upstream,
         cold_room: u32,
-    ) -> Option<Choice> {
-        if self.out.binary_search(&it.said.zone).is_ok() || !self.registry.owns_token(ix) {
-            return None;
+    ) -> Result<Choice, Barred> {
+        if self.out.binary_search(&it.said.zone).is_ok() {
+            return Err(Barred::ZoneOut);
+        }
+        if !self.registry.owns_token(ix) {
+            return Err(Barred::TokenTaken);
+        }
+        if it.ended {
+            return Err(Barred::Ended);
+        }
+        if it.said.draining {
+            return Err(Barred::Draining);
         }
         let seen = &self.seen[ix.0 as usize];
         if now < it.cold_until {
-            let room = it.is_offered()
-                && self.is_steward(it.said.key)
-                && seen.cold.has_room(now, cold_room);
-            return room.then_some(Choice::Cold);
+            return self.cold_choice(now, ix, it, cold_room);
         }
         let usable = match it.lapsed {
-            None => it.is_offered().then_some(Choice::Good),
-            Some(_) if it.said.draining || it.ended => None,
-            Some(at) if now.since(at) >= self.cfg.lapse_grace => None,
-            Some(at) if self.was_away(at) => Some(Choice::Good),
-            Some(_) => Some(Choice::Lapsed),
-        }?;
-        match seen.liveness.standing() {
-            Standing::Answering => Some(usable),
-            Standing::Suspect => Some(Choice::Suspect),
-            Standing::Unreachable { .. } => Some(Choice::Unreachable),
+            None => Choice::Good,
+            Some(at) if now.since(at) >= self.cfg.lapse_grace => return Err(Barred::Lapsed),
+            Some(at) if self.was_away(at) => Choice::Good,
+            Some(_) => Choice::Lapsed,
+        };
+        Ok(match seen.liveness.standing() {
+            Standing::Answering => usable,
+            Standing::Suspect => Choice::Suspect,
+            Standing::Unreachable { .. } => Choice::Unreachable,
+        })
+    }
+
+    fn cold_choice(
+        &self,
+        now: Millis,
+        ix: UpstreamIx,
+        it: &Upstream,
+        cold_room: u32,
+    ) -> Result<Choice, Barred> {
+        if it.lapsed.is_some() {
+            return Err(Barred::Lapsed);
+        }
+        if !self.is_steward(it.said.key) {
+            return Err(Barred::ColdElsewhere);
+        }
+        if !self.seen[ix.0 as usize].cold.has_room(now, cold_room) {
+            return Err(Barred::ColdFull);
         }
+        Ok(Choice::Cold)
     }
 
     /// Tells whether the directory had been away shortly before `at`.
--- a/crates/pomelorun-core/src/direct/host/publishing.rs
+++ b/crates/pomelorun-core/src/direct/host/publishing.rs
@@ -141,6 +141,8 @@
             return;
         }
         self.routing = Arc::clone(routing);
+        self.outcomes.retain(routing);
+        self.answers.retain(routing);
         let routes = routing.routes().len();
         self.note(Note::Revision { revision: routing.revision, routes });
     }
--- a/crates/pomelorun-core/src/direct/outlier.rs
+++ b/crates/pomelorun-core/src/direct/outlier.rs
@@ -13,7 +13,7 @@
 use pomelorun_wire::ServiceAddr;
 use serde::{Deserialize, Serialize};
 
-use crate::time::Millis;
+use crate::{direct::routing::Routing, time::Millis};
 
 /// Time after which a request without an answer counts as failed: a little more than the shortest
 /// response-time goal on the users' sheets, 400 ms.
@@ -128,6 +128,11 @@
 pub(crate) struct Routes(Vec<(ServiceAddr, RouteAnswers)>);
 
 impl Routes {
+    /// Forgets addresses that the revision in force has no route for.
+    pub(crate) fn retain(&mut self, routing: &Routing) {
+        self.0.retain(|it| routing.route(it.0).is_some());
+    }
+
     /// Notes an answer and tells what it says.
     pub(crate) fn judge(&mut self, now: Millis, route: ServiceAddr, answer: Answer) -> Sign {
         let at = match self.0.binary_search_by_key(&route, |it| it.0) {
--- a/crates/pomelorun-core/src/direct/placement.rs
+++ b/crates/pomelorun-core/src/direct/placement.rs
@@ -3,6 +3,8 @@
 //! Answers the load of many callers with long flows on few upstreams with a small queue each: a new
 //! flow goes where least is waiting, and only where nobody waits in vain.
 
+use serde::{Deserialize, Serialize};
+
 use crate::direct::registry::UpstreamIx;
 
 /// Load that another zone's upstream must have less of to be chosen, in waiting requests a slot. The
@@ -18,7 +20,8 @@
 const PENALISED_MOST: (usize, usize) = (1, 3);
 
 /// How well an upstream can take a new flow, best first.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Choice {
     /// It answers and is warm.
     Good,
--- a/crates/pomelorun-core/src/direct/routing.rs
+++ b/crates/pomelorun-core/src/direct/routing.rs
@@ -21,6 +21,8 @@
     pub addr: ServiceAddr,
     /// Where new flows go, at least one.
     pub targets: Vec<RouteTarget>,
+    /// Time within which requests should be answered.
+    pub answer_within: Millis,
 }
 
 impl DirectRoute {
@@ -119,8 +121,8 @@
     unset: Vec<(u32, u16)>,
 }
 
-/// Address, and services by position with their weights.
-type RouteRow = (u32, u16, Vec<(u32, u32)>);
+/// Address, services by position with their weights, and the time aimed at in milliseconds.
+type RouteRow = (u32, u16, Vec<(u32, u32)>, u32);
 
 impl RoutingChange {
     /// What leads from `old` to `new`.
@@ -170,7 +172,8 @@
             });
             targets.push((at as u32, it.weight));
         }
-        self.set.push((route.addr.ip, route.addr.port, targets));
+        let within = u32::try_from(route.answer_within.0).unwrap_or(u32::MAX);
+        self.set.push((route.addr.ip, route.addr.port, targets, within));
     }
 
     fn route(&self, row: &RouteRow) -> Option<DirectRoute> {
@@ -179,6 +182,7 @@
             let service = self.services.get(at as usize)?.clone();
             targets.push(RouteTarget { service, weight });
         }
-        Some(DirectRoute { addr: ServiceAddr { ip: row.0, port: row.1 }, targets })
+        let addr = ServiceAddr { ip: row.0, port: row.1 };
+        Some(DirectRoute { addr, targets, answer_within: Millis(u64::from(row.3)) })
     }
 }
--- a/crates/pomelorun-core/tests/core/direct.rs
+++ b/crates/pomelorun-core/tests/core/direct.rs
@@ -1,5 +1,6 @@
 //! Direct return: tokens, registry, placement, detection, sourcing and the fleet.
 
+mod explaining;
 mod fleet;
 mod host;
 mod kit;
--- a/crates/pomelorun-core/tests/core/direct/kit.rs
+++ b/crates/pomelorun-core/tests/core/direct/kit.rs
@@ -52,7 +52,7 @@
 
 pub(crate) fn route(addr: ServiceAddr, service: &str) -> DirectRoute {
     let targets = vec![RouteTarget { service: service.to_owned(), weight: 1 }];
-    DirectRoute { addr, targets }
+    DirectRoute { addr, targets, answer_within: Millis(100) }
 }
 
 pub(crate) fn routing(revision: u64, routes: Vec<DirectRoute>) -> Published {
--- a/crates/pomelorun-core/tests/core/direct/routing.rs
+++ b/crates/pomelorun-core/tests/core/direct/routing.rs
@@ -16,6 +16,7 @@
             RouteTarget { service: format!("s{service}"), weight },
             RouteTarget { service: "rest".to_owned(), weight: 10 },
         ],
+        answer_within: Millis(u64::from(port) / 2),
     });
     let limits = vec![ServiceLimits {
         service: "s1".to_owned(),
@@ -39,7 +40,7 @@
 fn a_route_without_weight_leads_nowhere() {
     let addr = ServiceAddr { ip: 1, port: 443 };
     let targets = vec![RouteTarget { service: "s".to_owned(), weight: 0 }];
-    assert_eq!(DirectRoute { addr, targets }.service_of(&flow(1)), None);
+    assert_eq!(DirectRoute { addr, targets, answer_within: Millis(0) }.service_of(&flow(1)), None);
 }
 
 #[test]
--- a/crates/pomelorun-wire/src/code.rs
+++ b/crates/pomelorun-wire/src/code.rs
@@ -118,6 +118,7 @@
     ZONE_TAKEN_BACK = 422, "zone_taken_back", "a zone is used again", "none";
     UPSTREAM_EJECTED = 423, "upstream_ejected", "an upstream fails more requests than others of its service; new flows go elsewhere for a time", "look at the upstream";
     LINES_LEFT_OUT = 427, "lines_left_out", "lines for flows that opened as they should, or for malformed packets, were not written", "none: counters have them all";
+    MINUTE_LATE = 428, "minute_late", "the outcomes of a minute were not taken in time and count to the next one", "the host is busy: look at its processor";
     STARTED = 430, "started", "the daemon has started", "none";
     LEAVING_HOST = 431, "leaving_host", "the daemon was asked to stop, refuses new flows and forwards on", "none";
     STOPPED = 432, "stopped", "the daemon has stopped", "none";
--- a/crates/pomelorun/src/admin.rs
+++ b/crates/pomelorun/src/admin.rs
@@ -8,7 +8,7 @@
 use tokio::{sync::mpsc, task::JoinHandle, time::MissedTickBehavior};
 
 use crate::{
-    burn::{BurnReport, Cells, MINUTE, SharedBurn, describe_burn, totals_of},
+    burn::{BurnQuery, BurnReport, MINUTE, SharedBurn, describe_burn, totals_of},
     control::Control,
     explain::parse_flow,
     kernel::{Registry, Service, StartError, Stopped},
@@ -109,14 +109,6 @@
     }
 }
 
-#[derive(Debug, Deserialize)]
-#[serde(deny_unknown_fields, rename_all = "snake_case")]
-struct BurnQuery {
-    /// Whether cells are wanted besides the sums.
-    #[serde(default)]
-    cells: bool,
-}
-
 async fn burn_report(
     report: web::Data<SharedReport>,
     burn: web::Data<SharedBurn>,
@@ -129,8 +121,7 @@
         (answer, report.services.clone())
     };
     let history = burn.lock().clone();
-    let cells = if query.cells { Cells::Take } else { Cells::Leave };
-    answer.services = describe_burn(&history, &services, cells);
+    answer.services = describe_burn(&history, &services, query.cells());
     HttpResponse::Ok().json(&answer)
 }
 
--- a/crates/pomelorun/src/burn.rs
+++ b/crates/pomelorun/src/burn.rs
@@ -237,6 +237,21 @@
     Take,
 }
 
+/// What a call for a report may ask.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "snake_case")]
+pub(crate) struct BurnQuery {
+    /// Whether cells are wanted besides the sums.
+    #[serde(default)]
+    cells: bool,
+}
+
+impl BurnQuery {
+    pub(crate) fn cells(&self) -> Cells {
+        if self.cells { Cells::Take } else { Cells::Leave }
+    }
+}
+
 /// Fills in what the rings hold of the services in force.
 pub fn describe_burn(
     history: &BurnHistory,
--- a/crates/pomelorun/src/direct.rs
+++ b/crates/pomelorun/src/direct.rs
@@ -8,6 +8,7 @@
 mod metrics;
 mod platform;
 mod probes;
+mod questions;
 mod reader;
 mod run;
 mod settings;
@@ -15,6 +16,7 @@
 
 pub use crate::direct::{
     platform::{Directory, Events, Listing, Malformed, PacketCodec, Platform, Prober, SourceError},
+    questions::{DirectReport, FlowReport, Mode},
     run::run,
     settings::DirectFile,
 };
--- a/crates/pomelorun/src/direct/edge.rs
+++ b/crates/pomelorun/src/direct/edge.rs
@@ -23,8 +23,14 @@
 use crate::{
     batch::{Incoming, Outgoing, bind_datagrams, receive_all},
     control::Control,
-    direct::{lines, platform::PacketCodec, web::Status},
+    direct::{
+        lines,
+        platform::PacketCodec,
+        questions::{Question, StatusAnswer},
+        web::Status,
+    },
     kernel::{Registry, Service, StartError, Stopped, join_aborted},
+    report::ServiceTotals,
 };
 
 /// Name of the service.
@@ -49,6 +55,8 @@
     leaving: bool,
     /// Live hosts, this one included.
     hosts: usize,
+    /// This host reads the directory for others.
+    reads: bool,
     probes: mpsc::UnboundedSender<Probe>,
     news: mpsc::UnboundedSender<News>,
     lines: lines::Lines,
@@ -136,6 +144,33 @@
         }
     }
 
+    /// Answers an operator.
+    fn answer(&mut self, question: Question) {
+        let now = now();
+        match question {
+            Question::Status(reply) => {
+                let (ready, leaving, reads) = (self.is_ready(), self.leaving, self.reads);
+                let view = self.host.view(now);
+                // Whoever asked may have gone.
+                let _ = reply.send(StatusAnswer { ready, leaving, reads, view });
+            }
+            Question::Outcomes(reply) => {
+                let totals = self.host.outcomes().into_iter().map(|it| ServiceTotals {
+                    addr: it.addr,
+                    name: it.service,
+                    answer_within_ms: it.answer_within.0,
+                    outcomes: it.outcomes,
+                });
+                let mut totals: Vec<ServiceTotals> = totals.collect();
+                totals.sort_by_key(|it| it.addr);
+                let _ = reply.send(totals);
+            }
+            Question::Explain { flow, token, reply } => {
+                let _ = reply.send(self.host.explain(now, &flow, token));
+            }
+        }
+    }
+
     /// Revision in force.
     pub(crate) fn revision(&self) -> u64 {
         self.host.revision()
@@ -201,9 +236,11 @@
         self.host.take_reports()
     }
 
-    /// Says which hosts live, and which others of them are in this zone.
-    pub(crate) fn set_hosts(&mut self, hosts: Vec<HostId>, neighbours: Vec<HostId>) {
+    /// Says which hosts live, which others of them are in this zone, and whether this one reads the
+    /// directory for them.
+    pub(crate) fn set_hosts(&mut self, hosts: Vec<HostId>, neighbours: Vec<HostId>, reads: bool) {
         self.hosts = hosts.len();
+        self.reads = reads;
         self.host.set_hosts(hosts);
         self.host.set_neighbours(neighbours);
     }
@@ -307,10 +344,19 @@
     Millis(ms)
 }
 
+/// What ties the service to others.
+pub(crate) struct EdgeLinks {
+    pub(crate) status: Arc<Status>,
+    pub(crate) probes: mpsc::UnboundedSender<Probe>,
+    pub(crate) news: mpsc::UnboundedSender<News>,
+    pub(crate) questions: mpsc::UnboundedReceiver<Question>,
+}
+
 /// The service.
 pub(crate) struct EdgeService {
     edge: SharedEdge,
     socket: Rc<UdpSocket>,
+    questions: Option<mpsc::UnboundedReceiver<Question>>,
     tasks: Vec<JoinHandle<()>>,
 }
 
@@ -320,10 +366,9 @@
         host: DirectHost,
         codec: Box<dyn PacketCodec>,
         address: SocketAddrV4,
-        status: Arc<Status>,
-        probes: mpsc::UnboundedSender<Probe>,
-        news: mpsc::UnboundedSender<News>,
+        links: EdgeLinks,
     ) -> Result<EdgeService, StartError> {
+        let EdgeLinks { status, probes, news, questions } = links;
         let unbound = |e: std::io::Error| StartError {
             service: EDGE,
             detail: format!("cannot bind {address}: {e}"),
@@ -337,6 +382,7 @@
             malformed: 0,
             leaving: false,
             hosts: 0,
+            reads: false,
             probes,
             news,
             lines: lines::Lines::default(),
@@ -345,7 +391,7 @@
             informed: Rc::new(Notify::new()),
         };
         let edge = Rc::new(RefCell::new(edge));
-        Ok(EdgeService { edge, socket, tasks: Vec::new() })
+        Ok(EdgeService { edge, socket, questions: Some(questions), tasks: Vec::new() })
     }
 
     /// The edge for other services.
@@ -362,6 +408,9 @@
     fn start(&mut self, _: &Registry) -> Result<Option<Recipient<Control>>, StartError> {
         self.tasks.push(actix_rt::spawn(receive(self.shared(), Rc::clone(&self.socket))));
         self.tasks.push(actix_rt::spawn(tick(self.shared())));
+        if let Some(rx) = self.questions.take() {
+            self.tasks.push(actix_rt::spawn(answer(self.shared(), rx)));
+        }
         Ok(None)
     }
 
@@ -374,6 +423,12 @@
     receive_all(&socket, LONGEST, |it| edge.borrow_mut().datagrams(it)).await;
 }
 
+async fn answer(edge: SharedEdge, mut rx: mpsc::UnboundedReceiver<Question>) {
+    while let Some(it) = rx.recv().await {
+        edge.borrow_mut().answer(it);
+    }
+}
+
 async fn tick(edge: SharedEdge) {
     let mut timer = tokio::time::interval(TICK);
     timer.set_missed_tick_behavior(MissedTickBehavior::Delay);
--- a/crates/pomelorun/src/direct/fleet.rs
+++ b/crates/pomelorun/src/direct/fleet.rs
@@ -106,7 +106,7 @@
         let live = self.fleet.live();
         let readers = self.fleet.readers();
         info!("hosts changed", kv: { code = Code::HOSTS_CHANGED.to_string(), live = live.len(), reads = readers.reads });
-        self.edge.borrow_mut().set_hosts(live, self.fleet.neighbours());
+        self.edge.borrow_mut().set_hosts(live, self.fleet.neighbours(), readers.reads);
         self.readers.send_if_modified(|it| {
             let changed = *it != readers;
             *it = readers;
--- a/crates/pomelorun/src/direct/run.rs
+++ b/crates/pomelorun/src/direct/run.rs
@@ -19,11 +19,12 @@
 use crate::{
     daemon::DaemonError,
     direct::{
-        edge::{EdgeService, SharedEdge, now},
+        edge::{EdgeLinks, EdgeService, SharedEdge, now},
         feed::{Feed, FeedService},
         fleet::{FleetService, SharedFleet},
         platform::Platform,
         probes::Probes,
+        questions::Question,
         reader::{Reader, Sources},
         settings::DirectFile,
         web::{Status, Web},
@@ -63,7 +64,9 @@
     let mut reload = signal(SignalKind::hangup()).map_err(set_up)?;
     let mut kernel = Kernel::default();
     let status = Arc::new(Status::new(lines_dropped));
-    let (edge, fleet) = match start_packets(&mut kernel, file, platform, &status) {
+    let (questions, questions_rx) = mpsc::unbounded_channel();
+    let started = start_packets(&mut kernel, file, platform, &status, questions_rx);
+    let (edge, fleet) = match started {
         Ok(it) => it,
         Err(e) => {
             kernel.stop().await;
@@ -77,7 +80,7 @@
     let informed = edge.borrow().informed();
     // Callers may be waiting: the directory is read before anything else is set up.
     let _ = tokio::time::timeout(FIRST_READING, informed.notified()).await;
-    if let Err(e) = kernel.start(Box::new(Web::new(file.ready, status))) {
+    if let Err(e) = kernel.start(Box::new(Web::new(file, status, questions))) {
         kernel.stop().await;
         return Err(e.into());
     }
@@ -98,13 +101,15 @@
     file: &DirectFile,
     platform: Platform,
     status: &Arc<Status>,
+    questions: mpsc::UnboundedReceiver<Question>,
 ) -> Result<(SharedEdge, SharedFleet), StartError> {
     let (probes, probes_rx) = mpsc::unbounded_channel();
     let (news, news_rx) = mpsc::unbounded_channel();
     let (readers, readers_rx) = watch::channel(Readers::default());
     let host = DirectHost::new(file.decisions());
     let status = Arc::clone(status);
-    let service = EdgeService::bind(host, platform.codec, file.packets, status, probes, news)?;
+    let links = EdgeLinks { status, probes, news, questions };
+    let service = EdgeService::bind(host, platform.codec, file.packets, links)?;
     let edge = service.shared();
     kernel.start(Box::new(service))?;
     let feed = Rc::new(RefCell::new(Feed::new()));
--- a/crates/pomelorun/src/direct/web.rs
+++ b/crates/pomelorun/src/direct/web.rs
@@ -1,4 +1,4 @@
-//! The service `web`: whether the host takes packets, and its metrics.
+//! The service `web`: whether the host takes packets, its metrics, and answers to operators.
 
 use std::{
     net::SocketAddrV4,
@@ -6,19 +6,37 @@
         Arc, Mutex, OnceLock, PoisonError,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
+    time::Duration,
 };
 
 use actix::Recipient;
 use actix_web::{App, HttpResponse, HttpServer, dev::ServerHandle, web};
-use tokio::task::JoinHandle;
+use pomelorun_core::direct::Token;
+use pomelorun_wire::Code;
+use serde::Deserialize;
+use spdlog::prelude::*;
+use tokio::{
+    sync::{mpsc, oneshot},
+    task::JoinHandle,
+    time::MissedTickBehavior,
+};
 
 use crate::{
+    burn::{BurnQuery, BurnReport, MINUTE, SharedBurn, describe_burn, totals_of},
     control::Control,
-    direct::{edge::EdgeStats, metrics::DirectMetrics},
-    kernel::{Registry, Service, StartError, Stopped},
+    direct::{
+        edge::EdgeStats,
+        metrics::DirectMetrics,
+        questions::{DirectReport, FlowReport, Mode, Question, StatusAnswer},
+        settings::DirectFile,
+    },
+    explain::parse_flow,
+    kernel::{Registry, Service, StartError, Stopped, join_aborted},
 };
 
 const WEB: &str = "web";
+/// Time allowed to the service `edge` for an answer: packets go first.
+const ANSWER_TIME: Duration = Duration::from_secs(1);
 /// Time that requests in progress have when the service stops, seconds.
 const STOP_S: u64 = 1;
 
@@ -51,16 +69,40 @@
     }
 }
 
+/// What this host is called.
+#[derive(Debug, Clone)]
+struct Names {
+    host: String,
+    zone: String,
+}
+
 /// The service.
 pub(crate) struct Web {
     address: SocketAddrV4,
+    names: Names,
+    questions: mpsc::UnboundedSender<Question>,
     status: Arc<Status>,
+    burn: SharedBurn,
     running: Option<(ServerHandle, JoinHandle<std::io::Result<()>>)>,
+    minutes: Option<JoinHandle<()>>,
 }
 
 impl Web {
-    pub(crate) fn new(address: SocketAddrV4, status: Arc<Status>) -> Web {
-        Web { address, status, running: None }
+    pub(crate) fn new(
+        file: &DirectFile,
+        status: Arc<Status>,
+        questions: mpsc::UnboundedSender<Question>,
+    ) -> Web {
+        let names = Names { host: file.host.clone(), zone: file.zone.clone() };
+        Web {
+            address: file.ready,
+            names,
+            questions,
+            status,
+            burn: SharedBurn::default(),
+            running: None,
+            minutes: None,
+        }
     }
 }
 
@@ -76,11 +118,20 @@
             detail: format!("cannot bind {address}: {e}"),
         };
         let status = web::Data::from(Arc::clone(&self.status));
+        let names = web::Data::new(self.names.clone());
+        let questions = web::Data::new(self.questions.clone());
+        let burn = web::Data::new(self.burn.clone());
         let metrics_cell = web::Data::new(OnceLock::<DirectMetrics>::new());
         let server = HttpServer::new(move || {
             App::new()
                 .app_data(status.clone())
                 .app_data(metrics_cell.clone())
+                .app_data(names.clone())
+                .app_data(questions.clone())
+                .app_data(burn.clone())
+                .route("/v1/burn", web::get().to(burn_report))
+                .route("/v1/status", web::get().to(report))
+                .route("/v1/explain", web::get().to(explain))
                 .route("/ready", web::get().to(ready))
                 .route("/metrics", web::get().to(metrics))
         })
@@ -91,12 +142,15 @@
         .map_err(unbound)?
         .run();
         self.running = Some((server.handle(), actix_rt::spawn(server)));
+        let minutes = count_minutes(self.questions.clone(), self.burn.clone());
+        self.minutes = Some(actix_rt::spawn(minutes));
         Ok(None)
     }
 
     fn stop(&mut self) -> Stopped {
-        let running = self.running.take();
+        let (running, minutes) = (self.running.take(), self.minutes.take());
         Box::pin(async move {
+            join_aborted(minutes).await;
             if let Some((handle, task)) = running {
                 handle.stop(true).await;
                 // A server that was told to stop has nothing to report.
@@ -114,6 +168,95 @@
     }
 }
 
+type Questions = web::Data<mpsc::UnboundedSender<Question>>;
+
+async fn report(names: web::Data<Names>, questions: Questions) -> HttpResponse {
+    let (reply, answer) = oneshot::channel();
+    let Some(it) = ask(&questions, Question::Status(reply), answer).await else {
+        return too_busy();
+    };
+    let Names { host, zone } = names.get_ref().clone();
+    let StatusAnswer { ready, leaving, reads, view } = it;
+    let mode = Mode::DirectReturn;
+    HttpResponse::Ok().json(DirectReport { mode, host, zone, ready, leaving, reads, view })
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "snake_case")]
+struct ExplainQuery {
+    /// The flow, as `CALLER>SERVICE`.
+    flow: String,
+    /// The token of its packets, hexadecimal.
+    token: Option<String>,
+}
+
+async fn explain(
+    names: web::Data<Names>,
+    questions: Questions,
+    query: web::Query<ExplainQuery>,
+) -> HttpResponse {
+    let flow = match parse_flow(&query.flow) {
+        Ok(it) => it,
+        Err(e) => return HttpResponse::BadRequest().body(e.to_string()),
+    };
+    let token = match query.token.as_deref().map(|it| u32::from_str_radix(it, 16)).transpose() {
+        Ok(it) => it.map(Token),
+        Err(e) => return HttpResponse::BadRequest().body(format!("token: {e}")),
+    };
+    let (reply, answer) = oneshot::channel();
+    let question = Question::Explain { flow, token, reply };
+    let Some(view) = ask(&questions, question, answer).await else { return too_busy() };
+    let Names { host, zone } = names.get_ref().clone();
+    HttpResponse::Ok().json(FlowReport { mode: Mode::DirectReturn, host, zone, view })
+}
+
+/// Ends a cell of the burn history every minute.
+async fn count_minutes(questions: mpsc::UnboundedSender<Question>, burn: SharedBurn) {
+    let mut timer = tokio::time::interval_at(tokio::time::Instant::now() + MINUTE, MINUTE);
+    timer.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        timer.tick().await;
+        let (reply, answer) = oneshot::channel();
+        match ask(&questions, Question::Outcomes(reply), answer).await {
+            Some(totals) => burn.lock().minute(&totals_of(&totals)),
+            None => warn!("a minute of outcomes goes into the next one", kv: {
+                code = Code::MINUTE_LATE.to_string(), reason = "the host is too busy to answer"
+            }),
+        }
+    }
+}
+
+async fn burn_report(
+    names: web::Data<Names>,
+    questions: Questions,
+    status: web::Data<Status>,
+    burn: web::Data<SharedBurn>,
+    query: web::Query<BurnQuery>,
+) -> HttpResponse {
+    let (reply, answer) = oneshot::channel();
+    let Some(services) = ask(&questions, Question::Outcomes(reply), answer).await else {
+        return too_busy();
+    };
+    let history = burn.lock().clone();
+    let Names { host, zone } = names.get_ref().clone();
+    let revision = status.stats().revision;
+    let services = describe_burn(&history, &services, query.cells());
+    HttpResponse::Ok().json(BurnReport { host, zone, revision, services })
+}
+
+async fn ask<T>(
+    questions: &mpsc::UnboundedSender<Question>,
+    question: Question,
+    answer: oneshot::Receiver<T>,
+) -> Option<T> {
+    questions.send(question).ok()?;
+    tokio::time::timeout(ANSWER_TIME, answer).await.ok()?.ok()
+}
+
+fn too_busy() -> HttpResponse {
+    HttpResponse::ServiceUnavailable().body("the host is too busy to answer")
+}
+
 /// Sets the instruments up when they are first asked for, so that the start does not wait for them.
 async fn metrics(
     status: web::Data<Status>,
--- a/crates/pomelorunctl/src/explain.rs
+++ b/crates/pomelorunctl/src/explain.rs
@@ -4,10 +4,12 @@
 use pomelorun::{ExplainReport, RouteReport, UpstreamReport, parse_flow};
 use pomelorun_wire::HostId;
 use serde::Serialize;
+use serde_json::Value;
 
 use crate::{
     answer::{Answer, Format, to_json},
-    hosts::{ask, parse_hosts},
+    direct::{DirectExplained, is_direct},
+    hosts::{ask, parse_hosts, read_all},
 };
 
 #[derive(Debug, Options)]
@@ -17,9 +19,12 @@
     /// the flow, as `CALLER>SERVICE`, such as `10.0.0.7:40000>10.20.0.1:443`
     #[options(free, required)]
     flow: String,
-    /// admin addresses of the hosts, separated by commas
+    /// admin addresses of the hosts, separated by commas; in direct return their `ready` addresses
     #[options(no_short, required, meta = "ADDR,ADDR")]
     hosts: String,
+    /// token of the flow's packets, hexadecimal; in direct return only
+    #[options(no_short, meta = "TOKEN")]
+    token: Option<String>,
     /// `text` or `json`
     #[options(no_short, meta = "FORMAT")]
     format: Format,
@@ -43,15 +48,32 @@
         Ok(it) => it,
         Err(e) => return Answer::usage(e),
     };
-    let path = format!("/v1/explain?flow={}", flow.to_string().replace('>', "%3E"));
-    let (hosts, failed) = ask::<ExplainReport>(&addresses, &path).await;
-    let unreachable: Vec<String> = failed.iter().map(ToString::to_string).collect();
-    let errors = unreachable.join("\n");
-    let explained = Explained { flow: flow.to_string(), hosts, unreachable };
-    let out = match args.format {
-        Format::Json => to_json(&explained),
-        Format::Text | Format::Html => render(&explained),
+    let mut path = format!("/v1/explain?flow={}", flow.to_string().replace('>', "%3E"));
+    if let Some(it) = &args.token {
+        if u32::from_str_radix(it, 16).is_err() {
+            return Answer::usage(format!("`{it}` is not a token such as `09c41f20`"));
+        }
+        path += &format!("&token={it}");
+    }
+    let (answers, failed) = ask::<Value>(&addresses, &path).await;
+    let mut unreachable: Vec<String> = failed.iter().map(ToString::to_string).collect();
+    let flow = flow.to_string();
+    let out = if answers.iter().any(is_direct) {
+        let hosts = read_all(answers, &mut unreachable);
+        let explained = DirectExplained { flow, hosts, unreachable: unreachable.clone() };
+        match args.format {
+            Format::Json => to_json(&explained),
+            Format::Text | Format::Html => explained.render(),
+        }
+    } else {
+        let hosts = read_all(answers, &mut unreachable);
+        let explained = Explained { flow, hosts, unreachable: unreachable.clone() };
+        match args.format {
+            Format::Json => to_json(&explained),
+            Format::Text | Format::Html => render(&explained),
+        }
     };
+    let errors = unreachable.join("\n");
     if errors.is_empty() { Answer::ok(out) } else { Answer::unreachable(out, errors) }
 }
 
--- a/crates/pomelorunctl/src/hosts.rs
+++ b/crates/pomelorunctl/src/hosts.rs
@@ -4,6 +4,7 @@
 
 use futures_util::{StreamExt, stream};
 use serde::de::DeserializeOwned;
+use serde_json::Value;
 use thiserror::Error;
 
 /// Time allowed to an answer.
@@ -56,6 +57,22 @@
     (answers, failed)
 }
 
+/// Reads answers as what they should be; the others are named as errors.
+pub(crate) fn read_all<T: DeserializeOwned>(
+    answers: Vec<Value>,
+    errors: &mut Vec<String>,
+) -> Vec<T> {
+    let mut read = Vec::with_capacity(answers.len());
+    for it in answers {
+        let host = it.get("host").and_then(Value::as_str).unwrap_or("a host").to_owned();
+        match serde_json::from_value(it) {
+            Ok(it) => read.push(it),
+            Err(e) => errors.push(format!("{host}: unexpected answer: {e}")),
+        }
+    }
+    read
+}
+
 /// Reads host addresses from a list separated by commas.
 pub(crate) fn parse_hosts(text: &str) -> Result<Vec<SocketAddrV4>, String> {
     let parse = |it: &str| {
--- a/crates/pomelorunctl/src/main.rs
+++ b/crates/pomelorunctl/src/main.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod burn;
+mod direct;
 mod explain;
 mod hosts;
 mod objects;
--- a/crates/pomelorunctl/src/status.rs
+++ b/crates/pomelorunctl/src/status.rs
@@ -4,10 +4,12 @@
 use pomelorun::{HostReport, UpstreamReport};
 use pomelorun_wire::{HostId, MemberState};
 use serde::Serialize;
+use serde_json::Value;
 
 use crate::{
     answer::{Answer, Format, to_json},
-    hosts::{ask, parse_hosts},
+    direct::{DirectStatus, is_direct},
+    hosts::{ask, parse_hosts, read_all},
 };
 
 /// Age above which a configuration counts as stale, milliseconds: a watch and its answer take at
@@ -104,16 +106,26 @@
         Ok(it) => it,
         Err(e) => return Answer::usage(e),
     };
-    let (hosts, failed) = ask::<HostReport>(&addresses, "/v1/status").await;
-    let status = gather(hosts, failed.iter().map(ToString::to_string).collect());
-    let out = match args.format {
-        Format::Json => to_json(&status),
-        Format::Text | Format::Html => render(&status),
+    let (answers, failed) = ask::<Value>(&addresses, "/v1/status").await;
+    let mut unreachable: Vec<String> = failed.iter().map(ToString::to_string).collect();
+    let direct = answers.iter().any(is_direct);
+    let out = if direct {
+        let status = DirectStatus::gather(read_all(answers, &mut unreachable), unreachable.clone());
+        match args.format {
+            Format::Json => to_json(&status),
+            Format::Text | Format::Html => status.render(),
+        }
+    } else {
+        let status = gather(read_all(answers, &mut unreachable), unreachable.clone());
+        match args.format {
+            Format::Json => to_json(&status),
+            Format::Text | Format::Html => render(&status),
+        }
     };
-    if failed.is_empty() {
+    if unreachable.is_empty() {
         Answer::ok(out)
     } else {
-        Answer::unreachable(out, status.unreachable.join("\n"))
+        Answer::unreachable(out, unreachable.join("\n"))
     }
 }
 
--- a/crates/pomelorunctl/tests/ctl/main.rs
+++ b/crates/pomelorunctl/tests/ctl/main.rs
@@ -3,6 +3,7 @@
 #![allow(missing_docs, reason = "tests")]
 
 mod burn;
+mod direct;
 mod objects;
 mod run;
 mod status;
