Reload bounds, seeds, directory and log level without a restart

Cause: SIGHUP changed the log's level only, and a file that changes without a signal, as the platform says it may, was not noticed before the next one.

Change: the file is looked at every 2 s and on SIGHUP; what a running process can take in is applied between packets, the rest is named in one line.

--- a/crates/pomelorun-core/src/direct/fleet.rs
+++ b/crates/pomelorun-core/src/direct/fleet.rs
@@ -84,6 +84,11 @@
         }
     }
 
+    /// Names more hosts of which one may know the others.
+    pub fn add_seeds(&mut self, now: Millis, seeds: &[HostId]) {
+        self.members.add_seeds(now, seeds);
+    }
+
     /// Says which revision is in force here.
     pub fn set_revision(&mut self, revision: u64) {
         self.revision = revision;
--- a/crates/pomelorun-core/src/direct/flows.rs
+++ b/crates/pomelorun-core/src/direct/flows.rs
@@ -72,6 +72,11 @@
         FlowNotes { buckets: vec![Vec::new(); FIRST_BUCKETS], len: 0, most, sweep: 0 }
     }
 
+    /// Notes up to `most` flows from now on; more that are noted already stay.
+    pub(crate) fn set_most(&mut self, most: usize) {
+        self.most = most;
+    }
+
     /// Number of flows.
     pub fn len(&self) -> usize {
         self.len
--- a/crates/pomelorun-core/src/direct/host.rs
+++ b/crates/pomelorun-core/src/direct/host.rs
@@ -251,6 +251,13 @@
         }
     }
 
+    /// Takes other bounds from now on; who the host is stays.
+    pub fn set_bounds(&mut self, cfg: DirectSettings) {
+        self.flows.set_most(cfg.most_flows);
+        let (host, zone) = (self.cfg.host, self.cfg.zone);
+        self.cfg = DirectSettings { host, zone, ..cfg };
+    }
+
     /// Tells whether the host knows enough to take callers.
     pub fn is_ready(&self) -> bool {
         self.routing.revision > 0 && self.registry.iter().next().is_some()
--- a/crates/pomelorun-core/src/members.rs
+++ b/crates/pomelorun-core/src/members.rs
@@ -126,13 +126,25 @@
     /// Starts with a few hosts of which one may know the others; their zones are learned.
     pub(crate) fn seeded(mut self, now: Millis, seeds: &[HostId]) -> Members {
         self.discovery = Discovery::Seeded;
-        let zone = self.me.zone;
-        let row = |&host: &HostId| ListedHost { host, zone, leaving: false };
-        let rows: Vec<ListedHost> = seeds.iter().map(row).collect();
+        let rows: Vec<ListedHost> = seeds.iter().map(|it| self.seed(*it)).collect();
         self.host_list(now, &rows);
         self
     }
 
+    /// Names more seeds.
+    pub(crate) fn add_seeds(&mut self, now: Millis, seeds: &[HostId]) {
+        let me = self.me.host;
+        for &host in seeds.iter().filter(|it| **it != me) {
+            let row = self.seed(host);
+            // Taken as live until a probe says otherwise, like a seed at the start.
+            self.list_row(now, &row, true);
+        }
+    }
+
+    fn seed(&self, host: HostId) -> ListedHost {
+        ListedHost { host, zone: self.me.zone, leaving: false }
+    }
+
     /// This host's own state.
     pub fn me(&self) -> MemberInfo {
         self.me
--- a/crates/pomelorun/src/direct/edge.rs
+++ b/crates/pomelorun/src/direct/edge.rs
@@ -7,8 +7,8 @@
 use pomelorun_core::{
     Millis,
     direct::{
-        DirectHost, DirectStats, News, Probe, ProbeFound, Published, Report, Shared, StoreView,
-        UpstreamKey, Verdict,
+        DirectHost, DirectSettings, DirectStats, News, Probe, ProbeFound, Published, Report,
+        Shared, StoreView, UpstreamKey, Verdict,
     },
 };
 use pomelorun_wire::HostId;
@@ -125,6 +125,11 @@
         !self.leaving && self.host.is_ready()
     }
 
+    /// Takes other bounds from now on.
+    pub(crate) fn set_bounds(&mut self, cfg: DirectSettings) {
+        self.host.set_bounds(cfg);
+    }
+
     /// Lets the fabric send new flows elsewhere; packets that still come are forwarded.
     pub(crate) fn leave(&mut self) {
         self.leaving = true;
--- a/crates/pomelorun/src/direct/fleet.rs
+++ b/crates/pomelorun/src/direct/fleet.rs
@@ -58,6 +58,11 @@
         self.renew();
     }
 
+    /// Names more hosts of which one may know the others.
+    pub(crate) fn add_seeds(&mut self, seeds: &[HostId]) {
+        self.fleet.add_seeds(now(), seeds);
+    }
+
     fn tick(&mut self) {
         let now = now();
         if now.since(self.last_tick) >= SLEPT {
--- a/crates/pomelorun/src/direct/platform.rs
+++ b/crates/pomelorun/src/direct/platform.rs
@@ -73,6 +73,9 @@
 
 /// Where configuration and upstreams are published.
 pub trait Directory {
+    /// Asks at another address from now on.
+    fn set_address(&self, address: SocketAddrV4);
+
     /// Reads everything.
     fn list(&self, limit: Duration) -> LocalBoxFuture<'_, Result<Listing, SourceError>>;
 
--- a/crates/pomelorun/src/direct/run.rs
+++ b/crates/pomelorun/src/direct/run.rs
@@ -5,15 +5,16 @@
     path::Path,
     rc::Rc,
     sync::{Arc, atomic::AtomicU64},
-    time::Duration,
+    time::{Duration, SystemTime},
 };
 
 use pomelorun_core::direct::{DirectHost, Readers};
-use pomelorun_wire::Code;
+use pomelorun_wire::{Code, HostId};
 use spdlog::prelude::*;
 use tokio::{
     signal::unix::{Signal, SignalKind, signal},
     sync::{mpsc, watch},
+    time::MissedTickBehavior,
 };
 
 use crate::{
@@ -22,7 +23,7 @@
         edge::{EdgeLinks, EdgeService, SharedEdge, now},
         feed::{Feed, FeedService},
         fleet::{FleetService, SharedFleet},
-        platform::Platform,
+        platform::{Directory, Platform},
         probes::Probes,
         questions::Question,
         reader::{Reader, Sources},
@@ -40,6 +41,9 @@
 const FIRST_READING: Duration = Duration::from_millis(300);
 /// Part of the time until the process is ended by force that it uses at most.
 const GRACE_SHARE: f64 = 0.7;
+/// Time between two looks at the settings file, which may change without a signal. Changes are rare
+/// and a look is one system call.
+const LOOK: Duration = Duration::from_secs(2);
 
 /// Runs a daemon until it is asked to stop.
 ///
@@ -52,6 +56,23 @@
     actix_rt::System::new().block_on(run_services(path, file, platform, lines_dropped))
 }
 
+/// Signals that a daemon heeds.
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+    reload: Signal,
+}
+
+impl Signals {
+    fn new() -> std::io::Result<Signals> {
+        Ok(Signals {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+            reload: signal(SignalKind::hangup())?,
+        })
+    }
+}
+
 async fn run_services(
     path: &Path,
     file: &DirectFile,
@@ -59,9 +80,9 @@
     lines_dropped: Arc<AtomicU64>,
 ) -> Result<(), DaemonError> {
     let set_up = |e: std::io::Error| DaemonError::SetUp(e.to_string());
-    let mut terminate = signal(SignalKind::terminate()).map_err(set_up)?;
-    let mut interrupt = signal(SignalKind::interrupt()).map_err(set_up)?;
-    let mut reload = signal(SignalKind::hangup()).map_err(set_up)?;
+    let mut signals = Signals::new().map_err(set_up)?;
+    let changed = modified(path);
+    let directory = Rc::clone(&platform.directory);
     let mut kernel = Kernel::default();
     let status = Arc::new(Status::new(lines_dropped));
     let (questions, questions_rx) = mpsc::unbounded_channel();
@@ -84,10 +105,13 @@
         kernel.stop().await;
         return Err(e.into());
     }
-    wait(path, file, &mut terminate, &mut interrupt, &mut reload).await;
+    let (edge_too, fleet_too) = (Rc::clone(&edge), Rc::clone(&fleet));
+    let mut reload =
+        Reload { path, file: file.clone(), changed, edge: edge_too, fleet: fleet_too, directory };
+    reload.wait(&mut signals).await;
     edge.borrow_mut().leave();
     fleet.borrow_mut().leave();
-    let on = FORWARD_ON.min(Duration::from_secs_f64(file.bounds.grace_s * GRACE_SHARE));
+    let on = FORWARD_ON.min(Duration::from_secs_f64(reload.file.bounds.grace_s * GRACE_SHARE));
     info!("leaving", kv: { code = Code::LEAVING_HOST.to_string(), forward_ms = u64::try_from(on.as_millis()).unwrap_or(u64::MAX) });
     tokio::time::sleep(on).await;
     kernel.stop().await;
@@ -131,38 +155,70 @@
     Ok((edge, fleet))
 }
 
-/// Waits for a signal to stop; takes in the settings file again on each signal to reload.
-async fn wait(
-    path: &Path,
-    file: &DirectFile,
-    terminate: &mut Signal,
-    interrupt: &mut Signal,
-    reload: &mut Signal,
-) {
-    loop {
-        tokio::select! {
-            _ = terminate.recv() => return,
-            _ = interrupt.recv() => return,
-            _ = reload.recv() => reread(path, file),
+/// What a reload may change.
+struct Reload<'a> {
+    path: &'a Path,
+    /// The settings in force.
+    file: DirectFile,
+    /// When the file was last changed, as far as it is known.
+    changed: Option<SystemTime>,
+    edge: SharedEdge,
+    fleet: SharedFleet,
+    directory: Rc<dyn Directory>,
+}
+
+impl Reload<'_> {
+    /// Waits for a signal to stop; takes in the settings file again on each signal to reload, and
+    /// where it has changed without one.
+    async fn wait(&mut self, signals: &mut Signals) {
+        let mut look = tokio::time::interval(LOOK);
+        look.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                _ = signals.terminate.recv() => return,
+                _ = signals.interrupt.recv() => return,
+                _ = signals.reload.recv() => self.reread(),
+                _ = look.tick() => {
+                    if modified(self.path) != self.changed {
+                        self.reread();
+                    }
+                }
+            }
         }
     }
-}
 
-/// Checks the settings file. What a running process cannot change is said and waits for a restart.
-fn reread(path: &Path, file: &DirectFile) {
-    match DirectFile::load(path) {
-        Ok(new) if new == *file => info!("settings reloaded", kv: {
-            code = Code::RELOADED.to_string(), changed = false
-        }),
-        Ok(new) => {
-            log::set_level(&new.log);
-            let kept = DirectFile { log: new.log.clone(), ..file.clone() } != new;
-            info!("settings reloaded", kv: {
-                code = Code::RELOADED.to_string(), changed = true, restart_needed = kept
+    /// Checks the settings file and takes in what a running process can change. The rest is named and
+    /// waits for a restart; a file with faults changes nothing.
+    fn reread(&mut self) {
+        self.changed = modified(self.path);
+        let new = match DirectFile::load(self.path) {
+            Ok(it) => it,
+            Err(e) => {
+                error!("settings not reloaded", kv: { code = Code::SETTINGS.to_string(), error = e.to_string() });
+                return;
+            }
+        };
+        let refused = self.file.fixed_changes(&new);
+        let changed = new != self.file;
+        self.edge.borrow_mut().set_bounds(new.decisions());
+        let known = self.file.seed_hosts();
+        let seeds: Vec<HostId> =
+            new.seed_hosts().into_iter().filter(|it| !known.contains(it)).collect();
+        self.fleet.borrow_mut().add_seeds(&seeds);
+        self.directory.set_address(new.directory);
+        log::set_level(&new.log);
+        self.file = self.file.with_changes(new);
+        if refused.is_empty() {
+            info!("settings reloaded", kv: { code = Code::RELOADED.to_string(), changed });
+        } else {
+            warn!("settings reloaded in part, the rest needs a restart", kv: {
+                code = Code::RELOADED.to_string(), changed, restart_needed_for = refused.join(",")
             });
         }
-        Err(e) => {
-            error!("settings not reloaded", kv: { code = Code::SETTINGS.to_string(), error = e.to_string() });
-        }
     }
 }
+
+/// When a file was last changed; none if it cannot be told, which a reload then says.
+fn modified(path: &Path) -> Option<SystemTime> {
+    std::fs::metadata(path).and_then(|it| it.modified()).ok()
+}
--- a/crates/pomelorun/src/direct/settings.rs
+++ b/crates/pomelorun/src/direct/settings.rs
@@ -119,6 +119,37 @@
         faults.or(file).map_err(SettingsError)
     }
 
+    /// These settings with what a running process can take from `new`.
+    pub(crate) fn with_changes(&self, new: DirectFile) -> DirectFile {
+        let log = LogSettings { format: self.log.format, ..new.log };
+        DirectFile {
+            seeds: new.seeds,
+            directory: new.directory,
+            bounds: new.bounds,
+            log,
+            ..self.clone()
+        }
+    }
+
+    /// Names the fields that differ and cannot change while the process runs.
+    pub(crate) fn fixed_changes(&self, new: &DirectFile) -> Vec<&'static str> {
+        let fields = [
+            ("host", self.host != new.host),
+            ("zone", self.zone != new.zone),
+            ("packets", self.packets != new.packets),
+            ("ready", self.ready != new.ready),
+            ("control", self.control != new.control),
+            ("peer_ports", self.peer_ports != new.peer_ports),
+            ("log.format", self.log.format != new.log.format),
+        ];
+        fields.iter().filter(|it| it.1).map(|it| it.0).collect()
+    }
+
+    /// Hosts that may know the others.
+    pub(crate) fn seed_hosts(&self) -> Vec<HostId> {
+        self.seeds.iter().map(|it| host_at(*it.ip())).collect()
+    }
+
     /// Where other hosts reach this one, by datagram and by stream.
     pub(crate) fn peers(&self) -> SocketAddrV4 {
         SocketAddrV4::new(*self.packets.ip(), self.peer_ports[0])
@@ -134,9 +165,8 @@
             incarnation,
             state: MemberState::Live,
         };
-        let seeds: Vec<HostId> = self.seeds.iter().map(|it| host_at(*it.ip())).collect();
         let cfg = CoreSettings { probe_period_ms: PROBE_PERIOD, ..CoreSettings::default() };
-        Fleet::new(now, me, &seeds, cfg, me.host.0 ^ incarnation)
+        Fleet::new(now, me, &self.seed_hosts(), cfg, me.host.0 ^ incarnation)
     }
 
     /// What the decisions need of the settings.
