Let only the token lead a flow's packets

A host that places a copy notes the flow at that upstream. If the caller's flow lives at another one, whose announcement has not reached this host yet, its packets carry a token that is unknown here, and `carry` fell back to the note: data went to the wrong upstream.

Ruled out: the upstream's and the caller's side of the soak (the caller ignores a second SYN+ACK, as the platform's page says).

Change: no fallback. An unknown token is dropped and counted; the packet comes again, by then mostly with the upstream known.

--- a/crates/pomelorun-core/src/direct/host.rs
+++ b/crates/pomelorun-core/src/direct/host.rs
@@ -410,9 +410,8 @@
     }
 
     fn carry(&mut self, now: Millis, seg: &Segment) -> Verdict {
-        let by_token = self.registry.by_token(seg.token);
-        let noted = || self.flows.get_mut(&seg.flow).map(|it| it.upstream());
-        let Some(ix) = by_token.or_else(noted) else {
+        // Only the token counts: what is noted of the flow may be a copy of its opening packet.
+        let Some(ix) = self.registry.by_token(seg.token) else {
             self.stats.unknown_token += 1;
             let (flow, token) = (seg.flow, seg.token);
             self.note(Note::Dropped { flow, why: DropWhy::UnknownToken, token });
--- a/crates/pomelorun-core/tests/core/direct/registry.rs
+++ b/crates/pomelorun-core/tests/core/direct/registry.rs
@@ -127,3 +127,14 @@
     assert!(host.flows() <= left);
     assert!(host.registry().by_id(1).is_none());
 }
+
+/// A copy of the opening packet went to another upstream by way of this host, which does not know
+/// the one that the caller took yet.
+#[test]
+fn a_flow_with_an_unknown_token_is_not_led_to_where_a_copy_of_it_went() {
+    let mut host = host(&[said(1, NEAR)]);
+    let (flow, elsewhere) = (flow(1), Token(0x1234_5678));
+    assert_eq!(sent_to(host.packet(Millis(10), &open(flow, 1))).map(|it| it.0), Some(1));
+    let verdict = host.packet(Millis(20), &data(flow, elsewhere, 1, 100, 60));
+    assert_eq!(verdict, Verdict::Drop);
+}
