Ask the zone for unknown tokens, and reset flows that nobody knows

Cause: a host that has just started knows no upstream that is no longer announced.

Ruled out: a reset at the first packet (a host that lags does not know the newest upstreams either); asking all hosts from each host (a zone of 106 hosts that lost 1,176 upstreams would send millions of questions).

Change: `strays`. Each token has one judge in the zone, which asks the others once; who knows the upstream says so, with whether it answers, and it is taken in for its flows only. A token without a claim for 4 s, with the directory answering all that time, is given up. Bounded: 4,096 tokens, 64 asked for a quarter of a second.

Tests: core direct::strays::* (7); the last failed first with 8,352 tokens asked for at once.

--- a/crates/pomelorun-core/src/direct.rs
+++ b/crates/pomelorun-core/src/direct.rs
@@ -20,6 +20,7 @@
 mod routing;
 mod segment;
 mod sourcing;
+mod strays;
 mod token;
 mod view;
 
@@ -43,6 +44,7 @@
     routing::{DirectRoute, RouteTarget, Routing, RoutingChange, ServiceLimits},
     segment::{Segment, SegmentKind},
     sourcing::{Followed, Next, Outcome, Readers, Sourcing},
+    strays::Owner,
     token::Token,
     view::{Barred, DirectView, FlowView, KnownFrom, StandingView, UpstreamView},
 };
--- a/crates/pomelorun-core/src/direct/fleet.rs
+++ b/crates/pomelorun-core/src/direct/fleet.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     choice::rendezvous_score,
-    direct::{outlier::Report, peers::News, sourcing::Readers},
+    direct::{outlier::Report, peers::News, sourcing::Readers, strays::Owner, token::Token},
     members::Members,
     settings::CoreSettings,
     time::Millis,
@@ -38,6 +38,10 @@
     News(News),
     /// What an upstream's answers look like, for the host that judges it.
     Reports(Vec<Report>),
+    /// Which upstreams do these tokens name?
+    Whose(Vec<Token>),
+    /// What the sender knows of them.
+    Owners(Vec<(Token, Owner)>),
 }
 
 /// Messages to send, with their receivers.
--- a/crates/pomelorun-core/src/direct/host.rs
+++ b/crates/pomelorun-core/src/direct/host.rs
@@ -1,5 +1,6 @@
 //! The decisions of one host in direct return.
 
+mod claiming;
 mod detecting;
 mod explaining;
 mod judging;
@@ -26,6 +27,7 @@
         registry::{Announcement, Registry, UpstreamIx, UpstreamKey},
         routing::{Routing, RoutingChange},
         segment::{Segment, SegmentKind},
+        strays::Strays,
         token::Token,
     },
     time::Millis,
@@ -197,6 +199,8 @@
     store: StoreView,
     /// When the directory last answered.
     heard: Option<Millis>,
+    /// Since when the directory answers.
+    answering_since: Option<Millis>,
     /// When the directory last came back.
     back: Option<Millis>,
     /// Live hosts, this one included, sorted; empty while they are not known.
@@ -211,6 +215,9 @@
     /// Reports to other hosts that wait to be sent.
     reports: Vec<(HostId, Vec<Report>)>,
     reported: Millis,
+    strays: Strays,
+    /// Questions to other hosts that wait to be sent.
+    questions: Vec<(HostId, Vec<Token>)>,
     /// Probes that wait to be sent.
     probes: Vec<Probe>,
     /// Last sign of life from each zone, sorted by zone.
@@ -233,6 +240,7 @@
             out: Vec::new(),
             store: StoreView::Away,
             heard: None,
+            answering_since: None,
             back: None,
             near: vec![cfg.host],
             hosts: Vec::new(),
@@ -241,6 +249,8 @@
             asking: VecDeque::new(),
             reports: Vec::new(),
             reported: Millis(0),
+            strays: Strays::default(),
+            questions: Vec::new(),
             probes: Vec::new(),
             zones_answered: Vec::new(),
             resets: Vec::new(),
@@ -364,6 +374,7 @@
         if now.since(self.reported) >= REPORT_EVERY {
             self.reported = now;
             self.send_reports(now);
+            self.chase_strays(now);
         }
         let idle =
             if self.routing.idle > Millis(0) { self.routing.idle } else { self.cfg.flow_lifetime };
@@ -412,10 +423,7 @@
     fn carry(&mut self, now: Millis, seg: &Segment) -> Verdict {
         // Only the token counts: what is noted of the flow may be a copy of its opening packet.
         let Some(ix) = self.registry.by_token(seg.token) else {
-            self.stats.unknown_token += 1;
-            let (flow, token) = (seg.flow, seg.token);
-            self.note(Note::Dropped { flow, why: DropWhy::UnknownToken, token });
-            return Verdict::Drop;
+            return self.unknown_token(now, seg);
         };
         let ended = self.registry.get(ix).is_some_and(|it| it.ended);
         if seg.kind != SegmentKind::Abort
--- a/crates/pomelorun-core/src/direct/host/publishing.rs
+++ b/crates/pomelorun-core/src/direct/host/publishing.rs
@@ -10,6 +10,7 @@
         note::{Lifecycle, Note},
         registry::{Announcement, Change, UpstreamIx},
         routing::{Routing, RoutingChange},
+        token::Token,
     },
     time::Millis,
 };
@@ -22,6 +23,9 @@
                 self.back = Some(now);
             }
             self.heard = Some(now);
+            self.answering_since.get_or_insert(now);
+        } else {
+            self.answering_since = None;
         }
         self.store = view;
     }
@@ -120,6 +124,7 @@
         if self.seen.len() < self.registry.span() {
             self.seen.resize(self.registry.span(), Seen::default());
         }
+        self.strays.claimed(Token::of(said.key));
         self.note(Note::Upstream { upstream: said.key, state, cold: said.cold_left });
         if state == Lifecycle::Announced {
             self.seen[ix.0 as usize] = Seen::default();
--- a/crates/pomelorun-core/src/direct/note.rs
+++ b/crates/pomelorun-core/src/direct/note.rs
@@ -31,6 +31,8 @@
     NoRoute,
     /// No upstream of its service answers, or none is left.
     NoUpstream,
+    /// Its upstream is gone: no host of the zone knows its token.
+    Gone,
 }
 
 /// Why a packet was dropped.
@@ -55,6 +57,8 @@
     Draining,
     /// No longer announced.
     Lapsed,
+    /// Known by another host, which was asked for its token.
+    Adopted,
     /// Ended for certain.
     Ended,
     /// Forgotten.
--- a/crates/pomelorun-core/src/direct/token.rs
+++ b/crates/pomelorun-core/src/direct/token.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 
 use pomelorun_wire::stable_hash;
+use serde::{Deserialize, Serialize};
 
 use crate::direct::registry::UpstreamKey;
 
@@ -10,7 +11,7 @@
 ///
 /// Every host derives the same token from what the upstream says of itself, so no host has to tell
 /// another.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Token(pub u32);
 
 impl Token {
--- a/crates/pomelorun-core/tests/core/direct.rs
+++ b/crates/pomelorun-core/tests/core/direct.rs
@@ -9,4 +9,5 @@
 mod registry;
 mod routing;
 mod sourcing;
+mod strays;
 mod world;
--- /dev/null
+++ b/crates/pomelorun-core/tests/core/direct/strays.rs
@@ -0,0 +1,197 @@
+//! Packets whose upstream a host does not know: found by way of another host, or reset.
+
+use pomelorun_core::{
+    Millis,
+    direct::{
+        Announcement, Barred, DirectHost, ProbeFound, Published, Segment, StoreView, Token, Verdict,
+    },
+};
+use pomelorun_wire::HostId;
+
+use crate::direct::kit::{
+    NEAR, SERVICE, data, flow, key, open, opened, route, routing, said, sent_to, settings,
+};
+
+/// Some hosts of one zone that know these upstreams.
+struct Zone {
+    hosts: Vec<DirectHost>,
+    now: u64,
+}
+
+fn id(at: usize) -> HostId {
+    HostId(at as u64 + 1)
+}
+
+impl Zone {
+    fn new(hosts: usize, upstreams: &[Announcement]) -> Zone {
+        let near: Vec<HostId> = (0..hosts).map(id).collect();
+        let mut zone = Zone { hosts: Vec::new(), now: 10_000 };
+        for at in 0..hosts {
+            zone.hosts.push(fresh(id(at), &near, upstreams, zone.now));
+        }
+        zone
+    }
+
+    /// Replaces a host by one that has just started.
+    fn restart(&mut self, at: usize, upstreams: &[Announcement]) {
+        let near: Vec<HostId> = (0..self.hosts.len()).map(id).collect();
+        self.hosts[at] = fresh(id(at), &near, upstreams, self.now);
+    }
+
+    /// Lets time pass, with the directory answering, and carries questions and answers.
+    fn pass(&mut self, ms: u64, store: StoreView) {
+        for _ in 0..ms / 50 {
+            self.now += 50;
+            let now = Millis(self.now);
+            for at in 0..self.hosts.len() {
+                self.hosts[at].store(now, store);
+                self.hosts[at].tick(now);
+                for (to, tokens) in self.hosts[at].take_questions() {
+                    let answer = self.hosts[to.0 as usize - 1].owners_of(now, &tokens);
+                    self.hosts[at].learn_owners(now, &answer);
+                }
+            }
+        }
+    }
+
+    fn send(&mut self, at: usize, seg: &Segment) -> Verdict {
+        self.hosts[at].packet(Millis(self.now), seg)
+    }
+}
+
+fn fresh(me: HostId, near: &[HostId], upstreams: &[Announcement], now: u64) -> DirectHost {
+    let mut cfg = settings(NEAR);
+    cfg.host = me;
+    let mut host = DirectHost::new(cfg);
+    host.store(Millis(now), StoreView::Answering);
+    host.set_hosts(near.to_vec());
+    host.set_neighbours(near.to_vec());
+    let mut all = vec![routing(1, vec![route(SERVICE, "feed")])];
+    all.extend(upstreams.iter().cloned().map(Published::Upstream));
+    host.listing(Millis(now), &all);
+    host
+}
+
+const STRANGE: Token = Token(0x1234_5678);
+
+fn question(number: u32, token: Token) -> Segment {
+    data(flow(number), token, 1, 100, 60)
+}
+
+#[test]
+fn flows_whose_upstream_nobody_knows_are_reset_after_a_while_and_then_at_once() {
+    let mut zone = Zone::new(5, &[said(1, NEAR)]);
+    zone.pass(5_000, StoreView::Answering);
+    for at in 0..5 {
+        assert_eq!(zone.send(at, &question(at as u32, STRANGE)), Verdict::Drop);
+    }
+    zone.pass(3_900, StoreView::Answering);
+    for it in &mut zone.hosts {
+        assert_eq!(it.take_resets().len(), 0, "it might be a new upstream");
+    }
+    zone.pass(1_000, StoreView::Answering);
+    // The one that judges knows it now; the others hear of it when they ask again.
+    let reset: usize = zone.hosts.iter_mut().map(|it| it.take_resets().len()).sum();
+    assert!(reset >= 1);
+    for at in 0..5 {
+        zone.send(at, &question(at as u32, STRANGE));
+    }
+    zone.pass(1_000, StoreView::Answering);
+    for at in 0..5 {
+        let verdict = zone.send(at, &question(at as u32, STRANGE));
+        assert!(matches!(verdict, Verdict::Reset(_)), "host {at}: {verdict:?}");
+    }
+}
+
+#[test]
+fn no_flow_is_reset_for_its_token_while_the_directory_is_away_or_just_back() {
+    let mut zone = Zone::new(3, &[said(1, NEAR)]);
+    zone.send(0, &question(1, STRANGE));
+    zone.pass(10_000, StoreView::Away);
+    zone.pass(3_500, StoreView::Answering);
+    assert!(zone.hosts.iter_mut().all(|it| it.take_resets().is_empty()));
+    assert_eq!(zone.send(0, &question(1, STRANGE)), Verdict::Drop);
+}
+
+#[test]
+fn a_host_that_started_learns_of_an_upstream_that_is_no_longer_announced() {
+    for restarted in 0..4 {
+        let mut zone = Zone::new(4, &[said(1, NEAR), said(2, NEAR)]);
+        let at = if restarted == 0 { 1 } else { 0 };
+        let now = Millis(zone.now);
+        let number = (0..100).find(|it| opened(&mut zone.hosts[at], now, flow(*it)).0 == 1);
+        let number = number.expect("one of them");
+        for it in &mut zone.hosts {
+            it.published(now, &Published::UpstreamGone(1));
+        }
+        zone.pass(3_000, StoreView::Answering);
+        zone.restart(restarted, &[said(2, NEAR)]);
+        let seg = question(number, Token::of(key(1)));
+        assert_eq!(zone.send(restarted, &seg), Verdict::Drop);
+        zone.pass(300, StoreView::Answering);
+        let to = sent_to(zone.send(restarted, &seg)).map(|it| it.0);
+        assert_eq!(to, Some(1), "host {restarted}");
+        // It is not for new flows.
+        let view = zone.hosts[restarted].view(Millis(zone.now));
+        let it = view.upstreams.iter().find(|it| it.upstream.ends_with('1')).unwrap();
+        assert_eq!(it.barred, Some(Barred::Lapsed));
+        let fresh = zone.send(restarted, &open(flow(900), 0));
+        assert_eq!(sent_to(fresh).map(|it| it.0), Some(2));
+    }
+}
+
+#[test]
+fn flows_of_an_upstream_that_others_found_unreachable_are_reset() {
+    let mut zone = Zone::new(2, &[said(1, NEAR), said(2, NEAR)]);
+    let token = Token::of(key(1));
+    let now = zone.now;
+    // Host 0 sees a caller repeat its question in vain, and its probe fails.
+    zone.send(0, &question(7, token));
+    zone.now = now + 200;
+    zone.send(0, &question(7, token));
+    zone.hosts[0].probed(Millis(zone.now), key(1), ProbeFound::Nobody);
+    zone.restart(1, &[said(2, NEAR)]);
+    assert_eq!(zone.send(1, &question(8, token)), Verdict::Drop);
+    zone.pass(300, StoreView::Answering);
+    assert!(matches!(zone.send(1, &question(8, token)), Verdict::Reset(_)));
+}
+
+#[test]
+fn an_upstream_that_is_announced_late_keeps_its_flows() {
+    let mut zone = Zone::new(1, &[said(1, NEAR)]);
+    zone.pass(5_000, StoreView::Answering);
+    let seg = question(3, Token::of(key(9)));
+    assert_eq!(zone.send(0, &seg), Verdict::Drop);
+    zone.pass(3_000, StoreView::Answering);
+    let now = Millis(zone.now);
+    zone.hosts[0].published(now, &Published::Upstream(said(9, NEAR)));
+    zone.pass(5_000, StoreView::Answering);
+    assert_eq!(zone.hosts[0].take_resets(), vec![]);
+    assert_eq!(sent_to(zone.send(0, &seg)).map(|it| it.0), Some(9));
+}
+
+#[test]
+fn an_upstream_that_came_back_as_another_start_has_no_old_flows() {
+    let mut zone = Zone::new(2, &[said(1, NEAR)]);
+    let old = Token::of(key(1));
+    let mut reborn = said(1, NEAR);
+    reborn.key.born += 5_000;
+    let now = Millis(zone.now);
+    zone.hosts[0].published(now, &Published::Upstream(reborn.clone()));
+    zone.restart(1, &[reborn]);
+    assert_eq!(zone.send(1, &question(4, old)), Verdict::Drop);
+    zone.pass(300, StoreView::Answering);
+    assert!(matches!(zone.send(1, &question(4, old)), Verdict::Reset(_)));
+}
+
+#[test]
+fn packets_with_any_tokens_fill_neither_memory_nor_the_links() {
+    let mut zone = Zone::new(1, &[said(1, NEAR)]);
+    zone.hosts[0].set_neighbours((0..30).map(id).collect());
+    for number in 0..50_000u32 {
+        zone.send(0, &question(number, Token(number.wrapping_mul(2_654_435_761) | 1)));
+    }
+    zone.hosts[0].tick(Millis(zone.now + 300));
+    let asked: usize = zone.hosts[0].take_questions().iter().map(|it| it.1.len()).sum();
+    assert!(asked <= 64 * 30, "{asked} tokens asked for at once");
+}
--- a/crates/pomelorun/src/direct/edge.rs
+++ b/crates/pomelorun/src/direct/edge.rs
@@ -7,8 +7,8 @@
 use pomelorun_core::{
     Millis,
     direct::{
-        DirectHost, DirectSettings, DirectStats, News, Probe, ProbeFound, Published, Report,
-        Shared, StoreView, UpstreamKey, Verdict,
+        DirectHost, DirectSettings, DirectStats, News, Owner, Probe, ProbeFound, Published, Report,
+        Shared, StoreView, Token, UpstreamKey, Verdict,
     },
 };
 use pomelorun_wire::HostId;
@@ -241,6 +241,22 @@
         self.host.take_reports()
     }
 
+    /// Takes questions for the owners of tokens, with the host that each is for.
+    pub(crate) fn take_questions(&mut self) -> Vec<(HostId, Vec<Token>)> {
+        self.host.take_questions()
+    }
+
+    /// Answers another host of this zone which upstreams tokens name.
+    pub(crate) fn owners_of(&mut self, tokens: &[Token]) -> Vec<(Token, Owner)> {
+        self.host.owners_of(now(), tokens)
+    }
+
+    /// Takes in what another host knows of tokens.
+    pub(crate) fn learn_owners(&mut self, owners: &[(Token, Owner)]) {
+        self.host.learn_owners(now(), owners);
+        self.finish();
+    }
+
     /// Says which hosts live, which others of them are in this zone, and whether this one reads the
     /// directory for them.
     pub(crate) fn set_hosts(&mut self, hosts: Vec<HostId>, neighbours: Vec<HostId>, reads: bool) {
--- a/crates/pomelorun/src/direct/fleet.rs
+++ b/crates/pomelorun/src/direct/fleet.rs
@@ -71,6 +71,8 @@
         }
         self.last_tick = now;
         self.fleet.set_revision(self.edge.borrow().revision());
+        let questions = self.edge.borrow_mut().take_questions();
+        self.send(questions.into_iter().map(|(to, it)| (to, FleetMsg::Whose(it))).collect());
         let reports = self.edge.borrow_mut().take_reports();
         self.send(reports.into_iter().map(|(to, it)| (to, FleetMsg::Reports(it))).collect());
         let out = self.fleet.tick(now);
@@ -93,6 +95,13 @@
                 self.renew();
             }
             FleetMsg::News(news) => self.edge.borrow_mut().told(&news),
+            FleetMsg::Whose(tokens) => {
+                let owners = self.edge.borrow_mut().owners_of(&tokens);
+                if !owners.is_empty() {
+                    self.send(vec![(from, FleetMsg::Owners(owners))]);
+                }
+            }
+            FleetMsg::Owners(owners) => self.edge.borrow_mut().learn_owners(&owners),
             FleetMsg::Reports(reports) => self.edge.borrow_mut().reported(&reports),
         }
     }
--- a/crates/pomelorun/src/direct/lines.rs
+++ b/crates/pomelorun/src/direct/lines.rs
@@ -158,6 +158,7 @@
         ResetWhy::Ended => Code::FLOW_RESET_ENDED,
         ResetWhy::NoRoute => Code::FLOW_RESET_NO_ROUTE,
         ResetWhy::NoUpstream => Code::FLOW_RESET_NO_UPSTREAM,
+        ResetWhy::Gone => Code::FLOW_RESET_GONE,
     };
     warn!("flow reset", kv: {
         code = code.to_string(), flow = flow.to_string(),
@@ -171,6 +172,7 @@
         Lifecycle::Changed => (Code::UPSTREAM_CHANGED, "changed"),
         Lifecycle::Draining => (Code::UPSTREAM_DRAINING, "draining"),
         Lifecycle::Lapsed => (Code::UPSTREAM_LAPSED, "lapsed"),
+        Lifecycle::Adopted => (Code::UPSTREAM_ADOPTED, "adopted"),
         Lifecycle::Ended => (Code::UPSTREAM_ENDED, "ended"),
         Lifecycle::Forgotten => (Code::UPSTREAM_FORGOTTEN, "forgotten"),
     }
