Ask other zones for unknown tokens, at once, and reset what waits

Cause: after a zone's loss of power its hosts all started anew, so nobody in the zone knew the upstreams' old starts, and every token waited 4 s for a claim; questions went out four times a second, and the flow that waited was reset with its next packet only.

Change: the judge asks four hosts of other zones too, which know that the old starts have ended; what they do not reach counts for nothing here. Questions go out with each timer event, sixteen tokens at most; flows that wait are reset with the answer.

Tests: strays::a_zone_whose_hosts_all_started_anew…, what_another_zone_does not_reach….

--- a/crates/pomelorun-core/src/direct/host.rs
+++ b/crates/pomelorun-core/src/direct/host.rs
@@ -374,8 +374,8 @@
         if now.since(self.reported) >= REPORT_EVERY {
             self.reported = now;
             self.send_reports(now);
-            self.chase_strays(now);
         }
+        self.chase_strays(now);
         let idle =
             if self.routing.idle > Millis(0) { self.routing.idle } else { self.cfg.flow_lifetime };
         if now > idle {
--- a/crates/pomelorun-core/src/direct/host/claiming.rs
+++ b/crates/pomelorun-core/src/direct/host/claiming.rs
@@ -16,6 +16,9 @@
     time::Millis,
 };
 
+/// Hosts of other zones that are asked for a token: some of them may be cut off or have just started.
+const FAR_WITNESSES: usize = 4;
+
 impl DirectHost {
     /// Takes questions for the owners of tokens, with the host that each is for.
     pub fn take_questions(&mut self) -> Vec<(HostId, Vec<Token>)> {
@@ -37,17 +40,21 @@
         found
     }
 
-    /// Takes in what another host knows of tokens.
-    pub fn learn_owners(&mut self, now: Millis, owners: &[(Token, Owner)]) {
+    /// Takes in what another host knows of tokens. What a host of another zone does not reach may
+    /// well be reached from here.
+    pub fn learn_owners(&mut self, now: Millis, from: HostId, owners: &[(Token, Owner)]) {
+        let near = self.near.binary_search(&from).is_ok();
         for (token, owner) in owners {
             if self.registry.by_token(*token).is_some() {
                 continue;
             }
             match owner {
-                Owner::Known(said) => self.adopt_upstream(now, said, Standing::Answering),
-                Owner::Unreachable(said) => {
+                Owner::Unreachable(said) if near => {
                     self.adopt_upstream(now, said, Standing::Unreachable { since: now });
                 }
+                Owner::Known(said) | Owner::Unreachable(said) => {
+                    self.adopt_upstream(now, said, Standing::Answering);
+                }
                 Owner::Gone => self.give_up_token(now, *token),
             }
         }
@@ -86,9 +93,7 @@
                 self.ask(judge, token);
                 continue;
             }
-            let others: Vec<HostId> =
-                self.near.iter().copied().filter(|it| *it != self.cfg.host).collect();
-            for host in others {
+            for host in self.witnesses(token) {
                 self.ask(host, token);
             }
         }
@@ -102,6 +107,16 @@
         }
     }
 
+    /// The other hosts of this zone, and some of other zones: when a zone loses power, only they know
+    /// that its upstreams have ended.
+    fn witnesses(&self, token: Token) -> Vec<HostId> {
+        let near = self.near.iter().copied().filter(|it| *it != self.cfg.host);
+        let is_far = |it: &HostId| self.near.binary_search(it).is_err();
+        let mut far: Vec<HostId> = self.hosts.iter().copied().filter(is_far).collect();
+        far.sort_by_key(|it| rendezvous_score(it.0, u64::from(token.0)));
+        near.chain(far.into_iter().rev().take(FAR_WITNESSES)).collect()
+    }
+
     fn ask(&mut self, host: HostId, token: Token) {
         let room = |it: &&mut (HostId, Vec<Token>)| it.0 == host && it.1.len() < MOST_ASKED;
         match self.questions.iter_mut().find(room) {
@@ -140,7 +155,6 @@
     /// ones may not be opened.
     fn adopt_upstream(&mut self, now: Millis, said: &Announcement, standing: Standing) {
         let token = Token::of(said.key);
-        self.strays.claimed(token);
         let Change::New(ix) = self.registry.announce(now, said) else {
             // A later start has its identifier.
             self.give_up_token(now, token);
@@ -153,8 +167,15 @@
         self.seen[ix.0 as usize] = Seen::default();
         let cold = said.cold_left;
         self.note(Note::Upstream { upstream: said.key, state: Lifecycle::Adopted, cold });
-        if matches!(standing, Standing::Unreachable { .. }) {
-            self.give_up(now, ix, Millis(0), true);
+        let waiting = self.strays.claimed(token);
+        if !matches!(standing, Standing::Unreachable { .. }) {
+            return;
+        }
+        self.give_up(now, ix, Millis(0), true);
+        for (flow, ack) in waiting {
+            self.lose(&flow);
+            let reset = self.reset(now, Some(ix), flow, ack, ResetWhy::Unreachable);
+            self.resets.push(reset);
         }
     }
 
--- a/crates/pomelorun-core/src/direct/strays.rs
+++ b/crates/pomelorun-core/src/direct/strays.rs
@@ -26,9 +26,9 @@
 const MOST_TOKENS: usize = 4_096;
 /// Flows of one token that are reset together.
 const MOST_FLOWS: usize = 16;
-/// Tokens that are asked for at a time, four times a second: some kilobytes a second when a whole
+/// Tokens that are asked for at a time, twenty times a second: some kilobytes a second when a whole
 /// zone's upstreams are lost, and nothing otherwise.
-const MOST_DUE: usize = 64;
+const MOST_DUE: usize = 16;
 /// Tokens in one question, so that it and its answer are one datagram.
 pub(crate) const MOST_ASKED: usize = 16;
 
@@ -137,9 +137,12 @@
         }
     }
 
-    /// Forgets a token whose upstream is known now.
-    pub(crate) fn claimed(&mut self, token: Token) {
-        self.0.retain(|it| it.token != token);
+    /// Forgets a token whose upstream is known now; returns the flows that wait.
+    pub(crate) fn claimed(&mut self, token: Token) -> SmallVec<[(FlowKey, u32); 2]> {
+        match self.0.binary_search_by_key(&token, |it| it.token) {
+            Ok(at) => self.0.remove(at).flows,
+            Err(_) => SmallVec::new(),
+        }
     }
 
     /// Forgets tokens of which nothing came for long.
--- a/crates/pomelorun-core/tests/core/direct/strays.rs
+++ b/crates/pomelorun-core/tests/core/direct/strays.rs
@@ -48,7 +48,7 @@
                 self.hosts[at].tick(now);
                 for (to, tokens) in self.hosts[at].take_questions() {
                     let answer = self.hosts[to.0 as usize - 1].owners_of(now, &tokens);
-                    self.hosts[at].learn_owners(now, &answer);
+                    self.hosts[at].learn_owners(now, to, &answer);
                 }
             }
         }
@@ -152,7 +152,8 @@
     zone.hosts[0].probed(Millis(zone.now), key(1), ProbeFound::Nobody);
     zone.restart(1, &[said(2, NEAR)]);
     assert_eq!(zone.send(1, &question(8, token)), Verdict::Drop);
-    zone.pass(300, StoreView::Answering);
+    zone.pass(100, StoreView::Answering);
+    assert_eq!(zone.hosts[1].take_resets().len(), 1, "the one that waits");
     assert!(matches!(zone.send(1, &question(8, token)), Verdict::Reset(_)));
 }
 
@@ -184,6 +185,51 @@
     assert!(matches!(zone.send(1, &question(4, old)), Verdict::Reset(_)));
 }
 
+/// Two hosts of one zone and one of another.
+fn two_zones(upstreams: &[Announcement]) -> Zone {
+    let mut zone = Zone::new(3, upstreams);
+    for at in 0..2 {
+        zone.hosts[at].set_neighbours(vec![id(0), id(1)]);
+    }
+    zone.hosts[2].set_neighbours(vec![id(2)]);
+    zone
+}
+
+#[test]
+fn a_zone_whose_hosts_all_started_anew_learns_from_another_zone_what_has_ended() {
+    let mut zone = two_zones(&[said(1, NEAR)]);
+    let old = Token::of(key(1));
+    let mut reborn = said(1, NEAR);
+    reborn.key.born += 5_000;
+    let now = Millis(zone.now);
+    zone.hosts[2].published(now, &Published::Upstream(reborn.clone()));
+    for at in 0..2 {
+        zone.restart(at, &[reborn.clone()]);
+        zone.hosts[at].set_neighbours(vec![id(0), id(1)]);
+    }
+    assert_eq!(zone.send(0, &question(4, old)), Verdict::Drop);
+    zone.pass(700, StoreView::Answering);
+    assert_eq!(zone.hosts[0].take_resets().len(), 1, "long before nobody has claimed it");
+}
+
+#[test]
+fn what_another_zone_does_not_reach_is_not_taken_as_unreachable() {
+    let mut zone = two_zones(&[said(1, NEAR), said(2, NEAR)]);
+    let token = Token::of(key(1));
+    zone.send(2, &question(7, token));
+    zone.now += 200;
+    zone.send(2, &question(7, token));
+    zone.hosts[2].probed(Millis(zone.now), key(1), ProbeFound::Nobody);
+    for at in 0..2 {
+        zone.restart(at, &[said(2, NEAR)]);
+        zone.hosts[at].set_neighbours(vec![id(0), id(1)]);
+    }
+    assert_eq!(zone.send(0, &question(8, token)), Verdict::Drop);
+    zone.pass(700, StoreView::Answering);
+    assert_eq!(zone.hosts[0].take_resets(), vec![]);
+    assert_eq!(sent_to(zone.send(0, &question(8, token))).map(|it| it.0), Some(1));
+}
+
 #[test]
 fn packets_with_any_tokens_fill_neither_memory_nor_the_links() {
     let mut zone = Zone::new(1, &[said(1, NEAR)]);
@@ -193,5 +239,5 @@
     }
     zone.hosts[0].tick(Millis(zone.now + 300));
     let asked: usize = zone.hosts[0].take_questions().iter().map(|it| it.1.len()).sum();
-    assert!(asked <= 64 * 30, "{asked} tokens asked for at once");
+    assert!(asked <= 16 * 30, "{asked} tokens asked for at once");
 }
