--- a/crates/pomelorun/src/batch.rs
+++ b/crates/pomelorun/src/batch.rs
@@ -33,6 +33,8 @@
     longest: usize,
     /// Sender and length of each datagram of the last batch.
     received: Vec<(SocketAddrV4, usize)>,
+    /// System calls since the last batch, those included that found nothing.
+    calls: u64,
 }
 
 impl Incoming {
@@ -42,14 +44,16 @@
             bytes: vec![0; BATCH * longest],
             longest,
             received: Vec::with_capacity(BATCH),
+            calls: 0,
         }
     }
 
     /// Receives what is there, up to a batch.
     pub(crate) fn receive(&mut self, socket: &UdpSocket) -> io::Result<()> {
-        let Incoming { headers, bytes, longest, received } = self;
+        let Incoming { headers, bytes, longest, received, calls } = self;
         received.clear();
         socket.try_io(Interest::READABLE, || {
+            *calls += 1;
             let mut slices: Vec<[IoSliceMut<'_>; 1]> =
                 bytes.chunks_mut(*longest).map(|it| [IoSliceMut::new(it)]).collect();
             let got = recvmmsg(
@@ -68,6 +72,11 @@
         })
     }
 
+    /// System calls since the last time.
+    pub(crate) fn take_calls(&mut self) -> u64 {
+        std::mem::take(&mut self.calls)
+    }
+
     /// The datagrams of the last batch with their senders.
     pub(crate) fn datagrams(&self) -> impl Iterator<Item = (SocketAddrV4, &[u8])> {
         self.received
@@ -81,7 +90,7 @@
 pub(crate) async fn receive_all(
     socket: &UdpSocket,
     longest: usize,
-    mut take: impl FnMut(&Incoming),
+    mut take: impl FnMut(&mut Incoming),
 ) {
     let mut incoming = Incoming::new(longest);
     loop {
@@ -90,7 +99,7 @@
             return;
         }
         match incoming.receive(socket) {
-            Ok(()) => take(&incoming),
+            Ok(()) => take(&mut incoming),
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
             // A peer's closed port shows as an error on this socket; go on reading.
             Err(e) => debug!("receive failed", kv: { error = e.to_string() }),
@@ -107,6 +116,8 @@
     queued: Vec<(SocketAddrV4, usize)>,
     /// Datagrams that the kernel did not take.
     dropped: u64,
+    /// System calls.
+    calls: u64,
 }
 
 impl Outgoing {
@@ -116,6 +127,7 @@
             bytes: Vec::new(),
             queued: Vec::new(),
             dropped: 0,
+            calls: 0,
         }
     }
 
@@ -137,9 +149,14 @@
         self.dropped
     }
 
+    /// System calls since the start.
+    pub(crate) fn calls(&self) -> u64 {
+        self.calls
+    }
+
     /// Sends all that is queued; what the kernel cannot take is lost as any datagram may be.
     pub(crate) fn flush(&mut self, socket: &UdpSocket) {
-        let Outgoing { headers, bytes, queued, dropped } = self;
+        let Outgoing { headers, bytes, queued, dropped, calls } = self;
         let mut start = 0;
         for batch in queued.chunks(BATCH) {
             let mut slices: Vec<[IoSlice<'_>; 1]> = Vec::with_capacity(batch.len());
@@ -149,33 +166,42 @@
                 to.push(Some(SockaddrIn::from(*addr)));
                 start = *end;
             }
-            *dropped += send_batch(socket, headers, &slices, &to);
+            let sent = send_batch(socket, headers, &slices, &to);
+            *dropped += sent.lost;
+            *calls += sent.calls;
         }
         bytes.clear();
         queued.clear();
     }
 }
 
-/// Sends one batch; returns how many datagrams were lost.
+/// What sending one batch came to.
+struct Sent {
+    lost: u64,
+    calls: u64,
+}
+
+/// Sends one batch.
 fn send_batch(
     socket: &UdpSocket,
     headers: &mut MultiHeaders<SockaddrIn>,
     slices: &[[IoSlice<'_>; 1]],
     to: &[Option<SockaddrIn>],
-) -> u64 {
-    let mut lost = 0;
+) -> Sent {
+    let mut sent = Sent { lost: 0, calls: 0 };
     let mut done = 0;
     while done < slices.len() {
         let (slices, to) = (&slices[done..], &to[done..]);
         let flags = MsgFlags::MSG_DONTWAIT;
+        sent.calls += 1;
         match sendmmsg(socket.as_raw_fd(), headers, slices, to, [], flags) {
-            Ok(sent) => done += sent.count().max(1),
+            Ok(it) => done += it.count().max(1),
             // The first datagram left cannot be sent; the others may.
             Err(_) => {
-                lost += 1;
+                sent.lost += 1;
                 done += 1;
             }
         }
     }
-    lost
+    sent
 }
--- a/crates/pomelorun/src/direct/edge.rs
+++ b/crates/pomelorun/src/direct/edge.rs
@@ -52,6 +52,8 @@
     socket: Rc<UdpSocket>,
     out: Outgoing,
     malformed: u64,
+    /// System calls that received packets.
+    receive_calls: u64,
     leaving: bool,
     /// Live hosts, this one included.
     hosts: usize,
@@ -105,6 +107,8 @@
     pub(crate) decisions: DirectStats,
     pub(crate) malformed: u64,
     pub(crate) unsent: u64,
+    /// System calls that received or sent packets.
+    pub(crate) calls: u64,
     pub(crate) flows: usize,
     pub(crate) revision: u64,
     pub(crate) hosts: usize,
@@ -140,6 +144,7 @@
             decisions: self.host.stats(),
             malformed: self.malformed,
             unsent: self.out.dropped(),
+            calls: self.receive_calls + self.out.calls(),
             flows: self.host.flows(),
             revision: self.host.revision(),
             hosts: self.hosts,
@@ -287,7 +292,8 @@
         Rc::clone(&self.informed)
     }
 
-    fn datagrams(&mut self, incoming: &Incoming) {
+    fn datagrams(&mut self, incoming: &mut Incoming) {
+        self.receive_calls += incoming.take_calls();
         let now = now();
         let ready = self.host.is_ready();
         for (_, bytes) in incoming.datagrams() {
@@ -401,6 +407,7 @@
             socket: Rc::clone(&socket),
             out: Outgoing::new(),
             malformed: 0,
+            receive_calls: 0,
             leaving: false,
             hosts: 0,
             reads: false,
--- a/crates/pomelorun/src/direct/metrics.rs
+++ b/crates/pomelorun/src/direct/metrics.rs
@@ -19,7 +19,7 @@
 type Read = fn(&EdgeStats) -> u64;
 
 /// Counters, with what each one counts. `docs/operators/metrics.md` says what to do when one rises.
-const COUNTERS: [(&str, &str, Read); 16] = [
+const COUNTERS: [(&str, &str, Read); 17] = [
     ("pomelorun_packets_forwarded", "Packets sent on to upstreams", |it| it.decisions.forwarded),
     ("pomelorun_flows_opened", "Flows opened, copies not counted", |it| it.decisions.opened),
     ("pomelorun_flow_copies", "Opening packets sent to another upstream", |it| it.decisions.copies),
@@ -32,6 +32,7 @@
         it.decisions.unknown_token
     }),
     ("pomelorun_packets_malformed", "Datagrams that are no caller's packet", |it| it.malformed),
+    ("pomelorun_packet_calls", "System calls that received or sent packets", |it| it.calls),
     ("pomelorun_packets_unsent", "Datagrams that the kernel did not take", |it| it.unsent),
     (
         "pomelorun_packets_held_lost",
