Keep the cost of a listing and of a timer event flat in the upstreams

Change: the registry keeps a list of free slots, an index by address and the upstreams that have ended since; the timer looks after those that are suspected or unreachable, reports name those that failed.

Tests: the 85 of core direct:: pass unchanged. No test bounds the times.

--- a/crates/pomelorun-core/src/direct/host.rs
+++ b/crates/pomelorun-core/src/direct/host.rs
@@ -37,6 +37,8 @@
 const MOST_NOTES: usize = 4_096;
 /// Parts of the flow table that one timer event looks through for old flows.
 const SWEEP_PARTS: usize = 50;
+/// Time between two looks for upstreams that are to be forgotten; they are kept for a minute.
+const FORGET_EVERY: Millis = Millis(1_000);
 
 /// Bounds of a host's decisions.
 #[derive(Debug, Clone, PartialEq)]
@@ -193,6 +195,12 @@
     registry: Registry,
     /// By position in the registry.
     seen: Vec<Seen>,
+    /// Upstreams that are suspected or unreachable, sorted.
+    watched: Vec<UpstreamIx>,
+    /// Upstreams with failures that are not reported yet, sorted.
+    failing: Vec<UpstreamIx>,
+    /// When old upstreams were last forgotten.
+    forgot: Millis,
     flows: FlowNotes,
     /// Zones that are out, sorted.
     out: Vec<ZoneId>,
@@ -237,6 +245,9 @@
             routing: Arc::default(),
             registry: Registry::default(),
             seen: Vec::new(),
+            watched: Vec::new(),
+            failing: Vec::new(),
+            forgot: Millis(0),
             out: Vec::new(),
             store: StoreView::Away,
             heard: None,
@@ -363,11 +374,14 @@
 
     /// Does what time demands.
     pub fn tick(&mut self, now: Millis) {
-        for at in 0..self.seen.len() {
-            let liveness = &mut self.seen[at].liveness;
+        for ix in std::mem::take(&mut self.watched) {
+            let liveness = &mut self.seen[ix.0 as usize].liveness;
             liveness.expire(now);
             if liveness.take_trial(now) {
-                self.send_probe(UpstreamIx(at as u32), ProbeKind::Identify);
+                self.send_probe(ix, ProbeKind::Identify);
+            }
+            if self.standing(ix) != Standing::Answering {
+                self.watch(ix);
             }
         }
         self.judge_late(now);
@@ -383,6 +397,10 @@
             let seen = &mut self.seen;
             self.flows.sweep(now - idle, parts, |flow| leave(seen, &flow));
         }
+        if now.since(self.forgot) < FORGET_EVERY {
+            return;
+        }
+        self.forgot = now;
         for (ix, upstream) in self.registry.forget_old(now, self.cfg.flow_lifetime) {
             self.note(Note::Upstream { upstream, state: Lifecycle::Forgotten, cold: Millis(0) });
             for flow in self.flows.take_of(ix) {
@@ -392,6 +410,13 @@
         }
     }
 
+    /// Has the timer look after an upstream that callers or probes find silent.
+    fn watch(&mut self, ix: UpstreamIx) {
+        if let Err(at) = self.watched.binary_search(&ix) {
+            self.watched.insert(at, ix);
+        }
+    }
+
     fn note(&mut self, note: Note) {
         if self.notes.len() < MOST_NOTES {
             self.notes.push(note);
--- a/crates/pomelorun-core/src/direct/host/claiming.rs
+++ b/crates/pomelorun-core/src/direct/host/claiming.rs
@@ -167,6 +167,7 @@
         self.seen[ix.0 as usize] = Seen::default();
         let cold = said.cold_left;
         self.note(Note::Upstream { upstream: said.key, state: Lifecycle::Adopted, cold });
+        self.give_up_ended(now);
         let waiting = self.strays.claimed(token);
         if !matches!(standing, Standing::Unreachable { .. }) {
             return;
--- a/crates/pomelorun-core/src/direct/host/detecting.rs
+++ b/crates/pomelorun-core/src/direct/host/detecting.rs
@@ -73,9 +73,8 @@
 
     /// Resets the flows of upstreams that a newer announcement shows to have ended.
     pub(super) fn give_up_ended(&mut self, now: Millis) {
-        let ended: Vec<(UpstreamIx, UpstreamKey)> =
-            self.registry.iter().filter(|it| it.1.ended).map(|it| (it.0, it.1.said.key)).collect();
-        for (ix, key) in ended {
+        for ix in self.registry.take_ended() {
+            let Some(key) = self.registry.get(ix).map(|it| it.said.key) else { continue };
             let reset = self.reset_flows(now, ix, ResetWhy::Ended);
             if reset > 0 {
                 self.note(Note::Upstream {
@@ -183,7 +182,11 @@
 
     pub(super) fn unanswered(&mut self, now: Millis, ix: UpstreamIx, flow: FlowKey, sent: Millis) {
         let Some(seen) = self.seen.get_mut(ix.0 as usize) else { return };
-        let Some(kind) = seen.liveness.unanswered(now, flow, sent) else { return };
+        let kind = seen.liveness.unanswered(now, flow, sent);
+        if seen.liveness.standing() != Standing::Answering {
+            self.watch(ix);
+        }
+        let Some(kind) = kind else { return };
         let Some(it) = self.registry.get(ix) else { return };
         let upstream = it.said.key;
         self.note(Note::Suspected { upstream, flow, silent: now - sent });
@@ -243,6 +246,7 @@
 
     pub(super) fn give_up(&mut self, now: Millis, ix: UpstreamIx, silent: Millis, told: bool) {
         self.seen[ix.0 as usize].liveness.give_up(now);
+        self.watch(ix);
         self.stats.unreachable += 1;
         let flows = self.reset_flows(now, ix, ResetWhy::Unreachable);
         let Some(it) = self.registry.get(ix) else { return };
--- a/crates/pomelorun-core/src/direct/host/judging.rs
+++ b/crates/pomelorun-core/src/direct/host/judging.rs
@@ -81,13 +81,16 @@
             return;
         }
         self.seen[ix.0 as usize].tally.add(now, failed, usual);
+        if failed && let Err(at) = self.failing.binary_search(&ix) {
+            self.failing.insert(at, ix);
+        }
     }
 
     /// Hands what failed since the last reports to the hosts that judge.
     pub(super) fn send_reports(&mut self, now: Millis) {
         let mut found: Vec<(UpstreamIx, Report)> = Vec::new();
-        for (ix, it) in self.registry.iter() {
-            let key = it.said.key;
+        for ix in std::mem::take(&mut self.failing) {
+            let Some(key) = self.registry.get(ix).map(|it| it.said.key) else { continue };
             let report = self.seen[ix.0 as usize].tally.take(now, key.id, key.born);
             found.extend(report.map(|it| (ix, it)));
         }
--- a/crates/pomelorun-core/src/direct/registry.rs
+++ b/crates/pomelorun-core/src/direct/registry.rs
@@ -117,6 +117,12 @@
     ids: Vec<(u64, UpstreamIx)>,
     /// Upstreams by service, sorted by name; each list is sorted.
     services: Vec<(String, Vec<UpstreamIx>)>,
+    /// Sorted by address, then position.
+    addrs: Vec<(SocketAddrV4, UpstreamIx)>,
+    /// Slots that are empty.
+    free: Vec<UpstreamIx>,
+    /// Upstreams that have ended since they were last taken.
+    ended: Vec<UpstreamIx>,
 }
 
 impl Registry {
@@ -216,11 +222,17 @@
 
     /// Notes that an upstream has ended.
     pub(crate) fn end(&mut self, ix: UpstreamIx) {
-        if let Some(it) = self.get_mut(ix) {
+        if let Some(it) = self.get_mut(ix).filter(|it| !it.ended) {
             it.ended = true;
+            self.ended.push(ix);
         }
     }
 
+    /// Takes the upstreams that have ended since the last call.
+    pub(crate) fn take_ended(&mut self) -> Vec<UpstreamIx> {
+        std::mem::take(&mut self.ended)
+    }
+
     /// Holds an upstream to be cold until `until` at least.
     pub(crate) fn hold_cold(&mut self, ix: UpstreamIx, until: Millis) {
         if let Some(it) = self.get_mut(ix) {
@@ -234,7 +246,7 @@
 
     fn update(&mut self, now: Millis, ix: UpstreamIx, said: &Announcement) -> Change {
         let Some(it) = self.get_mut(ix) else { return Change::None };
-        let before = it.said.service.clone();
+        let (before, addr) = (it.said.service.clone(), it.said.addr);
         let same = it.lapsed.is_none() && it.said == *said;
         it.said = said.clone();
         it.lapsed = None;
@@ -245,6 +257,10 @@
             self.unlist(&before, ix);
             self.enlist(&said.service, ix);
         }
+        if addr != said.addr {
+            self.addrs.retain(|entry| entry.1 != ix);
+            self.note_addr(said.addr, ix);
+        }
         if same { Change::None } else { Change::Updated(ix) }
     }
 
@@ -260,12 +276,12 @@
             ended: false,
             since: now,
         };
-        let at = self.slots.iter().position(Option::is_none).unwrap_or(self.slots.len());
-        if at == self.slots.len() {
+        let ix = self.free.pop().unwrap_or(UpstreamIx(self.slots.len() as u32));
+        if ix.0 as usize == self.slots.len() {
             self.slots.push(None);
         }
-        self.slots[at] = Some(upstream);
-        let ix = UpstreamIx(at as u32);
+        self.slots[ix.0 as usize] = Some(upstream);
+        self.note_addr(said.addr, ix);
         let at = self.tokens.partition_point(|it| *it < (token, ix));
         self.tokens.insert(at, (token, ix));
         match self.ids.binary_search_by_key(&said.key.id, |it| it.0) {
@@ -278,17 +294,28 @@
 
     /// An address is given to one upstream at a time: whoever had it before has ended.
     fn end_at(&mut self, addr: SocketAddrV4, newer: UpstreamKey) {
-        for it in self.slots.iter_mut().flatten() {
-            if it.said.addr == addr && it.said.key.born < newer.born {
-                it.ended = true;
+        let at = self.addrs.partition_point(|it| it.0 < addr);
+        let there: Vec<UpstreamIx> =
+            self.addrs[at..].iter().take_while(|it| it.0 == addr).map(|it| it.1).collect();
+        for ix in there {
+            if self.get(ix).is_some_and(|it| it.said.key.born < newer.born) {
+                self.end(ix);
             }
         }
     }
 
+    fn note_addr(&mut self, addr: SocketAddrV4, ix: UpstreamIx) {
+        let at = self.addrs.partition_point(|it| *it < (addr, ix));
+        self.addrs.insert(at, (addr, ix));
+    }
+
     fn remove(&mut self, ix: UpstreamIx) {
         let Some(it) = self.slots[ix.0 as usize].take() else { return };
         self.tokens.retain(|entry| entry.1 != ix);
         self.ids.retain(|entry| entry.1 != ix);
+        self.addrs.retain(|entry| entry.1 != ix);
+        self.ended.retain(|entry| *entry != ix);
+        self.free.push(ix);
         self.unlist(&it.said.service, ix);
     }
 
--- a/crates/pomelorun-standins/src/slopes.rs
+++ b/crates/pomelorun-standins/src/slopes.rs
@@ -31,10 +31,13 @@
     Flows,
     /// Stewardship of idle upstreams: upstreams of this host.
     Stewards,
+    /// Registry, timer and placement of a host in direct return: upstreams.
+    Direct,
 }
 
 impl Role {
-    const ALL: [Role; 5] = [Role::Members, Role::View, Role::Config, Role::Flows, Role::Stewards];
+    const ALL: [Role; 6] =
+        [Role::Members, Role::View, Role::Config, Role::Flows, Role::Stewards, Role::Direct];
 
     /// Name on the command line.
     pub fn name(self) -> &'static str {
@@ -44,6 +47,7 @@
             Role::Config => "config",
             Role::Flows => "flows",
             Role::Stewards => "stewards",
+            Role::Direct => "direct",
         }
     }
 
@@ -55,7 +59,7 @@
     fn sizes(self) -> &'static [usize] {
         match self {
             Role::Members | Role::View => &[7, 70, 600, 1_800],
-            Role::Config => &[200, 2_000, 20_000],
+            Role::Config | Role::Direct => &[200, 2_000, 20_000],
             Role::Flows => &[10_000, 100_000, 300_000],
             Role::Stewards => &[10, 100, 1_000],
         }
@@ -65,7 +69,7 @@
     fn target(self) -> f64 {
         match self {
             Role::Members | Role::View => TARGET_HOSTS,
-            Role::Config => TARGET_ENDPOINTS,
+            Role::Config | Role::Direct => TARGET_ENDPOINTS,
             // A daemon knows a flow as its keeper and as its steward.
             Role::Flows => 2.0 * TARGET_FLOWS / TARGET_HOSTS,
             // A daemon is the steward of an upstream, and the backup of another.
--- a/crates/pomelorun-standins/src/slopes/points.rs
+++ b/crates/pomelorun-standins/src/slopes/points.rs
@@ -1,5 +1,7 @@
 //! The points: one role at one size, measured in this process.
 
+mod direct;
+
 use std::{
     net::{Ipv4Addr, SocketAddrV4},
     sync::Arc,
@@ -17,7 +19,7 @@
     ZoneId, decode, encode,
 };
 
-use crate::slopes::{Figure, Point, Role, TARGET_ENDPOINTS, TARGET_HOSTS};
+use crate::slopes::{Figure, Point, Role, TARGET_ENDPOINTS, TARGET_HOSTS, points::direct::direct};
 
 /// Time at which a core that hears no other host has settled, milliseconds.
 const SETTLED_MS: u64 = 800;
@@ -41,6 +43,7 @@
         Role::Config => config(size),
         Role::Flows => flows(size),
         Role::Stewards => stewards(size),
+        Role::Direct => direct(size),
     };
     Point { size, figures }
 }
