Name the file of an object that is at fault

Change: `load_checked` finds the file of each object that a fault leads into; faults between objects stay without.

--- a/crates/pomelorun-config/src/check.rs
+++ b/crates/pomelorun-config/src/check.rs
@@ -37,6 +37,13 @@
     Fault::new(code, "", &path, message)
 }
 
+/// The paths by which faults name the objects of a set.
+pub(crate) fn paths_of(set: &ObjectSet) -> Vec<String> {
+    let zones = set.zones.iter().map(path_of);
+    let pools = set.pools.iter().map(path_of);
+    zones.chain(pools).chain(set.services.iter().map(path_of)).collect()
+}
+
 fn path_of<T: Named>(item: &T) -> String {
     format!("{}/{}", T::KIND, item.name())
 }
--- a/crates/pomelorun-config/src/load.rs
+++ b/crates/pomelorun-config/src/load.rs
@@ -1,11 +1,15 @@
 //! Reading objects from files.
 
-use std::{fs, path::Path};
+use std::{
+    fs,
+    path::{Path, PathBuf},
+};
 
 use pomelorun_wire::Code;
 use serde_json::Value;
 
 use crate::{
+    check::{check, paths_of},
     fault::{Fault, Faults},
     object::{AvailabilityZone, Named, Object, ObjectSet, Service, UpstreamPool},
     strict::{StrictError, from_value_strict},
@@ -22,24 +26,52 @@
 /// shape, and a directory without objects.
 pub fn load_dir(dir: &Path) -> Result<ObjectSet, Faults> {
     let shown = dir.display().to_string();
-    let entries = match fs::read_dir(dir) {
-        Ok(it) => it,
-        Err(e) => {
-            return Err(Faults(vec![Fault::new(Code::CONFIG_READ, &shown, "", e.to_string())]));
-        }
-    };
+    let set = load_files(&files_of(dir)?)?;
+    if set.is_empty() {
+        let message = "no object in any `.json` file".to_owned();
+        return Err(Faults(vec![Fault::new(Code::CONFIG_EMPTY, &shown, "", message)]));
+    }
+    Ok(set)
+}
+
+/// Reads every `.json` file of a directory and checks the set; faults of an object name its file.
+///
+/// # Errors
+/// As [`load_dir`], and every fault that [`check`] lists.
+pub fn load_checked(dir: &Path) -> Result<ObjectSet, Faults> {
+    let set = load_dir(dir)?;
+    let mut faults = check(&set);
+    if faults.0.is_empty() {
+        return Ok(set);
+    }
+    for path in files_of(dir)? {
+        let objects = paths_of(&load_files(&[&path])?);
+        let here = |it: &&mut Fault| {
+            it.file.is_empty() && objects.iter().any(|object| is_within(&it.path, object))
+        };
+        faults.0.iter_mut().filter(here).for_each(|it| it.file = path.display().to_string());
+    }
+    Err(faults)
+}
+
+/// Tells whether a fault's path leads into an object.
+fn is_within(path: &str, object: &str) -> bool {
+    path.strip_prefix(object).is_some_and(|it| it.is_empty() || it.starts_with('.'))
+}
+
+/// The `.json` files of a directory, sorted.
+fn files_of(dir: &Path) -> Result<Vec<PathBuf>, Faults> {
+    let entries = fs::read_dir(dir).map_err(|e| {
+        let shown = dir.display().to_string();
+        Faults(vec![Fault::new(Code::CONFIG_READ, &shown, "", e.to_string())])
+    })?;
     let mut paths: Vec<_> = entries
         .filter_map(Result::ok)
         .map(|it| it.path())
         .filter(|it| it.extension().is_some_and(|ext| ext == "json"))
         .collect();
     paths.sort();
-    let set = load_files(&paths)?;
-    if set.is_empty() {
-        let message = "no object in any `.json` file".to_owned();
-        return Err(Faults(vec![Fault::new(Code::CONFIG_EMPTY, &shown, "", message)]));
-    }
-    Ok(set)
+    Ok(paths)
 }
 
 /// Reads the files named.
--- a/crates/pomelorun-config/tests/config/faults.rs
+++ b/crates/pomelorun-config/tests/config/faults.rs
@@ -2,7 +2,7 @@
 
 use std::fs;
 
-use pomelorun_config::{Fault, MAX_FILE_BYTES, check, load_dir};
+use pomelorun_config::{Fault, MAX_FILE_BYTES, check, load_checked, load_dir};
 use pomelorun_wire::Code;
 
 const ZONES: &str =
@@ -123,3 +123,19 @@
     assert_eq!(fault.code, Code::CONFIG_JSON);
     assert!(fault.file.ends_with("p.json") && fault.message.contains("`slots`"), "{fault:?}");
 }
+
+#[test]
+fn a_fault_between_objects_names_the_file_of_the_one_that_is_wrong() {
+    let dir = tempfile::tempdir().unwrap();
+    let bad =
+        SERVICE.replace(r#""pool":"mesa""#, r#""pool":"mesa","objectives":{"flows_kept":-0.5}"#);
+    let longer = SERVICE.replace(r#""name":"mesa""#, r#""name":"mesa2""#).replace("443", "444");
+    for (name, text) in [("z.json", ZONES), ("p.json", POOL), ("s.json", &bad), ("t.json", &longer)]
+    {
+        fs::write(dir.path().join(name), text).unwrap();
+    }
+    let faults = load_checked(dir.path()).unwrap_err().0;
+    assert_eq!(faults.len(), 1, "{faults:?}");
+    assert!(faults[0].file.ends_with("s.json"), "{:?}", faults[0]);
+    assert!(faults[0].path.ends_with("objectives.flows_kept"), "{:?}", faults[0]);
+}
--- a/crates/pomelorunctl/src/objects.rs
+++ b/crates/pomelorunctl/src/objects.rs
@@ -55,8 +55,7 @@
 
 /// Reads a directory and checks the whole set.
 pub(crate) fn load(dir: &Path) -> Result<ObjectSet, Faults> {
-    let set = pomelorun_config::load_dir(dir)?;
-    pomelorun_config::check(&set).or(set)
+    pomelorun_config::load_checked(dir)
 }
 
 pub(crate) fn check(args: &CheckArgs) -> Answer {
