--- a/crates/pomelorun-core/src/direct/host.rs
+++ b/crates/pomelorun-core/src/direct/host.rs
@@ -6,6 +6,7 @@
 mod judging;
 mod placing;
 mod publishing;
+mod refusing;
 
 use std::{collections::VecDeque, net::SocketAddrV4, sync::Arc};
 
@@ -19,11 +20,10 @@
         latency::Latency,
         liveness::{COPY_GAP, Liveness, ProbeKind, Standing},
         load::Load,
-        note::{DropWhy, Lifecycle, Note, ResetWhy},
+        note::{Lifecycle, Note, ResetWhy},
         outcomes::{OutcomesByRoute, ServiceOutcomes},
         outlier::{Outlier, REPORT_EVERY, Report, Routes, Tally},
         peers::News,
-        placement::Candidate,
         registry::{Announcement, Registry, UpstreamIx, UpstreamKey},
         routing::{Routing, RoutingChange},
         segment::{Segment, SegmentKind},
@@ -469,45 +469,6 @@
         self.forward(ix)
     }
 
-    /// An address without a route is refused while the revision is known to be the newest, and met
-    /// with silence otherwise: the route may be new.
-    fn no_route(&mut self, now: Millis, seg: &Segment) -> Verdict {
-        self.stats.no_route += 1;
-        let fresh = self.heard.is_some_and(|it| now.since(it) < self.cfg.fresh);
-        if fresh && self.store == StoreView::Answering {
-            return Verdict::Reset(self.reset(now, None, seg.flow, seg.ack, ResetWhy::NoRoute));
-        }
-        self.note(Note::Dropped { flow: seg.flow, why: DropWhy::NoRoute, token: seg.token });
-        Verdict::Drop
-    }
-
-    /// An opening packet is met with silence while a cold upstream may take its copy, and refused
-    /// while the service is known to have no upstream.
-    fn no_upstream(&mut self, now: Millis, service: &str, seg: &Segment) -> Verdict {
-        self.stats.no_upstream += 1;
-        self.count_refused(&seg.flow);
-        let cold = |ix: &UpstreamIx| {
-            self.registry.get(*ix).is_some_and(|it| it.is_offered() && now < it.cold_until)
-        };
-        let hope = self.registry.of_service(service).iter().any(cold);
-        if self.store == StoreView::Answering && !hope {
-            return Verdict::Reset(self.reset(now, None, seg.flow, seg.ack, ResetWhy::NoUpstream));
-        }
-        self.note(Note::Dropped { flow: seg.flow, why: DropWhy::NoUpstream, token: seg.token });
-        Verdict::Drop
-    }
-
-    /// No upstream of the service answered its last probe: the caller is refused at once, and they
-    /// are probed again soon.
-    fn all_unreachable(&mut self, now: Millis, candidates: &[Candidate], seg: &Segment) -> Verdict {
-        self.stats.no_upstream += 1;
-        self.count_refused(&seg.flow);
-        for it in candidates {
-            self.seen[it.ix.0 as usize].liveness.want_trial(now);
-        }
-        Verdict::Reset(self.reset(now, None, seg.flow, seg.ack, ResetWhy::NoUpstream))
-    }
-
     /// Forgets a flow that is reset.
     fn lose(&mut self, key: &FlowKey) {
         let flow = self.flows.remove(key);
--- a/crates/pomelorun-core/src/direct/host/detecting.rs
+++ b/crates/pomelorun-core/src/direct/host/detecting.rs
@@ -281,13 +281,6 @@
         }
     }
 
-    /// Counts a flow that was not opened.
-    pub(super) fn count_refused(&mut self, key: &FlowKey) {
-        if let Some(it) = self.outcomes.of(&self.routing, key.service) {
-            it.refused += 1;
-        }
-    }
-
     pub(super) fn reset(
         &mut self,
         now: Millis,
