Let a silent probe count only while a witness answers

A host whose link is nearly full (a reader sends 1.1 MB/s of 1.25) gets no probe through in 150 ms, and with few upstreams in use the rule of most suspects does not apply.

Change: a connection that is not accepted in time counts only if the upstream that answered last accepts one within 75 ms. A refusal counts as before. Errors of this host's own (no descriptor left) no longer count as the upstream's silence.

--- a/crates/pomelorun-core/src/direct/host.rs
+++ b/crates/pomelorun-core/src/direct/host.rs
@@ -140,6 +140,9 @@
     pub kind: ProbeKind,
     /// Path at which it says who it is.
     pub path: String,
+    /// Address of an upstream that answered lately: silence counts only while that one answers, and
+    /// is this host's own otherwise.
+    pub witness: Option<SocketAddrV4>,
 }
 
 /// Counts since the start.
@@ -378,7 +381,7 @@
             let liveness = &mut self.seen[ix.0 as usize].liveness;
             liveness.expire(now);
             if liveness.take_trial(now) {
-                self.send_probe(ix, ProbeKind::Identify);
+                self.send_probe(now, ix, ProbeKind::Identify);
             }
             if self.standing(ix) != Standing::Answering {
                 self.watch(ix);
--- a/crates/pomelorun-core/src/direct/host/detecting.rs
+++ b/crates/pomelorun-core/src/direct/host/detecting.rs
@@ -1,5 +1,7 @@
 //! Detection: what packets and probes show of upstreams, and what follows for their flows.
 
+use std::net::SocketAddrV4;
+
 use pomelorun_wire::FlowKey;
 use smallvec::SmallVec;
 
@@ -11,7 +13,7 @@
         note::{Lifecycle, Note, ResetWhy},
         outlier::Eject,
         peers::News,
-        registry::{UpstreamIx, UpstreamKey},
+        registry::{Upstream, UpstreamIx, UpstreamKey},
         segment::{Segment, seq_after},
     },
     time::Millis,
@@ -190,15 +192,30 @@
         let Some(it) = self.registry.get(ix) else { return };
         let upstream = it.said.key;
         self.note(Note::Suspected { upstream, flow, silent: now - sent });
-        self.send_probe(ix, kind);
+        self.send_probe(now, ix, kind);
     }
 
-    pub(super) fn send_probe(&mut self, ix: UpstreamIx, kind: ProbeKind) {
+    pub(super) fn send_probe(&mut self, now: Millis, ix: UpstreamIx, kind: ProbeKind) {
         let Some(it) = self.registry.get(ix).filter(|it| !it.ended) else { return };
         let limits = self.routing.limits(&it.said.service);
         let path = limits.map(|it| it.health_path.clone()).unwrap_or_default();
+        let (upstream, addr) = (it.said.key, it.said.addr);
+        let witness = if kind == ProbeKind::Connect { self.witness_for(now, ix) } else { None };
         self.stats.probes += 1;
-        self.probes.push(Probe { upstream: it.said.key, addr: it.said.addr, kind, path });
+        self.probes.push(Probe { upstream, addr, kind, path, witness });
+    }
+
+    /// The upstream that answered last, but for the one that is probed and those that are suspected.
+    fn witness_for(&self, now: Millis, probed: UpstreamIx) -> Option<SocketAddrV4> {
+        let answered = |ix: UpstreamIx| self.seen[ix.0 as usize].liveness.answered();
+        let fit = |it: &(UpstreamIx, &Upstream)| {
+            it.0 != probed
+                && !it.1.ended
+                && now.since(answered(it.0)) < IN_USE
+                && self.standing(it.0) == Standing::Answering
+        };
+        let found = self.registry.iter().filter(fit).max_by_key(|it| answered(it.0))?;
+        Some(found.1.said.addr)
     }
 
     /// Tells whether most of the upstreams in use wait at once, in this host's own zone and over all.
@@ -239,7 +256,7 @@
             .collect();
         for ix in rest {
             if self.seen[ix.0 as usize].liveness.doubt(since) {
-                self.send_probe(ix, ProbeKind::Connect);
+                self.send_probe(now, ix, ProbeKind::Connect);
             }
         }
     }
--- a/crates/pomelorun-core/tests/core/direct/host.rs
+++ b/crates/pomelorun-core/tests/core/direct/host.rs
@@ -7,8 +7,8 @@
 use pomelorun_wire::HostId;
 
 use crate::direct::kit::{
-    COLD_S, FAR, ME, NEAR, SERVICE, data, flow, host, key, open, opened, route, routing, said,
-    sent_to,
+    COLD_S, FAR, ME, NEAR, SERVICE, addr, data, flow, host, key, open, opened, route, routing,
+    said, sent_to,
 };
 
 /// What a rule of the platform allows a cold upstream to get in a second with these settings.
@@ -337,6 +337,28 @@
     assert_eq!(host.stats().own_faults, 1);
 }
 
+#[test]
+fn a_probe_names_the_upstream_that_answered_last_as_its_witness() {
+    // Seen in a sweep to 301 hosts: a host whose link was nearly full reset a flow of an upstream
+    // that served.
+    let mut host = host(&[said(1, NEAR), said(2, NEAR), said(3, FAR)]);
+    for (id, at) in [(1, 900), (2, 920), (3, 940)] {
+        let token = Token::of(key(id));
+        host.packet(Millis(at), &data(flow(id as u32), token, 1, 100, 0));
+    }
+    let ask = data(flow(1), Token::of(key(1)), 1, 100, 50);
+    host.packet(Millis(1_000), &ask);
+    host.packet(Millis(1_200), &ask);
+    assert_eq!(host.take_probes()[0].witness, Some(addr(3)));
+    host.probed(Millis(1_425), key(1), ProbeFound::Unclear);
+    assert!(host.take_resets().is_empty(), "the host's own silence");
+    // Nobody has answered for long: there is no witness.
+    host.packet(Millis(5_000), &data(flow(1), Token::of(key(1)), 51, 100, 50));
+    host.packet(Millis(5_200), &data(flow(1), Token::of(key(1)), 51, 100, 50));
+    let probes = host.take_probes();
+    assert!(probes.iter().all(|it| it.witness.is_none()), "{probes:?}");
+}
+
 #[test]
 fn hosts_that_live_are_said_before_cold_flows_are_given() {
     let mut cold = said(1, NEAR);
--- a/crates/pomelorun-core/tests/core/direct/world.rs
+++ b/crates/pomelorun-core/tests/core/direct/world.rs
@@ -4,6 +4,7 @@
 use std::{
     cmp::Reverse,
     collections::{BTreeMap, BinaryHeap},
+    net::SocketAddrV4,
 };
 
 use pomelorun_core::{
@@ -552,6 +553,8 @@
             let way = 2 * self.delay(from, upstream.zone);
             let (delay, found) = match (it.kind, there) {
                 (ProbeKind::Connect | ProbeKind::Identify, true) => (way, 1),
+                // A cut zone's host that asks a witness beyond the cut learns nothing.
+                (ProbeKind::Connect, false) if !self.answers(from, it.witness) => (PROBE_LIMIT, 2),
                 (ProbeKind::Connect, false) => (PROBE_LIMIT, 0),
                 (ProbeKind::Identify, false) => (500, 2),
             };
@@ -598,6 +601,13 @@
         }
     }
 
+    /// Tells whether a probe's witness answers a host of this zone; none is asked where none is known.
+    fn answers(&self, from: ZoneId, witness: Option<SocketAddrV4>) -> bool {
+        let Some(witness) = witness else { return true };
+        let found = self.upstreams.iter().find(|it| addr(*it.0) == witness);
+        found.is_some_and(|it| it.1.health != Health::Dark && self.reaches(from, it.1.zone))
+    }
+
     fn reset(&mut self, host: usize, it: ResetSent) {
         let Some(caller) = self.callers.iter().position(|caller| caller.flow == it.flow) else {
             return;
--- a/crates/pomelorun/src/direct/probes.rs
+++ b/crates/pomelorun/src/direct/probes.rs
@@ -1,9 +1,11 @@
 //! The service `probes`: finds out whether an upstream answers, and who.
 
-use std::{rc::Rc, time::Duration};
+use std::{io::ErrorKind, net::SocketAddrV4, rc::Rc, time::Duration};
 
 use actix::Recipient;
 use pomelorun_core::direct::{Probe, ProbeFound, ProbeKind};
+use pomelorun_wire::Code;
+use spdlog::prelude::*;
 use tokio::{
     net::TcpStream,
     sync::mpsc,
@@ -23,6 +25,9 @@
 const PROBES: &str = "probes";
 /// Time within which an upstream must accept a connection: some thirty round trips between zones.
 const CONNECT_TIME: Duration = Duration::from_millis(150);
+/// Time within which one that answered lately must accept one, so that silence is not this host's own:
+/// half, since a path that is slow enough to hold up the one holds up the other.
+const WITNESS_TIME: Duration = Duration::from_millis(75);
 /// Time within which it must say who it is: it does so behind the requests that wait there.
 const IDENTIFY_TIME: Duration = Duration::from_millis(500);
 /// Probes under way at a time.
@@ -90,9 +95,50 @@
 }
 
 async fn connect(it: &Probe) -> ProbeFound {
-    match timeout(CONNECT_TIME, TcpStream::connect(it.addr)).await {
-        Ok(Ok(_)) => ProbeFound::Answered,
-        Ok(Err(_)) | Err(_) => ProbeFound::Nobody,
+    match try_connect(it.addr, CONNECT_TIME).await {
+        Connected::Accepted => ProbeFound::Answered,
+        Connected::Refused => ProbeFound::Nobody,
+        Connected::NotTried => ProbeFound::Unclear,
+        Connected::Silent => {
+            let Some(witness) = it.witness else { return ProbeFound::Nobody };
+            match try_connect(witness, WITNESS_TIME).await {
+                Connected::Accepted | Connected::Refused => ProbeFound::Nobody,
+                Connected::Silent | Connected::NotTried => {
+                    warn!("probe shows nothing, an upstream that answered lately is silent too", kv: {
+                        code = Code::OWN_FAULT.to_string(), upstream = format!("{:016x}", it.upstream.id)
+                    });
+                    ProbeFound::Unclear
+                }
+            }
+        }
+    }
+}
+
+/// What came of an attempt to connect.
+enum Connected {
+    Accepted,
+    /// The address answered, and nobody listens there.
+    Refused,
+    /// Nothing came in time, or no way leads there.
+    Silent,
+    /// This host could not even try.
+    NotTried,
+}
+
+async fn try_connect(addr: SocketAddrV4, limit: Duration) -> Connected {
+    match timeout(limit, TcpStream::connect(addr)).await {
+        Ok(Ok(_)) => Connected::Accepted,
+        Err(_) => Connected::Silent,
+        Ok(Err(e)) => match e.kind() {
+            ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset => Connected::Refused,
+            ErrorKind::HostUnreachable | ErrorKind::NetworkUnreachable | ErrorKind::TimedOut => {
+                Connected::Silent
+            }
+            _ => {
+                warn!("probe not sent", kv: { code = Code::OWN_FAULT.to_string(), error = e.to_string() });
+                Connected::NotTried
+            }
+        },
     }
 }
 
