Give no token up because nobody knows it

Cause: 4 s without a claim counted as proof that an upstream is gone.

Change: only a host that knows that a start has ended (a later start has its identifier or address, or another answered for it) lets flows be reset.

Test: strays::a_token_that_nobody_knows_is_never_given_up replaces the two that let absence count; it asks for more (30 s, the directory answering or away).

--- a/crates/pomelorun-core/src/direct/host.rs
+++ b/crates/pomelorun-core/src/direct/host.rs
@@ -210,8 +210,6 @@
     store: StoreView,
     /// When the directory last answered.
     heard: Option<Millis>,
-    /// Since when the directory answers.
-    answering_since: Option<Millis>,
     /// When the directory last came back.
     back: Option<Millis>,
     /// Live hosts, this one included, sorted; empty while they are not known.
@@ -254,7 +252,6 @@
             out: Vec::new(),
             store: StoreView::Away,
             heard: None,
-            answering_since: None,
             back: None,
             near: vec![cfg.host],
             hosts: Vec::new(),
--- a/crates/pomelorun-core/src/direct/host/claiming.rs
+++ b/crates/pomelorun-core/src/direct/host/claiming.rs
@@ -5,12 +5,12 @@
 use crate::{
     choice::rendezvous_score,
     direct::{
-        host::{DirectHost, Seen, StoreView, Verdict},
+        host::{DirectHost, Seen, Verdict},
         liveness::Standing,
         note::{DropWhy, Lifecycle, Note, ResetWhy},
         registry::{Announcement, Change},
         segment::{Segment, SegmentKind},
-        strays::{MOST_ASKED, Owner, Stand, UNCLAIMED},
+        strays::{MOST_ASKED, Owner, Stand},
         token::Token,
     },
     time::Millis,
@@ -81,7 +81,7 @@
         }
     }
 
-    /// Asks for tokens, and gives up those that nobody claims.
+    /// Asks for tokens.
     pub(super) fn chase_strays(&mut self, now: Millis) {
         if self.strays.is_empty() {
             return;
@@ -97,14 +97,6 @@
                 self.ask(host, token);
             }
         }
-        if !self.knows_what_is_announced(now) {
-            return;
-        }
-        for token in self.strays.unclaimed(now) {
-            if self.judge_of_token(token) == self.cfg.host {
-                self.give_up_token(now, token);
-            }
-        }
     }
 
     /// The other hosts of this zone, and some of other zones: when a zone loses power, only they know
@@ -131,13 +123,6 @@
         self.near.iter().max_by_key(score).copied().unwrap_or(self.cfg.host)
     }
 
-    /// Tells whether all that is announced has been known here for a while.
-    fn knows_what_is_announced(&self, now: Millis) -> bool {
-        let long = self.answering_since.is_some_and(|it| now.since(it) >= UNCLAIMED);
-        let fresh = self.heard.is_some_and(|it| now.since(it) < self.cfg.fresh);
-        self.store == StoreView::Answering && long && fresh && self.is_ready()
-    }
-
     fn owner_of(&self, now: Millis, token: Token) -> Option<Owner> {
         let ix = self.registry.by_token(token)?;
         let it = self.registry.get(ix)?;
--- a/crates/pomelorun-core/src/direct/host/publishing.rs
+++ b/crates/pomelorun-core/src/direct/host/publishing.rs
@@ -23,9 +23,6 @@
                 self.back = Some(now);
             }
             self.heard = Some(now);
-            self.answering_since.get_or_insert(now);
-        } else {
-            self.answering_since = None;
         }
         self.store = view;
     }
--- a/crates/pomelorun-core/src/direct/note.rs
+++ b/crates/pomelorun-core/src/direct/note.rs
@@ -31,7 +31,7 @@
     NoRoute,
     /// No upstream of its service answers, or none is left.
     NoUpstream,
-    /// Its upstream is gone: no host of the zone knows its token.
+    /// Its upstream has ended, as another host knows.
     Gone,
 }
 
--- a/crates/pomelorun-core/src/direct/strays.rs
+++ b/crates/pomelorun-core/src/direct/strays.rs
@@ -15,9 +15,6 @@
     time::Millis,
 };
 
-/// Time after which nobody has claimed a token: an announcement reaches a host whose reader was cut
-/// off without a sign after its watch of 3 s and a second.
-pub(crate) const UNCLAIMED: Millis = Millis(4_000);
 /// Time between two questions for one token.
 const ASK_EVERY: Millis = Millis(500);
 /// Time without a packet after which a token is forgotten: the longest life of a flow is a minute.
@@ -40,14 +37,13 @@
     Known(Announcement),
     /// It is known and does not answer.
     Unreachable(Announcement),
-    /// It has ended, or nobody has claimed the token.
+    /// It has ended.
     Gone,
 }
 
 #[derive(Debug, Clone)]
 struct Stray {
     token: Token,
-    first: Millis,
     last: Millis,
     asked: Option<Millis>,
     gone: bool,
@@ -97,7 +93,7 @@
             Err(_) if self.0.len() >= MOST_TOKENS => return None,
             Err(at) => {
                 let flows = SmallVec::new();
-                let it = Stray { token, first: now, last: now, asked: None, gone: false, flows };
+                let it = Stray { token, last: now, asked: None, gone: false, flows };
                 self.0.insert(at, it);
                 at
             }
@@ -120,12 +116,6 @@
         due.into_iter().map(ask).collect()
     }
 
-    /// Tokens that nobody has claimed for long enough.
-    pub(crate) fn unclaimed(&self, now: Millis) -> Vec<Token> {
-        let old = |it: &&Stray| !it.gone && now.since(it.first) >= UNCLAIMED;
-        self.0.iter().filter(old).map(|it| it.token).collect()
-    }
-
     /// Notes that a token's upstream is gone; returns the flows to reset.
     pub(crate) fn give_up(&mut self, token: Token) -> SmallVec<[(FlowKey, u32); 2]> {
         match self.0.binary_search_by_key(&token, |it| it.token) {
--- a/crates/pomelorun-core/tests/core/direct/strays.rs
+++ b/crates/pomelorun-core/tests/core/direct/strays.rs
@@ -78,41 +78,22 @@
     data(flow(number), token, 1, 100, 60)
 }
 
+/// Seen in sweeps to 301 hosts, where announcements came more than 4 s late.
 #[test]
-fn flows_whose_upstream_nobody_knows_are_reset_after_a_while_and_then_at_once() {
-    let mut zone = Zone::new(5, &[said(1, NEAR)]);
-    zone.pass(5_000, StoreView::Answering);
-    for at in 0..5 {
-        assert_eq!(zone.send(at, &question(at as u32, STRANGE)), Verdict::Drop);
-    }
-    zone.pass(3_900, StoreView::Answering);
-    for it in &mut zone.hosts {
-        assert_eq!(it.take_resets().len(), 0, "it might be a new upstream");
-    }
-    zone.pass(1_000, StoreView::Answering);
-    // The one that judges knows it now; the others hear of it when they ask again.
-    let reset: usize = zone.hosts.iter_mut().map(|it| it.take_resets().len()).sum();
-    assert!(reset >= 1);
-    for at in 0..5 {
-        zone.send(at, &question(at as u32, STRANGE));
-    }
-    zone.pass(1_000, StoreView::Answering);
-    for at in 0..5 {
-        let verdict = zone.send(at, &question(at as u32, STRANGE));
-        assert!(matches!(verdict, Verdict::Reset(_)), "host {at}: {verdict:?}");
+fn a_token_that_nobody_knows_is_never_given_up() {
+    for store in [StoreView::Answering, StoreView::Away] {
+        let mut zone = Zone::new(5, &[said(1, NEAR)]);
+        zone.pass(5_000, StoreView::Answering);
+        for _ in 0..30 {
+            for at in 0..5 {
+                assert_eq!(zone.send(at, &question(at as u32, STRANGE)), Verdict::Drop);
+            }
+            zone.pass(1_000, store);
+        }
+        assert!(zone.hosts.iter_mut().all(|it| it.take_resets().is_empty()));
     }
 }
 
-#[test]
-fn no_flow_is_reset_for_its_token_while_the_directory_is_away_or_just_back() {
-    let mut zone = Zone::new(3, &[said(1, NEAR)]);
-    zone.send(0, &question(1, STRANGE));
-    zone.pass(10_000, StoreView::Away);
-    zone.pass(3_500, StoreView::Answering);
-    assert!(zone.hosts.iter_mut().all(|it| it.take_resets().is_empty()));
-    assert_eq!(zone.send(0, &question(1, STRANGE)), Verdict::Drop);
-}
-
 #[test]
 fn a_host_that_started_learns_of_an_upstream_that_is_no_longer_announced() {
     for restarted in 0..4 {
@@ -209,7 +190,7 @@
     }
     assert_eq!(zone.send(0, &question(4, old)), Verdict::Drop);
     zone.pass(700, StoreView::Answering);
-    assert_eq!(zone.hosts[0].take_resets().len(), 1, "long before nobody has claimed it");
+    assert_eq!(zone.hosts[0].take_resets().len(), 1);
 }
 
 #[test]
--- a/crates/pomelorun-wire/src/code.rs
+++ b/crates/pomelorun-wire/src/code.rs
@@ -117,7 +117,7 @@
     ZONE_TAKEN_OUT = 421, "zone_taken_out", "nothing new goes to a zone", "none";
     ZONE_TAKEN_BACK = 422, "zone_taken_back", "a zone is used again", "none";
     UPSTREAM_EJECTED = 423, "upstream_ejected", "an upstream fails more requests than others of its service; new flows go elsewhere for a time", "look at the upstream";
-    FLOW_RESET_GONE = 424, "flow_reset_gone", "a flow was reset: no host of the zone knows the upstream that its token names", "none: its upstream is gone";
+    FLOW_RESET_GONE = 424, "flow_reset_gone", "a flow was reset: another host knows that the upstream that its token names has ended", "none: its upstream is gone";
     UPSTREAM_ADOPTED = 425, "upstream_adopted", "another host knew the upstream of a token; flows go on there", "none";
     LINES_LEFT_OUT = 427, "lines_left_out", "lines for flows that opened as they should, or for malformed packets, were not written", "none: counters have them all";
     MINUTE_LATE = 428, "minute_late", "the outcomes of a minute were not taken in time and count to the next one", "the host is busy: look at its processor";
