Take from other hosts which upstream a token names, not whether it answers

What the change adds to a host that lags is: it asks, and another host that holds the upstream unreachable, rightly or not, has it reset flows at once, without the guard that news between hosts have (an answer seen since). Asking all hosts of a zone of a hundred is also some thousand datagrams a second at a judge.

Change: an answer says which upstream a token names, or that it has ended; whether it answers each host finds out by itself. Eight hosts of the zone and eight of others are asked, eight tokens at a time.

--- a/crates/pomelorun-core/src/direct/host/claiming.rs
+++ b/crates/pomelorun-core/src/direct/host/claiming.rs
@@ -6,7 +6,6 @@
     choice::rendezvous_score,
     direct::{
         host::{DirectHost, Seen, Verdict},
-        liveness::Standing,
         note::{DropWhy, Lifecycle, Note, ResetWhy},
         registry::{Announcement, Change},
         segment::{Segment, SegmentKind},
@@ -16,8 +15,9 @@
     time::Millis,
 };
 
-/// Hosts of other zones that are asked for a token: some of them may be cut off or have just started.
-const FAR_WITNESSES: usize = 4;
+/// Hosts of this zone, and of other zones, that are asked for a token: some of them may be cut off or
+/// have just started, and asking all of a zone of a hundred would fill their links.
+const WITNESSES: usize = 8;
 
 impl DirectHost {
     /// Takes questions for the owners of tokens, with the host that each is for.
@@ -40,21 +40,14 @@
         found
     }
 
-    /// Takes in what another host knows of tokens. What a host of another zone does not reach may
-    /// well be reached from here.
-    pub fn learn_owners(&mut self, now: Millis, from: HostId, owners: &[(Token, Owner)]) {
-        let near = self.near.binary_search(&from).is_ok();
+    /// Takes in what another host knows of tokens.
+    pub fn learn_owners(&mut self, now: Millis, owners: &[(Token, Owner)]) {
         for (token, owner) in owners {
             if self.registry.by_token(*token).is_some() {
                 continue;
             }
             match owner {
-                Owner::Unreachable(said) if near => {
-                    self.adopt_upstream(now, said, Standing::Unreachable { since: now });
-                }
-                Owner::Known(said) | Owner::Unreachable(said) => {
-                    self.adopt_upstream(now, said, Standing::Answering);
-                }
+                Owner::Known(said) => self.adopt_upstream(now, said),
                 Owner::Gone => self.give_up_token(now, *token),
             }
         }
@@ -99,14 +92,17 @@
         }
     }
 
-    /// The other hosts of this zone, and some of other zones: when a zone loses power, only they know
+    /// Some other hosts of this zone, and some of other zones: when a zone loses power, only they know
     /// that its upstreams have ended.
     fn witnesses(&self, token: Token) -> Vec<HostId> {
-        let near = self.near.iter().copied().filter(|it| *it != self.cfg.host);
-        let is_far = |it: &HostId| self.near.binary_search(it).is_err();
-        let mut far: Vec<HostId> = self.hosts.iter().copied().filter(is_far).collect();
-        far.sort_by_key(|it| rendezvous_score(it.0, u64::from(token.0)));
-        near.chain(far.into_iter().rev().take(FAR_WITNESSES)).collect()
+        let is_near = |it: &HostId| self.near.binary_search(it).is_ok();
+        let others = self.hosts.iter().chain(&self.near).copied();
+        let mut others: Vec<HostId> = others.filter(|it| *it != self.cfg.host).collect();
+        others
+            .sort_by_key(|it| std::cmp::Reverse((rendezvous_score(it.0, u64::from(token.0)), *it)));
+        others.dedup();
+        let (near, far): (Vec<HostId>, Vec<HostId>) = others.into_iter().partition(is_near);
+        near.into_iter().take(WITNESSES).chain(far.into_iter().take(WITNESSES)).collect()
     }
 
     fn ask(&mut self, host: HostId, token: Token) {
@@ -129,16 +125,13 @@
         if it.ended {
             return Some(Owner::Gone);
         }
-        let said = Announcement { cold_left: it.cold_until.since(now), ..it.said.clone() };
-        Some(match self.standing(ix) {
-            Standing::Unreachable { .. } => Owner::Unreachable(said),
-            Standing::Answering | Standing::Suspect => Owner::Known(said),
-        })
+        // Whether it answers is for the other host to find out: it may reach what this one does not.
+        Some(Owner::Known(Announcement { cold_left: it.cold_until.since(now), ..it.said.clone() }))
     }
 
     /// Takes in an upstream that the directory does not announce here: flows may go on there, new
     /// ones may not be opened.
-    fn adopt_upstream(&mut self, now: Millis, said: &Announcement, standing: Standing) {
+    fn adopt_upstream(&mut self, now: Millis, said: &Announcement) {
         let token = Token::of(said.key);
         let Change::New(ix) = self.registry.announce(now, said) else {
             // A later start has its identifier.
@@ -153,16 +146,7 @@
         let cold = said.cold_left;
         self.note(Note::Upstream { upstream: said.key, state: Lifecycle::Adopted, cold });
         self.give_up_ended(now);
-        let waiting = self.strays.claimed(token);
-        if !matches!(standing, Standing::Unreachable { .. }) {
-            return;
-        }
-        self.give_up(now, ix, Millis(0), true);
-        for (flow, ack) in waiting {
-            self.lose(&flow);
-            let reset = self.reset(now, Some(ix), flow, ack, ResetWhy::Unreachable);
-            self.resets.push(reset);
-        }
+        self.strays.claimed(token);
     }
 
     fn give_up_token(&mut self, now: Millis, token: Token) {
--- a/crates/pomelorun-core/src/direct/strays.rs
+++ b/crates/pomelorun-core/src/direct/strays.rs
@@ -2,9 +2,9 @@
 //!
 //! A host that has just started knows no upstream that is no longer announced; one that lags does not
 //! know the newest ones. Both must not reset a flow of a living upstream. So each token has one judge
-//! in the zone, by rendezvous, which asks all others of the zone once. Who knows the upstream says so.
-//! A token that nobody claims while the directory answers is that of an upstream which is gone, and its
-//! flows are reset: their callers would wait until they give up.
+//! in the zone, by rendezvous, which asks some others of the zone and of other zones. Who knows the
+//! upstream says so, and whether it has ended: then its flows are reset, whose callers would wait until
+//! they give up. That nobody knows it shows nothing: announcements may come late everywhere.
 
 use pomelorun_wire::FlowKey;
 use serde::{Deserialize, Serialize};
@@ -25,7 +25,7 @@
 const MOST_FLOWS: usize = 16;
 /// Tokens that are asked for at a time, twenty times a second: some kilobytes a second when a whole
 /// zone's upstreams are lost, and nothing otherwise.
-const MOST_DUE: usize = 16;
+const MOST_DUE: usize = 8;
 /// Tokens in one question, so that it and its answer are one datagram.
 pub(crate) const MOST_ASKED: usize = 16;
 
@@ -35,8 +35,6 @@
 pub enum Owner {
     /// It is known, announced or not.
     Known(Announcement),
-    /// It is known and does not answer.
-    Unreachable(Announcement),
     /// It has ended.
     Gone,
 }
@@ -127,12 +125,9 @@
         }
     }
 
-    /// Forgets a token whose upstream is known now; returns the flows that wait.
-    pub(crate) fn claimed(&mut self, token: Token) -> SmallVec<[(FlowKey, u32); 2]> {
-        match self.0.binary_search_by_key(&token, |it| it.token) {
-            Ok(at) => self.0.remove(at).flows,
-            Err(_) => SmallVec::new(),
-        }
+    /// Forgets a token whose upstream is known now.
+    pub(crate) fn claimed(&mut self, token: Token) {
+        self.0.retain(|it| it.token != token);
     }
 
     /// Forgets tokens of which nothing came for long.
--- a/crates/pomelorun/src/direct/edge.rs
+++ b/crates/pomelorun/src/direct/edge.rs
@@ -257,8 +257,8 @@
     }
 
     /// Takes in what another host knows of tokens.
-    pub(crate) fn learn_owners(&mut self, from: HostId, owners: &[(Token, Owner)]) {
-        self.host.learn_owners(now(), from, owners);
+    pub(crate) fn learn_owners(&mut self, owners: &[(Token, Owner)]) {
+        self.host.learn_owners(now(), owners);
         self.finish();
     }
 
--- a/crates/pomelorun/src/direct/fleet.rs
+++ b/crates/pomelorun/src/direct/fleet.rs
@@ -101,7 +101,7 @@
                     self.send(vec![(from, FleetMsg::Owners(owners))]);
                 }
             }
-            FleetMsg::Owners(owners) => self.edge.borrow_mut().learn_owners(from, &owners),
+            FleetMsg::Owners(owners) => self.edge.borrow_mut().learn_owners(&owners),
             FleetMsg::Reports(reports) => self.edge.borrow_mut().reported(&reports),
         }
     }
