Let one piece of code serve what the change had written twice

Cause, found by reading the whole change: the decayed count of `Load` was written anew for outliers; taking in a start, and saying what is cold about it, stood twice; each caller of `choice` worked out the room of cold upstreams, needed for cold ones only; and a zone in doubt walked the whole registry for a witness once for each of its upstreams (1,176 times 20,000 at the target).

Change: `fading` for both; `begin`, `said_at`; the room is looked up in `cold_choice`; the two upstreams that answered last are found once for a zone. The witness is the same as before, ties included. No behaviour meant to change, no test touched.

--- a/crates/pomelorun-core/src/direct.rs
+++ b/crates/pomelorun-core/src/direct.rs
@@ -5,6 +5,7 @@
 //! [`DirectHost`] decides; like [`crate::HostCore`] it does no I/O and reads no clock.
 
 mod cold;
+mod fading;
 mod fleet;
 mod flows;
 mod host;
--- a/crates/pomelorun-core/src/direct/host/claiming.rs
+++ b/crates/pomelorun-core/src/direct/host/claiming.rs
@@ -5,7 +5,7 @@
 use crate::{
     choice::rendezvous_score,
     direct::{
-        host::{DirectHost, Seen, Verdict},
+        host::{DirectHost, Verdict},
         note::{DropWhy, Lifecycle, Note, ResetWhy},
         registry::{Announcement, Change},
         segment::{Segment, SegmentKind},
@@ -126,7 +126,7 @@
             return Some(Owner::Gone);
         }
         // Whether it answers is for the other host to find out: it may reach what this one does not.
-        Some(Owner::Known(Announcement { cold_left: it.cold_until.since(now), ..it.said.clone() }))
+        Some(Owner::Known(it.said_at(now)))
     }
 
     /// Takes in an upstream that the directory does not announce here: flows may go on there, new
@@ -139,13 +139,9 @@
             return;
         };
         self.registry.lapse(now - self.cfg.lapse_grace, ix);
-        if self.seen.len() < self.registry.span() {
-            self.seen.resize(self.registry.span(), Seen::default());
-        }
-        self.seen[ix.0 as usize] = Seen::default();
         let cold = said.cold_left;
         self.note(Note::Upstream { upstream: said.key, state: Lifecycle::Adopted, cold });
-        self.give_up_ended(now);
+        self.begin(now, ix);
         self.strays.claimed(token);
     }
 
--- a/crates/pomelorun-core/src/direct/host/detecting.rs
+++ b/crates/pomelorun-core/src/direct/host/detecting.rs
@@ -1,7 +1,5 @@
 //! Detection: what packets and probes show of upstreams, and what follows for their flows.
 
-use std::net::SocketAddrV4;
-
 use pomelorun_wire::FlowKey;
 use smallvec::SmallVec;
 
@@ -13,7 +11,7 @@
         note::{Lifecycle, Note, ResetWhy},
         outlier::Eject,
         peers::News,
-        registry::{Upstream, UpstreamIx, UpstreamKey},
+        registry::{UpstreamIx, UpstreamKey},
         segment::{Segment, seq_after},
     },
     time::Millis,
@@ -196,26 +194,50 @@
     }
 
     pub(super) fn send_probe(&mut self, now: Millis, ix: UpstreamIx, kind: ProbeKind) {
+        let last = match kind {
+            ProbeKind::Connect => self.last_answered(now),
+            ProbeKind::Identify => [None; 2],
+        };
+        self.send_probe_beside(ix, kind, last);
+    }
+
+    /// Sends a probe with one of `last` as its witness.
+    fn send_probe_beside(
+        &mut self,
+        ix: UpstreamIx,
+        kind: ProbeKind,
+        last: [Option<UpstreamIx>; 2],
+    ) {
         let Some(it) = self.registry.get(ix).filter(|it| !it.ended) else { return };
         let limits = self.routing.limits(&it.said.service);
         let path = limits.map(|it| it.health_path.clone()).unwrap_or_default();
         let (upstream, addr) = (it.said.key, it.said.addr);
-        let witness = if kind == ProbeKind::Connect { self.witness_for(now, ix) } else { None };
+        let witness = last.into_iter().flatten().find(|it| *it != ix);
+        let witness = witness.and_then(|it| self.registry.get(it)).map(|it| it.said.addr);
         self.stats.probes += 1;
         self.probes.push(Probe { upstream, addr, kind, path, witness });
     }
 
-    /// The upstream that answered last, but for the one that is probed and those that are suspected.
-    fn witness_for(&self, now: Millis, probed: UpstreamIx) -> Option<SocketAddrV4> {
+    /// The two upstreams that answered last, the last one first, but for those that are suspected:
+    /// one of them is another than the one that is probed.
+    fn last_answered(&self, now: Millis) -> [Option<UpstreamIx>; 2] {
         let answered = |ix: UpstreamIx| self.seen[ix.0 as usize].liveness.answered();
-        let fit = |it: &(UpstreamIx, &Upstream)| {
-            it.0 != probed
-                && !it.1.ended
-                && now.since(answered(it.0)) < IN_USE
-                && self.standing(it.0) == Standing::Answering
+        let after = |ix: UpstreamIx, than: Option<UpstreamIx>| {
+            than.is_none_or(|it| answered(ix) >= answered(it))
         };
-        let found = self.registry.iter().filter(fit).max_by_key(|it| answered(it.0))?;
-        Some(found.1.said.addr)
+        let mut last = [None; 2];
+        for (ix, it) in self.registry.iter() {
+            let lately = now.since(answered(ix)) < IN_USE;
+            if it.ended || !lately || self.standing(ix) != Standing::Answering {
+                continue;
+            }
+            if after(ix, last[0]) {
+                last = [Some(ix), last[0]];
+            } else if after(ix, last[1]) {
+                last[1] = Some(ix);
+            }
+        }
+        last
     }
 
     /// Tells whether most of the upstreams in use wait at once, in this host's own zone and over all.
@@ -254,9 +276,10 @@
             .filter(|it| it.1.said.zone == zone && !it.1.ended)
             .map(|it| it.0)
             .collect();
+        let last = self.last_answered(now);
         for ix in rest {
             if self.seen[ix.0 as usize].liveness.doubt(since) {
-                self.send_probe(now, ix, ProbeKind::Connect);
+                self.send_probe_beside(ix, ProbeKind::Connect, last);
             }
         }
     }
--- a/crates/pomelorun-core/src/direct/host/explaining.rs
+++ b/crates/pomelorun-core/src/direct/host/explaining.rs
@@ -66,8 +66,7 @@
 
     fn upstream_view(&self, now: Millis, ix: UpstreamIx, it: &Upstream) -> UpstreamView {
         let seen = &self.seen[ix.0 as usize];
-        let cold_per_s = self.routing.limits(&it.said.service).map_or(0.0, |it| it.cold_per_s);
-        let choice = self.choice(now, ix, it, self.cfg.cold.per_s(cold_per_s));
+        let choice = self.choice(now, ix, it);
         UpstreamView {
             upstream: id_text(it),
             token: it.token.to_string(),
--- a/crates/pomelorun-core/src/direct/host/placing.rs
+++ b/crates/pomelorun-core/src/direct/host/placing.rs
@@ -72,12 +72,10 @@
         tried: &[UpstreamIx],
     ) -> SmallVec<[Candidate; 32]> {
         let mut found: SmallVec<[Candidate; 32]> = SmallVec::new();
-        let cold_per_s = self.routing.limits(service).map_or(0.0, |it| it.cold_per_s);
-        let cold_room = self.cfg.cold.per_s(cold_per_s);
         let tie = flow.stable_hash();
         for &ix in self.registry.of_service(service) {
             let Some(it) = self.registry.get(ix) else { continue };
-            let Ok(choice) = self.choice(now, ix, it, cold_room) else { continue };
+            let Ok(choice) = self.choice(now, ix, it) else { continue };
             // A copy goes to one that was already tried only for want of another.
             let choice = if tried.contains(&ix) { choice.max(Choice::Tried) } else { choice };
             let tie = rendezvous_score(tie, it.said.key.id);
@@ -106,7 +104,6 @@
         now: Millis,
         ix: UpstreamIx,
         it: &Upstream,
-        cold_room: u32,
     ) -> Result<Choice, Barred> {
         if self.out.binary_search(&it.said.zone).is_ok() {
             return Err(Barred::ZoneOut);
@@ -122,7 +119,7 @@
         }
         let seen = &self.seen[ix.0 as usize];
         if now < it.cold_until {
-            return self.cold_choice(now, ix, it, cold_room);
+            return self.cold_choice(now, ix, it);
         }
         let usable = match it.lapsed {
             None => Choice::Good,
@@ -137,20 +134,15 @@
         })
     }
 
-    fn cold_choice(
-        &self,
-        now: Millis,
-        ix: UpstreamIx,
-        it: &Upstream,
-        cold_room: u32,
-    ) -> Result<Choice, Barred> {
+    fn cold_choice(&self, now: Millis, ix: UpstreamIx, it: &Upstream) -> Result<Choice, Barred> {
         if it.lapsed.is_some() {
             return Err(Barred::Lapsed);
         }
         if !self.is_steward(it.said.key) {
             return Err(Barred::ColdElsewhere);
         }
-        if !self.seen[ix.0 as usize].cold.has_room(now, cold_room) {
+        let per_s = self.routing.limits(&it.said.service).map_or(0.0, |it| it.cold_per_s);
+        if !self.seen[ix.0 as usize].cold.has_room(now, self.cfg.cold.per_s(per_s)) {
             return Err(Barred::ColdFull);
         }
         Ok(Choice::Cold)
--- a/crates/pomelorun-core/src/direct/host/publishing.rs
+++ b/crates/pomelorun-core/src/direct/host/publishing.rs
@@ -65,10 +65,7 @@
         }
         all.extend(self.out.iter().map(|&it| Shared::ZoneOut(it)));
         let announced = self.registry.iter().filter(|it| it.1.lapsed.is_none());
-        all.extend(announced.map(|(_, it)| {
-            let cold_left = it.cold_until.since(now);
-            Shared::Upstream(Announcement { cold_left, ..it.said.clone() })
-        }));
+        all.extend(announced.map(|(_, it)| Shared::Upstream(it.said_at(now))));
         all
     }
 
@@ -118,15 +115,21 @@
             Change::Updated(ix) if said.draining && !was_draining => (ix, Lifecycle::Draining),
             Change::Updated(ix) => (ix, Lifecycle::Changed),
         };
-        if self.seen.len() < self.registry.span() {
-            self.seen.resize(self.registry.span(), Seen::default());
-        }
         self.strays.claimed(Token::of(said.key));
         self.note(Note::Upstream { upstream: said.key, state, cold: said.cold_left });
         if state == Lifecycle::Announced {
-            self.seen[ix.0 as usize] = Seen::default();
-            self.give_up_ended(now);
+            self.begin(now, ix);
+        }
+    }
+
+    /// Knows nothing yet of a start that has just been taken in, and resets the flows of those that
+    /// it shows to have ended.
+    pub(super) fn begin(&mut self, now: Millis, ix: UpstreamIx) {
+        if self.seen.len() < self.registry.span() {
+            self.seen.resize(self.registry.span(), Seen::default());
         }
+        self.seen[ix.0 as usize] = Seen::default();
+        self.give_up_ended(now);
     }
 
     pub(super) fn gone(&mut self, now: Millis, id: u64) {
--- a/crates/pomelorun-core/src/direct/outlier.rs
+++ b/crates/pomelorun-core/src/direct/outlier.rs
@@ -13,7 +13,10 @@
 use pomelorun_wire::ServiceAddr;
 use serde::{Deserialize, Serialize};
 
-use crate::{direct::routing::Routing, time::Millis};
+use crate::{
+    direct::{fading::Fading, routing::Routing},
+    time::Millis,
+};
 
 /// Time after which a request without an answer counts as failed: a little more than the shortest
 /// response-time goal on the users' sheets, 400 ms.
@@ -64,51 +67,14 @@
     Missing,
 }
 
-/// A number that halves with time.
-#[derive(Debug, Clone, Copy)]
-struct Fading {
-    value: f64,
-    at: Millis,
-    half_life: f64,
-}
-
-/// For what is counted of an upstream.
-impl Default for Fading {
-    fn default() -> Fading {
-        Fading { value: 0.0, at: Millis(0), half_life: UPSTREAM_HALF_LIFE }
-    }
-}
-
-impl Fading {
-    fn of_route() -> Fading {
-        Fading { half_life: ROUTE_HALF_LIFE, ..Fading::default() }
-    }
-
-    fn at(&self, now: Millis) -> f64 {
-        self.value * (-(now.since(self.at).0 as f64) / self.half_life).exp2()
-    }
-
-    fn add(&mut self, now: Millis, more: f64) {
-        self.value = self.at(now) + more;
-        self.at = now;
-    }
-}
-
 /// Answers on one route, at all upstreams.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, Default)]
 struct RouteAnswers {
     total: Fading,
     short: Fading,
     missing: Fading,
 }
 
-impl Default for RouteAnswers {
-    fn default() -> RouteAnswers {
-        let none = Fading::of_route();
-        RouteAnswers { total: none, short: none, missing: none }
-    }
-}
-
 /// What an answer says of its upstream.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) enum Sign {
@@ -145,14 +111,17 @@
         let it = &mut self.0[at].1;
         let short = matches!(answer, Answer::Bytes(bytes) if bytes <= SHORT_MOST);
         let missing = answer == Answer::Missing;
-        it.total.add(now, 1.0);
-        it.short.add(now, f64::from(u8::from(short)));
-        it.missing.add(now, f64::from(u8::from(missing)));
-        let total = it.total.at(now);
+        it.total.add(now, ROUTE_HALF_LIFE, 1.0);
+        it.short.add(now, ROUTE_HALF_LIFE, f64::from(u8::from(short)));
+        it.missing.add(now, ROUTE_HALF_LIFE, f64::from(u8::from(missing)));
+        let total = it.total.at(now, ROUTE_HALF_LIFE);
         if total < ROUTE_LEAST {
             return Sign::None;
         }
-        let (shorts, missings) = (it.short.at(now) / total, it.missing.at(now) / total);
+        let (shorts, missings) = (
+            it.short.at(now, ROUTE_HALF_LIFE) / total,
+            it.missing.at(now, ROUTE_HALF_LIFE) / total,
+        );
         if short && shorts >= USUAL || missing && missings >= USUAL {
             return Sign::None;
         }
@@ -173,9 +142,9 @@
 impl Tally {
     /// Counts a judged answer.
     pub(crate) fn add(&mut self, now: Millis, failed: bool, usual: f64) {
-        self.total.add(now, 1.0);
+        self.total.add(now, UPSTREAM_HALF_LIFE, 1.0);
         self.failed = self.failed.saturating_add(u16::from(failed));
-        self.expected.add(now, usual);
+        self.expected.add(now, UPSTREAM_HALF_LIFE, usual);
     }
 
     /// Takes what is to be reported: nothing where nothing failed.
@@ -189,8 +158,8 @@
             id,
             born,
             failed: it.failed,
-            total_pct: hundredths(it.total.at(now)),
-            expected_pct: hundredths(it.expected.at(now)),
+            total_pct: hundredths(it.total.at(now, UPSTREAM_HALF_LIFE)),
+            expected_pct: hundredths(it.expected.at(now, UPSTREAM_HALF_LIFE)),
         })
     }
 }
@@ -241,17 +210,18 @@
 impl Outlier {
     /// Takes in a report; tells whether to eject the upstream.
     pub(crate) fn report(&mut self, now: Millis, it: &Report) -> Option<Eject> {
-        self.failed.add(now, f64::from(it.failed));
-        self.total.add(now, f64::from(it.total_pct) / 100.0);
-        self.expected.add(now, f64::from(it.expected_pct) / 100.0);
-        let (failed, total) = (self.failed.at(now), self.total.at(now));
+        self.failed.add(now, UPSTREAM_HALF_LIFE, f64::from(it.failed));
+        self.total.add(now, UPSTREAM_HALF_LIFE, f64::from(it.total_pct) / 100.0);
+        self.expected.add(now, UPSTREAM_HALF_LIFE, f64::from(it.expected_pct) / 100.0);
+        let (failed, total) =
+            (self.failed.at(now, UPSTREAM_HALF_LIFE), self.total.at(now, UPSTREAM_HALF_LIFE));
         let (least, times) = match self.ejection {
             Some(it) if now < it.until => return None,
             Some(it) if now < it.until + RAMP => (FAILED_AGAIN, it.times),
             Some(it) if now < it.until + FORGIVE => (FAILED_LEAST, it.times),
             _ => (FAILED_LEAST, 0),
         };
-        let expected = self.expected.at(now);
+        let expected = self.expected.at(now, UPSTREAM_HALF_LIFE);
         // The number of failures at an upstream like the others is near a Poisson one.
         let chance = expected * OVER_USUAL + expected.sqrt() * DEVIATIONS;
         if failed < least || failed < total * SHARE_LEAST || failed < chance {
--- a/crates/pomelorun-core/src/direct/registry.rs
+++ b/crates/pomelorun-core/src/direct/registry.rs
@@ -89,6 +89,11 @@
 }
 
 impl Upstream {
+    /// What it said, as it is to be said at `now`.
+    pub(crate) fn said_at(&self, now: Millis) -> Announcement {
+        Announcement { cold_left: self.cold_until.since(now), ..self.said.clone() }
+    }
+
     /// Tells whether it is announced and stays.
     pub fn is_offered(&self) -> bool {
         self.lapsed.is_none() && !self.said.draining && !self.ended
