Handle a directory that is restored from an older copy

Cause: revisions of the store were compared as if they only rose. After the store returns from a copy, its revisions fall back and are assigned again, so a watch from the last revision read either waits for events that do not come or returns events that do not continue what was read. What the copy lacks (an upstream, a draining mark, a withdrawn zone) was taken as removed at the next listing.

Change: a position is the pair of era and revision, ordered by era first. In a new era a listing only adds until three announcement intervals have passed; then the directory is listed again (directory_merge). The configuration is compared by the operator's version alone and never reverts. The first watch after a failure does not wait, because its response shows the era: with the wait, a host learned of it up to 3 s later.

Ruled out: the era in gossip (each host follows a reader or reads itself), a window after which only draining marks expire (the second listing settles all at once), refusing peers without an era (all would read the store).

--- a/crates/pomelorun-core/src/direct.rs
+++ b/crates/pomelorun-core/src/direct.rs
@@ -8,6 +8,7 @@
 
 mod cold;
 mod decaying_sum;
+mod directory_merge;
 mod directory_sync;
 mod event;
 mod fleet;
@@ -29,7 +30,10 @@
 
 pub use crate::direct::{
     cold::{ColdBudget, ColdLimit},
-    directory_sync::{DirectorySync, HasFollowers, Readers, SyncOutcome, SyncStep},
+    directory_merge::ListingState,
+    directory_sync::{
+        DirectoryPosition, DirectorySync, HasFollowers, Readers, ResponseEra, SyncOutcome, SyncStep,
+    },
     event::{DirectEvent, DropReason, LifecycleChange, OpenReason, ResetReason},
     fleet::{Fleet, FleetMsg, OutboundMessages, address_of, host_at},
     host::{
--- a/crates/pomelorun-core/src/direct/directory_sync.rs
+++ b/crates/pomelorun-core/src/direct/directory_sync.rs
@@ -6,6 +6,8 @@
 //! follow no reader of its zone. Each call has a timeout, because a connection can stall without an
 //! error.
 
+use std::cmp::Ordering;
+
 use pomelorun_wire::HostId;
 
 use crate::time::Millis;
@@ -41,29 +43,55 @@
 /// Number of attempts to follow a host before the directory is read directly.
 const MAX_FOLLOW_ATTEMPTS: u32 = 2;
 
+/// A position in the history of the directory, ordered by era and then by revision.
+///
+/// The directory starts a new era when it is restored from an older copy. Its revisions then fall
+/// back and are assigned again, so revisions are comparable only within one era. A directory that
+/// does not report eras is in era 0.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct DirectoryPosition {
+    /// Number of the era, which increases each time the directory is restored.
+    pub era: u64,
+    /// Revision of the directory within the era.
+    pub revision: u64,
+}
+
+/// Era of a response of the directory, compared with the one that this host has read last.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ResponseEra {
+    /// The same era, or this host has read none yet.
+    Current,
+    /// A later era: the directory was restored.
+    Newer,
+    /// An earlier era: the response was delayed and is obsolete.
+    Older,
+}
+
 /// Outcome of a step.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SyncOutcome {
     /// The pause has elapsed.
     Waited,
-    /// The directory was listed completely, as of this revision of it.
-    Listed(u64),
+    /// The directory was listed completely, as of this position.
+    Listed(DirectoryPosition),
     /// The watch returned events, or ended without any.
     Watched {
-        /// Revision of the directory from which the next watch continues.
-        revision: u64,
+        /// Position from which the next watch continues.
+        position: DirectoryPosition,
         /// `true` if the watch returned events.
         events: bool,
     },
-    /// The directory no longer holds the events since the last response.
+    /// The directory no longer holds the events since the last response, or was restored from an
+    /// older copy since then.
     HistoryExpired,
-    /// The directory did not respond or returned an error.
+    /// The directory has another address, so positions in the previous one are void.
+    DirectoryReplaced,
+    /// The directory did not respond, returned an error or an obsolete response.
     Failed,
     /// The followed host stopped sending or closed the stream.
     FollowEnded {
-        /// Revision of the directory that the stream reached, or `None` if it ended before the
-        /// full listing.
-        revision: Option<u64>,
+        /// Position that the stream reached, or `None` if it ended before the full listing.
+        position: Option<DirectoryPosition>,
     },
 }
 
@@ -103,8 +131,8 @@
     Watch {
         /// Pause before the call.
         pause: Millis,
-        /// Revision after which events are returned.
-        after: u64,
+        /// Position after which events are returned.
+        after: DirectoryPosition,
         /// How long the directory may wait for an event.
         wait: Millis,
         /// Timeout of the call.
@@ -124,10 +152,9 @@
 /// State of one host's synchronization with the directory.
 #[derive(Debug, Clone, Default)]
 pub struct DirectorySync {
-    /// Revision of the directory up to which this host is up to date; `None` before the first
-    /// listing.
-    known_revision: Option<u64>,
-    /// `true` while the directory should still hold the events since `known_revision`.
+    /// Position up to which this host is up to date; `None` before the first listing.
+    known_position: Option<DirectoryPosition>,
+    /// `true` while the directory should still hold the events since `known_position`.
     can_resume: bool,
     /// Consecutive failures of the directory.
     failures: u32,
@@ -162,10 +189,12 @@
         }
         // Read the directory now, and allow attempts to follow a host afterwards.
         self.follow_attempts = 0;
-        match self.known_revision {
+        match self.known_position {
             Some(_) if !readers.synced => SyncStep::Pause(SYNC_POLL_INTERVAL),
             Some(after) if self.can_resume => {
                 let wait = match has_followers {
+                    // Asks at once whether the directory responds and in which era.
+                    _ if self.failures > 0 => Millis(0),
                     HasFollowers::Yes => FOLLOWED_WATCH_WAIT,
                     HasFollowers::No => WATCH_WAIT,
                 };
@@ -175,9 +204,27 @@
         }
     }
 
-    /// Returns the revision of the directory up to which this host is up to date.
-    pub fn known_revision(&self) -> Option<u64> {
-        self.known_revision
+    /// Returns the position up to which this host is up to date.
+    pub fn known_position(&self) -> Option<DirectoryPosition> {
+        self.known_position
+    }
+
+    /// Compares the era of a response of the directory with the one that this host has read last.
+    ///
+    /// A listing of a newer era is applied; a watch that was answered in one is not, because its
+    /// events do not continue the history that this host has read. Obsolete responses are dropped.
+    pub fn response_era(&self, response: DirectoryPosition) -> ResponseEra {
+        let Some(known) = self.known_position else { return ResponseEra::Current };
+        match response.era.cmp(&known.era) {
+            Ordering::Less => ResponseEra::Older,
+            Ordering::Equal => ResponseEra::Current,
+            Ordering::Greater => ResponseEra::Newer,
+        }
+    }
+
+    /// Requests a listing instead of the next watch.
+    pub fn request_listing(&mut self) {
+        self.can_resume = false;
     }
 
     /// Returns `true` if this host is a reader, or was ranked as one within the last
@@ -189,14 +236,14 @@
     fn record_outcome(&mut self, outcome: SyncOutcome, jitter: f64) -> Millis {
         match outcome {
             SyncOutcome::Waited => Millis(0),
-            SyncOutcome::Listed(revision) => {
-                self.known_revision = Some(revision);
+            SyncOutcome::Listed(position) => {
+                self.known_position = Some(position);
                 self.can_resume = true;
                 self.failures = 0;
                 Millis(0)
             }
-            SyncOutcome::Watched { revision, events } => {
-                self.known_revision = Some(revision);
+            SyncOutcome::Watched { position, events } => {
+                self.known_position = Some(position);
                 self.failures = 0;
                 if events { EVENT_BATCH_DELAY } else { Millis(0) }
             }
@@ -205,17 +252,23 @@
                 self.failures = 0;
                 Millis(0)
             }
+            SyncOutcome::DirectoryReplaced => {
+                self.known_position = self.known_position.map(|_| DirectoryPosition::default());
+                self.can_resume = false;
+                self.failures = 0;
+                Millis(0)
+            }
             SyncOutcome::Failed => {
                 let pause = self.backoff(jitter);
                 self.failures += 1;
                 pause
             }
-            SyncOutcome::FollowEnded { revision } => {
+            SyncOutcome::FollowEnded { position } => {
                 self.follow_attempts =
-                    if revision.is_some() { 1 } else { self.follow_attempts + 1 };
-                self.can_resume |= revision.is_some();
-                self.known_revision = revision.max(self.known_revision);
-                if revision.is_some() { Millis(0) } else { FOLLOW_RETRY_DELAY }
+                    if position.is_some() { 1 } else { self.follow_attempts + 1 };
+                self.can_resume |= position.is_some();
+                self.known_position = position.max(self.known_position);
+                if position.is_some() { Millis(0) } else { FOLLOW_RETRY_DELAY }
             }
         }
     }
@@ -225,7 +278,7 @@
     /// A host without a listing tries the directory first, because it is usually available. While
     /// the directory fails, it alternates between other hosts and the directory.
     fn host_to_follow(&self, now: Millis, readers: &Readers, jitter: f64) -> Option<HostId> {
-        if self.known_revision.is_none() {
+        if self.known_position.is_none() {
             let ask_directory = self.failures == 0 || self.follow_attempts >= MAX_FOLLOW_ATTEMPTS;
             return if ask_directory { None } else { pick(&readers.bootstrap_hosts, jitter) };
         }
--- a/crates/pomelorun-core/src/direct/host.rs
+++ b/crates/pomelorun-core/src/direct/host.rs
@@ -16,6 +16,7 @@
 use crate::{
     direct::{
         cold::{ColdBudget, ColdLimit},
+        directory_merge::DirectoryEra,
         event::{DirectEvent, LifecycleChange, ResetReason},
         latency::LatencyHistogram,
         liveness::{Liveness, MIN_RETRANSMIT_GAP, ProbeKind, Reachability},
@@ -40,6 +41,8 @@
 /// Interval between removals of lapsed upstreams, which are kept for
 /// [`DirectSettings::flow_lifetime`] after they lapse.
 const EXPIRY_INTERVAL: Millis = Millis(1_000);
+/// Lifetime of an announcement in the directory, in announcement intervals.
+const ANNOUNCEMENT_LIFETIME_INTERVALS: u64 = 3;
 
 /// Settings of a host's decisions.
 #[derive(Debug, Clone, PartialEq)]
@@ -66,6 +69,14 @@
     pub directory_max_age: Millis,
 }
 
+impl DirectSettings {
+    /// Time that a restored directory needs to settle: the lifetime of an announcement, within which
+    /// live upstreams announce themselves again and the announcements of others expire.
+    pub(crate) fn settle_time(&self) -> Millis {
+        Millis(self.announce_interval.0 * ANNOUNCEMENT_LIFETIME_INTERVALS)
+    }
+}
+
 /// An update from the directory.
 #[derive(Debug, Clone, PartialEq)]
 pub enum DirectoryUpdate {
@@ -183,6 +194,8 @@
     pub probes: u64,
     /// Times an upstream was ejected for failing requests.
     pub ejected: u64,
+    /// Times the directory was found to be restored from an older copy.
+    pub directory_restorations: u64,
     /// Time from a flow's opening packet to its next packet.
     pub open_latency: LatencyHistogram,
     /// Time from a caller's request to its acknowledgement of the answer's first byte.
@@ -223,6 +236,7 @@
     directory_last_response: Option<Millis>,
     /// When the directory last became available again.
     directory_recovered_at: Option<Millis>,
+    directory_era: DirectoryEra,
     /// Live hosts of all zones, including this one, sorted; empty until they are known.
     live_hosts: Vec<HostId>,
     /// Live hosts of this zone, including this one, sorted.
@@ -263,6 +277,7 @@
             directory_state: DirectoryState::Unavailable,
             directory_last_response: None,
             directory_recovered_at: None,
+            directory_era: DirectoryEra::default(),
             zone_hosts: vec![cfg.host],
             live_hosts: Vec::new(),
             outcomes: OutcomesByRoute::default(),
@@ -297,7 +312,7 @@
 
     /// Returns the counters since the start of the host.
     pub fn stats(&self) -> DirectStats {
-        self.stats
+        DirectStats { directory_restorations: self.directory_era.restorations(), ..self.stats }
     }
 
     /// Returns the availability of the directory.
--- a/crates/pomelorun-core/src/direct/host/directory.rs
+++ b/crates/pomelorun-core/src/direct/host/directory.rs
@@ -6,6 +6,7 @@
 
 use crate::{
     direct::{
+        directory_merge::{ListingState, UpstreamMerge, merge_upstream},
         event::{DirectEvent, LifecycleChange},
         host::{DirectHost, DirectoryState, DirectoryUpdate, ReplicatedUpdate, UpstreamState},
         registry::{Announcement, RegistryChange, UpstreamIx},
@@ -29,7 +30,76 @@
         self.directory_state = state;
     }
 
-    /// Applies a full listing of the directory.
+    /// Applies a full listing that this host has read from the directory in `era`.
+    ///
+    /// In a new era, the listing only adds to what this host knows until the directory has settled
+    /// (see [`DirectHost::is_listing_due`]).
+    pub fn apply_directory_listing(&mut self, now: Millis, era: u64, all: &[DirectoryUpdate]) {
+        let settle_time = self.cfg.settle_time();
+        let state = self.directory_era.record_listing(now, era, settle_time);
+        self.apply_listing_as(now, state, all);
+    }
+
+    /// Applies a full listing from another host, which has read the directory in `era`.
+    ///
+    /// `era` is `None` if the other host does not report it.
+    pub fn apply_peer_listing(
+        &mut self,
+        now: Millis,
+        era: Option<u64>,
+        state: ListingState,
+        all: &[DirectoryUpdate],
+    ) {
+        self.directory_era.record_peer_listing(now, era, state);
+        self.apply_listing_as(now, state, all);
+    }
+
+    /// Returns the era of the directory that this host has listed last.
+    pub fn directory_era(&self) -> Option<u64> {
+        self.directory_era.era()
+    }
+
+    /// Returns whether the last listing was authoritative.
+    pub fn listing_state(&self) -> ListingState {
+        self.directory_era.state()
+    }
+
+    /// Returns `true` if the directory was restored and has had the time to settle, so that it is
+    /// to be listed again.
+    pub fn is_listing_due(&self, now: Millis) -> bool {
+        self.directory_era.is_listing_due(now, self.cfg.settle_time())
+    }
+
+    fn apply_listing_as(&mut self, now: Millis, state: ListingState, all: &[DirectoryUpdate]) {
+        match state {
+            ListingState::Settled => self.apply_listing(now, all),
+            ListingState::Unsettled => self.apply_unsettled_listing(now, all),
+        }
+    }
+
+    /// Applies a listing of a directory that was restored from an older copy and has not settled.
+    ///
+    /// The listing removes nothing. The configuration never reverts to an older revision, here and
+    /// everywhere else.
+    fn apply_unsettled_listing(&mut self, now: Millis, all: &[DirectoryUpdate]) {
+        for it in all {
+            let DirectoryUpdate::Upstream(listed) = it else {
+                self.apply_update(now, it);
+                continue;
+            };
+            let known = self.registry.by_key(listed.key).and_then(|ix| self.registry.get(ix));
+            match merge_upstream(known, listed) {
+                UpstreamMerge::Apply => self.apply_announcement(now, listed),
+                UpstreamMerge::KeepDraining => {
+                    let draining = Announcement { draining: true, ..listed.clone() };
+                    self.apply_announcement(now, &draining);
+                }
+                UpstreamMerge::Ignore => {}
+            }
+        }
+    }
+
+    /// Applies a full, authoritative listing of the directory.
     ///
     /// Upstreams that it does not contain count as removed, zones that it does not contain as
     /// restored.
--- a/crates/pomelorun-core/src/direct/host/introspection.rs
+++ b/crates/pomelorun-core/src/direct/host/introspection.rs
@@ -22,6 +22,7 @@
             routes: self.routing.routes().len(),
             directory_answers: self.directory_state == DirectoryState::Available,
             directory_ago_ms: self.directory_last_response.map(|it| now.since(it).0),
+            directory_era: self.directory_era.era(),
             flows: self.flows.len(),
             hosts: self.live_hosts.len(),
             zone_hosts: self.zone_hosts.len(),
--- a/crates/pomelorun-core/src/direct/view.rs
+++ b/crates/pomelorun-core/src/direct/view.rs
@@ -87,6 +87,10 @@
     pub directory_answers: bool,
     /// Time since the directory's last response, in milliseconds.
     pub directory_ago_ms: Option<u64>,
+    /// Era of the directory that this host has listed last; hosts of older versions do not report
+    /// it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub directory_era: Option<u64>,
     /// Number of flows in the flow table.
     pub flows: usize,
     /// Number of live hosts, including this one.
--- a/crates/pomelorun-core/tests/core/direct/directory_sync.rs
+++ b/crates/pomelorun-core/tests/core/direct/directory_sync.rs
@@ -2,13 +2,20 @@
 
 use pomelorun_core::{
     Millis,
-    direct::{DirectorySync, HasFollowers, Readers, SyncOutcome, SyncStep},
+    direct::{
+        DirectoryPosition, DirectorySync, HasFollowers, Readers, ResponseEra, SyncOutcome, SyncStep,
+    },
 };
 use pomelorun_wire::HostId;
 
 const A: HostId = HostId(10);
 const B: HostId = HostId(11);
 
+/// Returns the position of a revision in the directory's first era.
+fn at(revision: u64) -> DirectoryPosition {
+    DirectoryPosition { era: 1, revision }
+}
+
 fn follower() -> Readers {
     Readers { ranked: vec![A, B], is_reader: false, synced: true, bootstrap_hosts: vec![A, B] }
 }
@@ -20,7 +27,7 @@
 fn sync_after_listing(sync: &mut DirectorySync, readers: &Readers) -> SyncStep {
     let first = sync.next_step(Millis(0), None, readers, HasFollowers::No, 0.5);
     assert!(matches!(first, SyncStep::List { .. }), "{first:?}");
-    sync.next_step(Millis(10), Some(SyncOutcome::Listed(7)), readers, HasFollowers::No, 0.5)
+    sync.next_step(Millis(10), Some(SyncOutcome::Listed(at(7))), readers, HasFollowers::No, 0.5)
 }
 
 #[test]
@@ -41,10 +48,16 @@
 fn reader_resumes_watching_after_the_last_received_revision() {
     let mut sync = DirectorySync::default();
     let next = sync_after_listing(&mut sync, &reader());
-    assert!(matches!(next, SyncStep::Watch { after: 7, .. }), "{next:?}");
-    let outcome = SyncOutcome::Watched { revision: 9, events: true };
+    assert!(
+        matches!(next, SyncStep::Watch { after: DirectoryPosition { era: 1, revision: 7 }, .. }),
+        "{next:?}"
+    );
+    let outcome = SyncOutcome::Watched { position: at(9), events: true };
     let next = sync.next_step(Millis(20), Some(outcome), &reader(), HasFollowers::No, 0.5);
-    assert!(matches!(next, SyncStep::Watch { after: 9, .. }), "{next:?}");
+    assert!(
+        matches!(next, SyncStep::Watch { after: DirectoryPosition { era: 1, revision: 9 }, .. }),
+        "{next:?}"
+    );
 }
 
 #[test]
@@ -84,25 +97,31 @@
         else {
             panic!()
         };
-        let follow_ended = Some(SyncOutcome::FollowEnded { revision: Some(8) });
+        let follow_ended = Some(SyncOutcome::FollowEnded { position: Some(at(8)) });
         let next =
             sync.next_step(Millis(5_000), follow_ended, &follower(), HasFollowers::No, spread);
         let SyncStep::Follow { host: second, .. } = next else { panic!("{next:?}") };
         assert_ne!(first, second);
-        let follow_ended = Some(SyncOutcome::FollowEnded { revision: None });
+        let follow_ended = Some(SyncOutcome::FollowEnded { position: None });
         let next =
             sync.next_step(Millis(5_100), follow_ended, &follower(), HasFollowers::No, spread);
-        assert!(matches!(next, SyncStep::Watch { after: 8, .. }), "{next:?}");
+        assert!(
+            matches!(
+                next,
+                SyncStep::Watch { after: DirectoryPosition { era: 1, revision: 8 }, .. }
+            ),
+            "{next:?}"
+        );
     }
 }
 
 #[test]
-fn known_revision_never_decreases() {
+fn known_position_never_decreases() {
     let mut sync = DirectorySync::default();
     sync_after_listing(&mut sync, &follower());
-    let older = Some(SyncOutcome::FollowEnded { revision: Some(3) });
+    let older = Some(SyncOutcome::FollowEnded { position: Some(at(3)) });
     sync.next_step(Millis(20), older, &follower(), HasFollowers::No, 0.5);
-    assert_eq!(sync.known_revision(), Some(7));
+    assert_eq!(sync.known_position(), Some(at(7)));
 }
 
 #[test]
@@ -111,7 +130,7 @@
     // the reader's watch limit, a stream to the other reader (0.7 s) and a listing (1 s).
     let mut sync = DirectorySync::default();
     sync_after_listing(&mut sync, &reader());
-    let outcome = Some(SyncOutcome::Watched { revision: 8, events: false });
+    let outcome = Some(SyncOutcome::Watched { position: at(8), events: false });
     let next = sync.next_step(Millis(20), outcome, &reader(), HasFollowers::Yes, 0.5);
     let SyncStep::Watch { limit, .. } = next else { panic!("{next:?}") };
     assert!(limit.0 + 100 + 1_000 <= 3_000, "{limit:?}");
@@ -121,7 +140,7 @@
 fn demoted_reader_keeps_watching_for_a_grace_period() {
     let mut sync = DirectorySync::default();
     sync_after_listing(&mut sync, &reader());
-    let outcome = Some(SyncOutcome::Watched { revision: 8, events: false });
+    let outcome = Some(SyncOutcome::Watched { position: at(8), events: false });
     let next = sync.next_step(Millis(1_000), outcome, &follower(), HasFollowers::Yes, 0.5);
     assert!(matches!(next, SyncStep::Watch { .. }), "{next:?}");
     let next = sync.next_step(Millis(9_000), outcome, &follower(), HasFollowers::Yes, 0.5);
@@ -137,7 +156,7 @@
         let failed = Some(SyncOutcome::Failed);
         let next = sync.next_step(Millis(1_000), failed, &readers, HasFollowers::No, 0.5);
         assert!(matches!(next, SyncStep::Follow { .. }), "{next:?}");
-        let follow_ended = Some(SyncOutcome::FollowEnded { revision: None });
+        let follow_ended = Some(SyncOutcome::FollowEnded { position: None });
         sync.next_step(Millis(1_100), follow_ended, &readers, HasFollowers::No, 0.5);
         let next = sync.next_step(Millis(1_200), follow_ended, &readers, HasFollowers::No, 0.5);
         assert!(matches!(next, SyncStep::List { .. }), "{next:?}");
@@ -158,7 +177,7 @@
     let failed = Some(SyncOutcome::Failed);
     let next = sync.next_step(Millis(1_200), failed, &reader(), HasFollowers::Yes, 0.5);
     assert!(matches!(next, SyncStep::List { .. }), "{next:?}");
-    assert_eq!(sync.known_revision(), Some(7));
+    assert_eq!(sync.known_position(), Some(at(7)));
 }
 
 #[test]
@@ -172,7 +191,7 @@
         while now < 10_020 {
             let (pause, outcome) = match next {
                 SyncStep::Follow { pause, .. } => {
-                    (pause, SyncOutcome::FollowEnded { revision: None })
+                    (pause, SyncOutcome::FollowEnded { position: None })
                 }
                 SyncStep::Watch { pause, .. } | SyncStep::List { pause, .. } => {
                     (pause, SyncOutcome::Failed)
@@ -186,3 +205,71 @@
         assert!(steps < 100, "{steps} steps in ten seconds");
     }
 }
+
+#[test]
+fn positions_are_ordered_by_era_before_revision() {
+    let restored = DirectoryPosition { era: 2, revision: 3 };
+    assert!(restored > at(900));
+    let mut sync = DirectorySync::default();
+    assert_eq!(sync.response_era(restored), ResponseEra::Current, "nothing was read yet");
+    sync_after_listing(&mut sync, &reader());
+    assert_eq!(sync.response_era(at(3)), ResponseEra::Current);
+    assert_eq!(sync.response_era(restored), ResponseEra::Newer);
+    let outcome = Some(SyncOutcome::Listed(restored));
+    let next = sync.next_step(Millis(20), outcome, &reader(), HasFollowers::No, 0.5);
+    assert!(matches!(next, SyncStep::Watch { after, .. } if after == restored), "{next:?}");
+    assert_eq!(sync.response_era(at(900)), ResponseEra::Older);
+}
+
+#[test]
+fn follower_reaches_a_restored_position_through_its_reader_and_resumes_there() {
+    let restored = DirectoryPosition { era: 2, revision: 3 };
+    let mut sync = DirectorySync::default();
+    sync_after_listing(&mut sync, &follower());
+    let ended = Some(SyncOutcome::FollowEnded { position: Some(restored) });
+    let next = sync.next_step(Millis(20), ended, &reader(), HasFollowers::No, 0.5);
+    assert!(matches!(next, SyncStep::Watch { after, .. } if after == restored), "{next:?}");
+}
+
+#[test]
+fn requested_listing_replaces_the_next_watch() {
+    let mut sync = DirectorySync::default();
+    sync_after_listing(&mut sync, &reader());
+    sync.request_listing();
+    let outcome = Some(SyncOutcome::Watched { position: at(8), events: false });
+    let next = sync.next_step(Millis(20), outcome, &reader(), HasFollowers::Yes, 0.5);
+    assert!(matches!(next, SyncStep::List { .. }), "{next:?}");
+    let next = sync.next_step(
+        Millis(30),
+        Some(SyncOutcome::Listed(at(8))),
+        &reader(),
+        HasFollowers::Yes,
+        0.5,
+    );
+    assert!(matches!(next, SyncStep::Watch { .. }), "{next:?}");
+}
+
+#[test]
+fn replaced_directory_is_listed_and_its_lower_era_accepted() {
+    let mut sync = DirectorySync::default();
+    sync_after_listing(&mut sync, &reader());
+    let other = DirectoryPosition { era: 0, revision: 2 };
+    assert_eq!(sync.response_era(other), ResponseEra::Older);
+    let outcome = Some(SyncOutcome::DirectoryReplaced);
+    let next = sync.next_step(Millis(20), outcome, &reader(), HasFollowers::No, 0.5);
+    assert!(matches!(next, SyncStep::List { .. }), "{next:?}");
+    assert_eq!(sync.response_era(other), ResponseEra::Current);
+}
+
+#[test]
+fn first_watch_after_a_failure_does_not_wait_for_events() {
+    // The response shows whether the directory is available again and whether it was restored.
+    let mut sync = DirectorySync::default();
+    sync_after_listing(&mut sync, &reader());
+    let failed = Some(SyncOutcome::Failed);
+    let next = sync.next_step(Millis(20), failed, &reader(), HasFollowers::Yes, 0.5);
+    assert!(matches!(next, SyncStep::Watch { wait: Millis(0), .. }), "{next:?}");
+    let outcome = Some(SyncOutcome::Watched { position: at(7), events: false });
+    let next = sync.next_step(Millis(30), outcome, &reader(), HasFollowers::Yes, 0.5);
+    assert!(matches!(next, SyncStep::Watch { wait, .. } if wait > Millis(0)), "{next:?}");
+}
--- a/crates/pomelorun-core/tests/core/direct/golden.rs
+++ b/crates/pomelorun-core/tests/core/direct/golden.rs
@@ -156,6 +156,7 @@
         routes: 2,
         directory_answers: true,
         directory_ago_ms: Some(15),
+        directory_era: None,
         flows: 3,
         hosts: 4,
         zone_hosts: 2,
--- a/crates/pomelorun-wire/src/code.rs
+++ b/crates/pomelorun-wire/src/code.rs
@@ -92,6 +92,8 @@
     HOSTS_CHANGED = 306, "hosts_changed", "another host was discovered, was lost or is leaving", "check the host if the change was not intended";
     FEED_FOLLOWED = 307, "following", "the host follows another host's feed of directory updates", "none";
     FEED_LOST = 308, "unfollowed", "the feed of directory updates from another host ended: that host went silent, lost the directory or stopped reading it", "none: another host or the directory is queried";
+    DIRECTORY_RESTORED = 309, "directory_restored", "the directory was restored from an older copy; until it has settled, listings only add to what the host knows", "see the section on a restored directory in docs/OPERATIONS.md";
+    DIRECTORY_RESPONSE_OBSOLETE = 310, "directory_obsolete", "a response of the directory from before it was restored was dropped", "none: the directory is queried again";
     // Direct return.
     FLOW_OPENED = 400, "flow_opened", "the opening packet of a flow was sent to an upstream", "none";
     ENTRY_UNREADABLE = 401, "entry_unreadable", "a directory entry cannot be used", "find the process that wrote the entry; the upstream that it names receives no flows";
--- a/crates/pomelorun/src/direct/edge.rs
+++ b/crates/pomelorun/src/direct/edge.rs
@@ -8,7 +8,8 @@
     Millis,
     direct::{
         DirectHost, DirectSettings, DirectStats, DirectoryState, DirectoryUpdate, FailureReport,
-        PeerUpdate, Probe, ProbeResult, ReplicatedUpdate, Token, TokenOwner, UpstreamKey, Verdict,
+        ListingState, PeerUpdate, Probe, ProbeResult, ReplicatedUpdate, Token, TokenOwner,
+        UpstreamKey, Verdict,
     },
 };
 use pomelorun_wire::HostId;
@@ -109,6 +110,7 @@
     pub(crate) syscalls: u64,
     pub(crate) flows: usize,
     pub(crate) revision: u64,
+    pub(crate) directory_era: u64,
     pub(crate) live_hosts: usize,
     pub(crate) early_packets_dropped: u64,
     pub(crate) directory_unavailable: bool,
@@ -147,6 +149,7 @@
             syscalls: self.receive_syscalls + self.out.syscalls(),
             flows: self.host.flow_count(),
             revision: self.host.revision(),
+            directory_era: self.host.directory_era().unwrap_or(0),
             live_hosts: self.live_hosts,
             early_packets_dropped: self.early_packets.dropped,
             directory_unavailable: self.host.directory_state() == DirectoryState::Unavailable,
@@ -207,18 +210,22 @@
         replicated
     }
 
-    /// Applies a full listing from another host.
+    /// Applies a full listing from another host, which has read the directory in `era`.
     ///
     /// # Errors
     ///
     /// Returns an error if a configuration change is based on a revision that is not active here.
     pub(crate) fn apply_peer_listing(
         &mut self,
+        era: Option<u64>,
+        state: ListingState,
         items: Vec<ReplicatedUpdate>,
     ) -> Result<(), RevisionMismatch> {
         let decode = |it| self.host.decode_from_peer(it).ok_or(RevisionMismatch);
         let items = items.into_iter().map(decode).collect::<Result<Vec<_>, _>>()?;
-        self.apply_listing(&items);
+        let now = now();
+        self.host.apply_peer_listing(now, era, state, &items);
+        self.finish_listing(now);
         Ok(())
     }
 
@@ -292,9 +299,30 @@
         self.host.set_directory_state(now(), state);
     }
 
-    pub(crate) fn apply_listing(&mut self, items: &[DirectoryUpdate]) {
+    /// Applies a full listing that this host has read from the directory in `era`.
+    pub(crate) fn apply_listing(&mut self, era: u64, items: &[DirectoryUpdate]) {
         let now = now();
-        self.host.apply_listing(now, items);
+        self.host.apply_directory_listing(now, era, items);
+        self.finish_listing(now);
+    }
+
+    /// Returns the era of the directory that this host has listed last.
+    pub(crate) fn directory_era(&self) -> Option<u64> {
+        self.host.directory_era()
+    }
+
+    /// Returns whether the last listing was authoritative.
+    pub(crate) fn listing_state(&self) -> ListingState {
+        self.host.listing_state()
+    }
+
+    /// Returns `true` if the restored directory is to be listed again.
+    pub(crate) fn is_listing_due(&self) -> bool {
+        self.host.is_listing_due(now())
+    }
+
+    /// Handles the packets that were received before the first listing.
+    fn finish_listing(&mut self, now: Millis) {
         if self.host.is_ready() {
             for packet in self.early_packets.take_fresh(now) {
                 self.handle_datagram(now, &packet);
--- a/crates/pomelorun/src/direct/feed.rs
+++ b/crates/pomelorun/src/direct/feed.rs
@@ -7,7 +7,9 @@
 
 use actix::Recipient;
 use futures_util::{SinkExt, StreamExt};
-use pomelorun_core::direct::{DirectoryState, HasFollowers, ReplicatedUpdate};
+use pomelorun_core::direct::{
+    DirectoryPosition, DirectoryState, HasFollowers, ListingState, ReplicatedUpdate,
+};
 use pomelorun_wire::{decode, encode};
 use serde::{Deserialize, Serialize};
 use spdlog::prelude::*;
@@ -52,7 +54,8 @@
     active_revision: u64,
 }
 
-/// A message to a follower. Each carries the revision of the directory that it reflects.
+/// A message to a follower. Each carries the position in the directory's history that it reflects:
+/// the revision, and the era unless the sender is of a version that does not know eras.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub(crate) enum FeedMsg {
@@ -60,16 +63,28 @@
     #[serde(rename = "all")]
     Snapshot {
         revision: u64,
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        era: Option<u64>,
+        /// `true` if the directory was restored from an older copy and has not settled.
+        #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+        unsettled: bool,
         #[serde(rename = "away")]
         directory_unavailable: bool,
         items: Vec<ReplicatedUpdate>,
     },
     /// New updates.
-    Events { revision: u64, items: Vec<ReplicatedUpdate> },
+    Events {
+        revision: u64,
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        era: Option<u64>,
+        items: Vec<ReplicatedUpdate>,
+    },
     /// Sent periodically, and when the directory's availability changes.
     #[serde(rename = "idle")]
     Heartbeat {
         revision: u64,
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        era: Option<u64>,
         #[serde(rename = "away")]
         directory_unavailable: bool,
     },
@@ -91,13 +106,14 @@
     /// `true` while this host reads the directory itself.
     serving: bool,
     directory_state: DirectoryState,
-    revision: u64,
+    position: DirectoryPosition,
 }
 
 impl Feed {
     pub(crate) fn new() -> Feed {
         let (tx, _) = broadcast::channel(MAX_BACKLOG);
-        Feed { tx, serving: false, directory_state: DirectoryState::Unavailable, revision: 0 }
+        let position = DirectoryPosition::default();
+        Feed { tx, serving: false, directory_state: DirectoryState::Unavailable, position }
     }
 
     /// Sets whether this host reads the directory; if it stops, its followers are disconnected and
@@ -118,6 +134,11 @@
         }
     }
 
+    /// Sets the position that this host has reached, directly or through another host.
+    pub(crate) fn set_position(&mut self, position: DirectoryPosition) {
+        self.position = position;
+    }
+
     /// Returns whether other hosts follow this one.
     pub(crate) fn has_followers(&self) -> HasFollowers {
         if self.tx.receiver_count() > 0 { HasFollowers::Yes } else { HasFollowers::No }
@@ -125,20 +146,22 @@
 
     /// Records a listing and disconnects all followers, which reconnect for a new snapshot, because
     /// only changes can be passed on.
-    pub(crate) fn reset_followers(&mut self, revision: u64) {
-        self.revision = revision;
+    pub(crate) fn reset_followers(&mut self, position: DirectoryPosition) {
+        self.set_position(position);
         let _ = self.tx.send(FeedCommand::Close);
     }
 
     /// Sends new updates to all followers.
-    pub(crate) fn publish(&mut self, revision: u64, items: Vec<ReplicatedUpdate>) {
-        self.revision = revision;
-        self.broadcast(&FeedMsg::Events { revision, items });
+    pub(crate) fn publish(&mut self, position: DirectoryPosition, items: Vec<ReplicatedUpdate>) {
+        self.position = position;
+        let DirectoryPosition { era, revision } = position;
+        self.broadcast(&FeedMsg::Events { revision, era: Some(era), items });
     }
 
     fn send_heartbeat(&self) {
         self.broadcast(&FeedMsg::Heartbeat {
-            revision: self.revision,
+            revision: self.position.revision,
+            era: Some(self.position.era),
             directory_unavailable: self.is_directory_unavailable(),
         });
     }
@@ -245,9 +268,14 @@
     }
     let (mut rx, serving, first) = {
         let feed = feed.borrow();
-        let items = edge.borrow().full_listing(active_revision);
-        let directory_unavailable = feed.is_directory_unavailable() || !feed.serving;
-        let snapshot = FeedMsg::Snapshot { revision: feed.revision, directory_unavailable, items };
+        let edge = edge.borrow();
+        let snapshot = FeedMsg::Snapshot {
+            revision: feed.position.revision,
+            era: edge.directory_era(),
+            unsettled: edge.listing_state() == ListingState::Unsettled,
+            directory_unavailable: feed.is_directory_unavailable() || !feed.serving,
+            items: edge.full_listing(active_revision),
+        };
         (feed.tx.subscribe(), feed.serving, encode(&snapshot))
     };
     let mut body: Bytes = match first {
--- a/crates/pomelorun/src/direct/metrics.rs
+++ b/crates/pomelorun/src/direct/metrics.rs
@@ -20,7 +20,7 @@
 
 /// Name, help text and value of each counter. `docs/operators/metrics.md` says what to do when one
 /// rises.
-const COUNTERS: [(&str, &str, ReadCount); 17] = [
+const COUNTERS: [(&str, &str, ReadCount); 18] = [
     ("pomelorun_packets_forwarded", "Packets forwarded to upstreams", |it| it.core.forwarded),
     ("pomelorun_flows_opened", "Flows opened, not counting retransmitted opening packets", |it| {
         it.core.opened
@@ -64,6 +64,11 @@
     ("pomelorun_upstream_ejected", "Times an upstream was ejected for failing requests", |it| {
         it.core.ejected
     }),
+    (
+        "pomelorun_directory_restorations",
+        "Times the directory was found to be restored from an older copy",
+        |it| it.core.directory_restorations,
+    ),
     ("pomelorun_probes", "Probes sent to upstreams", |it| it.core.probes),
     (
         "pomelorun_log_lines_dropped",
@@ -72,9 +77,10 @@
     ),
 ];
 
-const GAUGES: [(&str, &str, ReadCount); 4] = [
+const GAUGES: [(&str, &str, ReadCount); 5] = [
     ("pomelorun_flows", "Flows in the flow table", |it| it.flows as u64),
     ("pomelorun_revision", "Active revision of the configuration", |it| it.revision),
+    ("pomelorun_directory_era", "Era of the directory that was listed last", |it| it.directory_era),
     ("pomelorun_hosts_live", "Live hosts, including this one", |it| it.live_hosts as u64),
     ("pomelorun_directory_away", "1 while the directory is unavailable, otherwise 0", |it| {
         u64::from(it.directory_unavailable)
--- a/crates/pomelorun/src/direct/platform.rs
+++ b/crates/pomelorun/src/direct/platform.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddrV4, rc::Rc, time::Duration};
 
 use futures_util::future::LocalBoxFuture;
-use pomelorun_core::direct::{DirectoryUpdate, ResetPacket, Segment, Token};
+use pomelorun_core::direct::{DirectoryPosition, DirectoryUpdate, ResetPacket, Segment, Token};
 use thiserror::Error;
 
 /// The reason why a datagram is not a valid packet of a caller.
@@ -48,6 +48,9 @@
     /// The directory no longer has the revision after which the watch was to continue.
     #[error("the directory no longer has the requested revision; a new listing is needed")]
     HistoryExpired,
+    /// The directory's address has changed, so that earlier positions are void.
+    #[error("the directory's address has changed; a new listing is needed")]
+    AddressChanged,
 }
 
 /// A full listing of the directory.
@@ -55,8 +58,8 @@
 pub struct Listing {
     /// All updates that describe the directory's content.
     pub items: Vec<DirectoryUpdate>,
-    /// Revision of the directory after which a watch continues.
-    pub revision: u64,
+    /// Position after which a watch continues.
+    pub position: DirectoryPosition,
     /// Descriptions of the entries that could not be parsed, each with the reason.
     pub unreadable: Vec<String>,
 }
@@ -66,8 +69,8 @@
 pub struct Events {
     /// The updates, in order.
     pub items: Vec<DirectoryUpdate>,
-    /// Revision of the directory after which the next watch continues.
-    pub revision: u64,
+    /// Position after which the next watch continues.
+    pub position: DirectoryPosition,
     /// Descriptions of the entries that could not be parsed, each with the reason.
     pub unreadable: Vec<String>,
 }
@@ -80,12 +83,13 @@
     /// Lists the whole directory.
     fn list(&self, timeout: Duration) -> LocalBoxFuture<'_, Result<Listing, DirectoryError>>;
 
-    /// Returns the changes after a revision, waiting for one for at most `wait`.
+    /// Returns the changes after a position, waiting for one for at most `wait`.
     ///
-    /// The whole request, including the wait, is subject to `timeout`.
+    /// The whole request, including the wait, is subject to `timeout`. If the era of the returned
+    /// position is another one, the changes do not continue the history up to `after`.
     fn watch(
         &self,
-        after: u64,
+        after: DirectoryPosition,
         wait: Duration,
         timeout: Duration,
     ) -> LocalBoxFuture<'_, Result<Events, DirectoryError>>;
--- a/crates/pomelorun/src/direct/probes.rs
+++ b/crates/pomelorun/src/direct/probes.rs
@@ -156,7 +156,10 @@
         Ok(_) => ProbeResult::OtherUpstream,
         // A busy upstream may take longer than the timeout to respond.
         Err(
-            DirectoryError::Timeout | DirectoryError::Failed(_) | DirectoryError::HistoryExpired,
+            DirectoryError::Timeout
+            | DirectoryError::Failed(_)
+            | DirectoryError::HistoryExpired
+            | DirectoryError::AddressChanged,
         ) => ProbeResult::Inconclusive,
     }
 }
--- a/crates/pomelorun/src/direct/reader.rs
+++ b/crates/pomelorun/src/direct/reader.rs
@@ -5,7 +5,8 @@
 
 use actix::Recipient;
 use pomelorun_core::direct::{
-    DirectoryState, DirectorySync, Readers, SyncOutcome, SyncStep, address_of,
+    DirectoryPosition, DirectoryState, DirectorySync, ListingState, Readers, ResponseEra,
+    SyncOutcome, SyncStep, address_of,
 };
 use pomelorun_wire::{Code, HostId};
 use spdlog::prelude::*;
@@ -69,9 +70,18 @@
     loop {
         let readers = cx.readers.borrow_and_update().clone();
         let has_followers = cx.feed.borrow().has_followers();
+        if cx.edge.borrow().is_listing_due() {
+            sync.request_listing();
+        }
         let step = sync.next_step(now(), outcome, &readers, has_followers, rand::random());
         let is_follower = matches!(step, SyncStep::Follow { .. });
-        cx.feed.borrow_mut().set_serving(sync.is_reader(now()) && !is_follower);
+        {
+            let mut feed = cx.feed.borrow_mut();
+            if let Some(it) = sync.known_position() {
+                feed.set_position(it);
+            }
+            feed.set_serving(sync.is_reader(now()) && !is_follower);
+        }
         debug!("directory sync step", kv: { step = format!("{step:?}") });
         outcome = Some(match step {
             SyncStep::Pause(pause) => {
@@ -80,16 +90,16 @@
             }
             SyncStep::Follow { pause, host } => {
                 tokio::time::sleep(millis(pause.0)).await;
-                follow(&mut cx, host, sync.known_revision()).await
+                follow(&mut cx, host, sync.known_position()).await
             }
             SyncStep::List { pause, limit } => {
                 tokio::time::sleep(millis(pause.0)).await;
-                let res = list(&cx, millis(limit.0)).await;
+                let res = list(&cx, &sync, millis(limit.0)).await;
                 record_directory_state(&cx, &mut unavailable, res)
             }
             SyncStep::Watch { pause, after, wait, limit } => {
                 tokio::time::sleep(millis(pause.0)).await;
-                let res = watch(&cx, after, millis(wait.0), millis(limit.0)).await;
+                let res = watch(&cx, &sync, after, millis(wait.0), millis(limit.0)).await;
                 record_directory_state(&cx, &mut unavailable, res)
             }
         });
@@ -104,7 +114,9 @@
 ) -> SyncOutcome {
     let state = match &res {
         Err(DirectoryError::Timeout | DirectoryError::Failed(_)) => DirectoryState::Unavailable,
-        Ok(_) | Err(DirectoryError::HistoryExpired) => DirectoryState::Available,
+        Ok(_) | Err(DirectoryError::HistoryExpired | DirectoryError::AddressChanged) => {
+            DirectoryState::Available
+        }
     };
     match (state, *unavailable) {
         (DirectoryState::Unavailable, false) => {
@@ -122,29 +134,45 @@
     match res {
         Ok(it) => it,
         Err(DirectoryError::HistoryExpired) => SyncOutcome::HistoryExpired,
+        Err(DirectoryError::AddressChanged) => SyncOutcome::DirectoryReplaced,
         Err(DirectoryError::Timeout | DirectoryError::Failed(_)) => SyncOutcome::Failed,
     }
 }
 
-async fn list(cx: &ReaderContext, timeout: Duration) -> Result<SyncOutcome, DirectoryError> {
+async fn list(
+    cx: &ReaderContext,
+    sync: &DirectorySync,
+    timeout: Duration,
+) -> Result<SyncOutcome, DirectoryError> {
     let it = cx.directory.list(timeout).await?;
+    match sync.response_era(it.position) {
+        ResponseEra::Current => {}
+        ResponseEra::Newer => log_restoration(sync.known_position(), it.position),
+        ResponseEra::Older => return Ok(drop_obsolete(sync.known_position(), it.position)),
+    }
     log_unreadable(&it.unreadable);
     {
         let mut edge = cx.edge.borrow_mut();
         edge.set_directory_state(DirectoryState::Available);
-        edge.apply_listing(&it.items);
+        edge.apply_listing(it.position.era, &it.items);
     }
-    cx.feed.borrow_mut().reset_followers(it.revision);
-    Ok(SyncOutcome::Listed(it.revision))
+    cx.feed.borrow_mut().reset_followers(it.position);
+    Ok(SyncOutcome::Listed(it.position))
 }
 
 async fn watch(
     cx: &ReaderContext,
-    after: u64,
+    sync: &DirectorySync,
+    after: DirectoryPosition,
     wait: Duration,
     timeout: Duration,
 ) -> Result<SyncOutcome, DirectoryError> {
     let it = cx.directory.watch(after, wait, timeout).await?;
+    match sync.response_era(it.position) {
+        ResponseEra::Current => {}
+        ResponseEra::Newer => return Ok(SyncOutcome::HistoryExpired),
+        ResponseEra::Older => return Ok(drop_obsolete(sync.known_position(), it.position)),
+    }
     log_unreadable(&it.unreadable);
     let events = !it.items.is_empty();
     let replicated = {
@@ -153,18 +181,22 @@
         edge.apply_and_replicate(&it.items)
     };
     if events {
-        cx.feed.borrow_mut().publish(it.revision, replicated);
+        cx.feed.borrow_mut().publish(it.position, replicated);
     }
-    Ok(SyncOutcome::Watched { revision: it.revision, events })
+    Ok(SyncOutcome::Watched { position: it.position, events })
 }
 
 /// Follows a host's feed until the stream times out, that host loses the directory, or this host
 /// becomes a reader.
 ///
-/// `known_revision` is the revision of the directory up to which this host has all updates.
-async fn follow(cx: &mut ReaderContext, host: HostId, known_revision: Option<u64>) -> SyncOutcome {
+/// `known` is the position up to which this host has all updates.
+async fn follow(
+    cx: &mut ReaderContext,
+    host: HostId,
+    known: Option<DirectoryPosition>,
+) -> SyncOutcome {
     let address = SocketAddrV4::new(address_of(host), cx.feed_port);
-    let mut revision = None;
+    let mut position = None;
     let active_revision = cx.edge.borrow().revision();
     let mut stream = match FeedStream::connect(address, active_revision).await {
         Ok(it) => it,
@@ -172,7 +204,7 @@
             info!("cannot follow host", kv: {
                 code = Code::FEED_LOST.to_string(), host = address.to_string(), error
             });
-            return SyncOutcome::FollowEnded { revision };
+            return SyncOutcome::FollowEnded { position };
         }
     };
     let reason = loop {
@@ -185,7 +217,7 @@
                 continue;
             }
         };
-        match msg.and_then(|msg| apply_feed_msg(cx, known_revision, &mut revision, msg)) {
+        match msg.and_then(|msg| apply_feed_msg(cx, known, &mut position, msg)) {
             Ok(MessageKind::Snapshot) => {
                 info!("following host", kv: {
                     code = Code::FEED_FOLLOWED.to_string(), host = address.to_string()
@@ -198,7 +230,7 @@
     info!("stopped following host", kv: {
         code = Code::FEED_LOST.to_string(), host = address.to_string(), why = reason
     });
-    SyncOutcome::FollowEnded { revision }
+    SyncOutcome::FollowEnded { position }
 }
 
 /// Kind of a feed message that was applied.
@@ -215,21 +247,27 @@
 /// Returns the reason why the host is no longer to be followed.
 fn apply_feed_msg(
     cx: &ReaderContext,
-    known_revision: Option<u64>,
-    revision: &mut Option<u64>,
+    known: Option<DirectoryPosition>,
+    position: &mut Option<DirectoryPosition>,
     msg: FeedMsg,
 ) -> Result<MessageKind, String> {
     let mut edge = cx.edge.borrow_mut();
-    let (msg_revision, directory_unavailable) = match &msg {
-        FeedMsg::Snapshot { revision, directory_unavailable, .. }
-        | FeedMsg::Heartbeat { revision, directory_unavailable } => {
-            (*revision, *directory_unavailable)
+    let (revision, era, directory_unavailable) = match &msg {
+        FeedMsg::Snapshot { revision, era, directory_unavailable, .. }
+        | FeedMsg::Heartbeat { revision, era, directory_unavailable } => {
+            (*revision, *era, *directory_unavailable)
         }
-        FeedMsg::Events { revision, .. } => (*revision, false),
+        FeedMsg::Events { revision, era, .. } => (*revision, *era, false),
     };
+    // A host that does not report the era is taken to be in the one that this host knows.
+    let known_era = position.or(known).map_or(0, |it| it.era);
+    let msg_position = DirectoryPosition { era: era.unwrap_or(known_era), revision };
+    if position.is_some() && msg_position.era != known_era {
+        return Err("the directory was restored, so a new snapshot is needed".to_owned());
+    }
     // A host without a listing accepts stale data; any other would revert to an older state.
     let has_listing = edge.has_initial_listing();
-    if has_listing && known_revision.is_some_and(|it| msg_revision < it) {
+    if has_listing && known.is_some_and(|it| msg_position < it) {
         return Err("the followed host has an older directory revision than this host".to_owned());
     }
     if !directory_unavailable {
@@ -242,16 +280,39 @@
     } else {
         MessageKind::Update
     };
+    if position.is_none() && known.is_some_and(|it| it.era < msg_position.era) {
+        log_restoration(known, msg_position);
+    }
     let applied = match msg {
-        FeedMsg::Snapshot { items, .. } => edge.apply_peer_listing(items),
+        FeedMsg::Snapshot { items, era, unsettled, .. } => {
+            let state = if unsettled { ListingState::Unsettled } else { ListingState::Settled };
+            edge.apply_peer_listing(era, state, items)
+        }
         FeedMsg::Events { items, .. } => edge.apply_peer_events(items),
         FeedMsg::Heartbeat { .. } => Ok(()),
     };
     applied.map_err(|e| e.to_string())?;
-    *revision = Some(msg_revision);
+    *position = Some(msg_position);
     Ok(kind)
 }
 
+fn log_restoration(known: Option<DirectoryPosition>, new: DirectoryPosition) {
+    let known = known.unwrap_or_default();
+    warn!("directory restored from an older copy", kv: {
+        code = Code::DIRECTORY_RESTORED.to_string(), old_era = known.era,
+        old_revision = known.revision, new_era = new.era, new_revision = new.revision
+    });
+}
+
+/// Drops a response from before the directory was restored.
+fn drop_obsolete(known: Option<DirectoryPosition>, response: DirectoryPosition) -> SyncOutcome {
+    info!("obsolete directory response dropped", kv: {
+        code = Code::DIRECTORY_RESPONSE_OBSOLETE.to_string(),
+        known_era = known.unwrap_or_default().era, response_era = response.era
+    });
+    SyncOutcome::Failed
+}
+
 fn log_unreadable(entries: &[String]) {
     for it in entries {
         warn!("directory entry ignored", kv: {
--- a/crates/pomelorun/tests/daemon/golden.rs
+++ b/crates/pomelorun/tests/daemon/golden.rs
@@ -167,6 +167,7 @@
         routes: 2,
         directory_answers: true,
         directory_ago_ms: None,
+        directory_era: None,
         flows: 3,
         hosts: 4,
         zone_hosts: 2,
--- a/crates/pomelorunctl/src/direct.rs
+++ b/crates/pomelorunctl/src/direct.rs
@@ -31,6 +31,12 @@
     readers: Vec<String>,
     /// Names of zones that any host holds out; identifiers where no host of one answered.
     zones_out: Vec<String>,
+    /// Hosts that have not learned of the directory's newest era, with the era that they know.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    behind_era: Vec<String>,
+    /// Newest era of the directory that any host knows.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    era: Option<u64>,
     /// Upstreams of which any host believes something unusual.
     unusual: Vec<Unusual>,
     hosts: Vec<DirectReport>,
@@ -62,7 +68,16 @@
         let mut zones_out: Vec<String> =
             zones.into_iter().map(|it| zone_name(&hosts, it)).collect();
         zones_out.sort_unstable();
+        let era = hosts.iter().filter_map(|it| it.view.directory_era).max();
+        let is_behind = |it: &&DirectReport| it.view.directory_era.is_some_and(|it| Some(it) < era);
+        let behind_era = hosts
+            .iter()
+            .filter(is_behind)
+            .map(|it| named(it, &format!("era {}", it.view.directory_era.unwrap_or(0))))
+            .collect();
         DirectStatus {
+            era,
+            behind_era,
             revision_least: revisions.clone().min().unwrap_or(0),
             revision_most: revisions.max().unwrap_or(0),
             not_ready: hosts
@@ -87,6 +102,9 @@
         } else {
             format!("revisions {} to {} are in force", self.revision_least, self.revision_most)
         });
+        if let Some(era) = self.era {
+            lines.push(format!("the directory is in era {era}"));
+        }
         for host in &self.hosts {
             if host.view.revision < self.revision_most {
                 lines.push(format!("  {} has revision {}", host.host, host.view.revision));
@@ -95,6 +113,7 @@
         let lists = [
             ("read the directory", &self.readers),
             ("know the directory as of long ago", &self.stale),
+            ("know the directory as of before it was restored", &self.behind_era),
             ("take no packets", &self.not_ready),
             ("zones out", &self.zones_out),
         ];
--- a/crates/pomelorunctl/tests/ctl/direct.rs
+++ b/crates/pomelorunctl/tests/ctl/direct.rs
@@ -69,6 +69,35 @@
     assert_eq!(json["hosts"][1]["view"]["flows"], 12);
 }
 
+#[test]
+fn hosts_that_have_not_learned_of_a_restored_directory_are_named() {
+    let report = |name: &str, era: Value| {
+        let mut report = json!({
+            "mode": "direct_return", "host": name, "zone": "bog-a", "ready": true, "leaving": false,
+            "reads": false,
+            "view": {
+                "revision": 7, "routes": 3, "directory_answers": true, "directory_ago_ms": 10,
+                "flows": 0, "hosts": 3, "near_hosts": 3, "zones_out": [], "upstreams": []
+            }
+        });
+        if !era.is_null() {
+            report["view"]["directory_era"] = era;
+        }
+        FakeHost::new(200, &report.to_string())
+    };
+    let [one, two, old] =
+        [report("edge-1", json!(2)), report("edge-2", json!(1)), report("edge-3", json!(null))];
+    let done = run(&["status"], &[&one, &two, &old], "text");
+    assert_eq!(done.status, 0, "{}", done.err);
+    assert!(done.out.contains("the directory is in era 2"), "{}", done.out);
+    let behind = "know the directory as of before it was restored: edge-2 (era 1)";
+    assert!(done.out.contains(behind), "{}", done.out);
+    let json = run(&["status"], &[&one, &two, &old], "json").json();
+    assert_eq!((&json["era"], &json["behind_era"]), (&json!(2), &json!(["edge-2 (era 1)"])));
+    let without = run(&["status"], &[&old], "json").json();
+    assert!(without.get("era").is_none(), "{without}");
+}
+
 #[test]
 fn a_host_that_answers_something_else_is_named_and_the_others_are_shown() {
     let one = host("edge-1", 7, true, 100, json!([]));
