Eject an upstream only for failures that chance does not explain

Cause: the threshold took the number of failures at an average upstream for normally distributed (three standard deviations). Callers' requests and their copies are lost together now and then, so a fraction of a failure is expected per upstream and window; three failures are then above the threshold and not rare.

Change: the Poisson distribution itself, with a bound on the probability of a false ejection; the ratio to the expected number, the smallest share and the smallest number stay. The tests of detection speed and of callers' failures pass unchanged.

--- a/crates/pomelorun-core/src/direct/outlier.rs
+++ b/crates/pomelorun-core/src/direct/outlier.rs
@@ -44,9 +44,9 @@
 const MIN_FAILED_SHARE: f64 = 0.15;
 /// Minimum ratio of failures to the number expected at an average upstream.
 const MIN_FAILURE_RATIO: f64 = 2.0;
-/// Standard deviations by which the failures must exceed [`MIN_FAILURE_RATIO`] times the expected
-/// number. Many upstreams are assessed many times, so smaller deviations occur by chance.
-const MIN_DEVIATIONS: f64 = 3.0;
+/// Maximum probability that an average upstream has as many failures by chance. Many upstreams are
+/// assessed many times, so likelier numbers occur.
+const MAX_CHANCE: f64 = 1e-4;
 /// Length of the first ejection; each further one is twice as long, up to the maximum. Faults of a
 /// few seconds are common, and a false ejection of that length costs little.
 const EJECTION_BACKOFF_MIN: Millis = Millis(6_000);
@@ -241,9 +241,11 @@
             _ => (MIN_FAILED_FLOWS, 0),
         };
         let expected = self.expected.value_at(now, UPSTREAM_HALF_LIFE_MS);
-        // The number of failures at an average upstream is roughly Poisson distributed.
-        let threshold = expected * MIN_FAILURE_RATIO + expected.sqrt() * MIN_DEVIATIONS;
-        if failed < min_failed || failed < total * MIN_FAILED_SHARE || failed < threshold {
+        if failed < min_failed
+            || failed < total * MIN_FAILED_SHARE
+            || failed < expected * MIN_FAILURE_RATIO
+            || chance_of_at_least(failed, expected) > MAX_CHANCE
+        {
             return None;
         }
         let duration = Millis((EJECTION_BACKOFF_MIN.0 << count.min(8)).min(EJECTION_BACKOFF_MAX.0));
@@ -272,3 +274,15 @@
         EJECTION_PENALTY * (1.0 - recovered).max(0.0)
     }
 }
+
+/// Returns the probability of at least `count` failures if `expected` are usual and each occurs
+/// independently of the others, by the Poisson distribution.
+fn chance_of_at_least(count: f64, expected: f64) -> f64 {
+    let mut term = (-expected).exp();
+    let mut fewer = 0.0;
+    for at in 0..count as u32 {
+        fewer += term;
+        term *= expected / f64::from(at + 1);
+    }
+    (1.0 - fewer).max(0.0)
+}
--- a/crates/pomelorun-core/tests/core/direct/outliers.rs
+++ b/crates/pomelorun-core/tests/core/direct/outliers.rs
@@ -165,3 +165,15 @@
         assert_eq!(simulation.counts.ejections, 0, "seed {seed}");
     }
 }
+
+#[test]
+fn heavy_packet_loss_ejects_no_upstream() {
+    // More seeds than above, because few failures of one upstream are rarely close to each other.
+    for seed in SEEDS..SEEDS * 6 {
+        let mut simulation =
+            Simulation::new(SimulationConfig { loss_one_in: 20, ..MANY_HOSTS }, seed);
+        simulation.run_until(FAULT_START_MS + FAULT_DURATION_MS);
+        let it = simulation.counts;
+        assert_eq!(it.ejections, 0, "seed {seed}: {it:?}");
+    }
+}
