Admit joining upstreams with the load of another one

Cause: hosts spread new flows by how many they have opened recently at each upstream (half-life 2 s). An upstream that becomes a candidate has none, so every host opens its next flows there until the counts are level.

Change: a joining upstream is credited with the count of another candidate of its zone, chosen by a hash of host and upstream. `admission` decides, `flow_placement` carries it out.

--- a/crates/pomelorun-core/src/direct.rs
+++ b/crates/pomelorun-core/src/direct.rs
@@ -6,6 +6,7 @@
 //! querying another host. [`DirectHost`] makes the decisions; like [`crate::HostCore`], it performs
 //! no I/O and reads no clock.
 
+mod admission;
 mod cold;
 mod decaying_sum;
 mod directory_merge;
--- a/crates/pomelorun-core/src/direct/host/flow_placement.rs
+++ b/crates/pomelorun-core/src/direct/host/flow_placement.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     direct::{
+        admission::{Contender, credit_joining},
         event::{DirectEvent, OpenReason},
         host::{DirectHost, Verdict},
         liveness::Reachability,
@@ -35,7 +36,8 @@
         let Some(service) = route.service_of(&seg.flow) else {
             return self.reject_without_route(now, seg);
         };
-        let candidates = self.candidates(now, service, &seg.flow, &tried);
+        let mut candidates = self.candidates(now, service, &seg.flow, &tried);
+        self.admit_joining(now, &mut candidates);
         let Some(best) = choose(&candidates) else {
             return self.reject_without_upstream(now, service, seg);
         };
@@ -81,6 +83,43 @@
         self.forward(best.ix)
     }
 
+    /// Credits the candidates that were none for the previous flow with the flows that the others
+    /// have got meanwhile.
+    fn admit_joining(&mut self, now: Millis, candidates: &mut [Candidate]) {
+        // Upstreams that get flows only if there is no other stay out until they are good again.
+        let is_regular = |it: &Candidate| matches!(it.choice, Choice::Good | Choice::Tried);
+        let regular: SmallVec<[usize; 32]> =
+            (0..candidates.len()).filter(|&at| is_regular(&candidates[at])).collect();
+        let contenders: SmallVec<[Contender; 32]> = regular
+            .iter()
+            .map(|&at| Contender {
+                last_candidate: self.upstream_states[candidates[at].ix.0 as usize]
+                    .load
+                    .last_candidate,
+                same_zone: candidates[at].same_zone,
+                opens_per_slot: candidates[at].recent_opens / candidates[at].slot_count(),
+            })
+            .collect();
+        let salt = |at: usize| self.upstream_salt(candidates[regular[at]].ix);
+        for (at, credit) in credit_joining(&contenders, &salt) {
+            let it = &mut candidates[regular[at]];
+            it.recent_opens = credit * it.slot_count();
+            let load = &mut self.upstream_states[it.ix.0 as usize].load;
+            load.credit_opens(now, it.recent_opens);
+        }
+        for at in regular {
+            let load = &mut self.upstream_states[candidates[at].ix.0 as usize].load;
+            load.last_candidate = Some(now);
+        }
+    }
+
+    /// Returns a hash of this host and an upstream.
+    fn upstream_salt(&self, ix: UpstreamIx) -> u64 {
+        self.registry
+            .get(ix)
+            .map_or(0, |it| rendezvous_score(self.cfg.host.0, it.announcement.key.id))
+    }
+
     /// Returns the eligible upstreams of a service, for a flow whose opening packet was already
     /// sent to the upstreams in `tried`.
     pub(super) fn candidates(
--- a/crates/pomelorun-core/src/direct/load.rs
+++ b/crates/pomelorun-core/src/direct/load.rs
@@ -13,6 +13,8 @@
     opens: DecayingSum,
     /// Number of requests that wait for a response.
     pub waiting: u32,
+    /// When the upstream was last a candidate for a new flow.
+    pub(crate) last_candidate: Option<Millis>,
 }
 
 impl Load {
@@ -21,6 +23,14 @@
         self.opens.add(now, OPENS_HALF_LIFE_MS, 1.0);
     }
 
+    /// Raises the number of recently opened flows to `opens`.
+    pub(crate) fn credit_opens(&mut self, now: Millis, opens: f64) {
+        let missing = opens - self.recent_opens(now);
+        if missing > 0.0 {
+            self.opens.add(now, OPENS_HALF_LIFE_MS, missing);
+        }
+    }
+
     /// Returns the exponentially decaying number of opened flows.
     pub fn recent_opens(&self, now: Millis) -> f64 {
         self.opens.value_at(now, OPENS_HALF_LIFE_MS)
--- a/crates/pomelorun-core/src/direct/placement.rs
+++ b/crates/pomelorun-core/src/direct/placement.rs
@@ -61,11 +61,15 @@
 }
 
 impl Candidate {
+    /// Returns the number of slots, at least one.
+    pub(crate) fn slot_count(&self) -> f64 {
+        f64::from(self.slots.max(1))
+    }
+
     /// Returns the load per slot plus the penalties; lower is better.
     pub fn score(&self) -> f64 {
-        let slots = f64::from(self.slots.max(1));
         let zone_penalty = if self.same_zone { 0.0 } else { REMOTE_ZONE_PENALTY };
-        (self.waiting * WAITING_WEIGHT + self.recent_opens * OPENED_WEIGHT) / slots
+        (self.waiting * WAITING_WEIGHT + self.recent_opens * OPENED_WEIGHT) / self.slot_count()
             + zone_penalty
             + self.penalty
     }
--- a/crates/pomelorun-core/tests/core/direct.rs
+++ b/crates/pomelorun-core/tests/core/direct.rs
@@ -9,6 +9,7 @@
 mod golden;
 mod host;
 mod introspection;
+mod joining;
 mod outliers;
 mod registry;
 mod routing;
--- a/crates/pomelorun-core/tests/core/direct/failure_scenarios.rs
+++ b/crates/pomelorun-core/tests/core/direct/failure_scenarios.rs
@@ -17,6 +17,7 @@
     loss_one_in: 0,
     outlier_scope: OutlierScope::PerZone,
     flow_requests: u32::MAX,
+    max_pause_ms: 0,
 };
 const SEEDS: u64 = 20;
 /// Start and duration of the fault, in milliseconds.
--- a/crates/pomelorun-core/tests/core/direct/outliers.rs
+++ b/crates/pomelorun-core/tests/core/direct/outliers.rs
@@ -16,6 +16,7 @@
     loss_one_in: 0,
     outlier_scope: OutlierScope::PerZone,
     flow_requests: 8,
+    max_pause_ms: 0,
 };
 const SEEDS: u64 = 8;
 const FAULT_START_MS: u64 = 5_000;
--- a/crates/pomelorun-core/tests/core/direct/simulation.rs
+++ b/crates/pomelorun-core/tests/core/direct/simulation.rs
@@ -10,8 +10,8 @@
 use pomelorun_core::{
     Millis,
     direct::{
-        DirectEvent, DirectHost, DirectoryState, DirectoryUpdate, ProbeKind, ProbeResult,
-        ResetPacket, Segment, SegmentKind, Token, Verdict,
+        Announcement, DirectEvent, DirectHost, DirectoryState, DirectoryUpdate, ProbeKind,
+        ProbeResult, ResetPacket, Segment, SegmentKind, Token, Verdict,
     },
 };
 use pomelorun_wire::{FlowKey, HostId, ZoneId};
@@ -34,6 +34,8 @@
 const CROSS_ZONE_DELAY_MS: u64 = 2;
 /// Time after which a connection attempt to an unresponsive upstream fails, in milliseconds.
 const PROBE_TIMEOUT_MS: u64 = 150;
+/// Number of requests that an upstream runs or queues before it refuses further ones.
+const MAX_IN_FLIGHT: u32 = 10;
 /// Size of a request, in bytes.
 const REQUEST_BYTES: u32 = 120;
 /// Size of a request that every upstream answers with an error, in bytes.
@@ -84,6 +86,9 @@
     pub(crate) outlier_scope: OutlierScope,
     /// Number of requests that a caller sends on one flow.
     pub(crate) flow_requests: u32,
+    /// Maximum time after the last request of a flow until a caller opens the next one, in
+    /// milliseconds.
+    pub(crate) max_pause_ms: u64,
 }
 
 struct Upstream {
@@ -97,6 +102,18 @@
     in_flight: u32,
 }
 
+impl Upstream {
+    fn new(zone: ZoneId) -> Upstream {
+        Upstream {
+            zone,
+            health: Health::Healthy,
+            slots: [0; 2],
+            started_requests: BTreeMap::new(),
+            in_flight: 0,
+        }
+    }
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Phase {
     Opening,
@@ -147,6 +164,10 @@
         caller: usize,
         step: u64,
     },
+    Reopen {
+        caller: usize,
+        step: u64,
+    },
     Expire {
         caller: usize,
         step: u64,
@@ -174,6 +195,8 @@
     pub(crate) resets: u64,
     /// Maximum number of requests in flight at one upstream.
     pub(crate) max_in_flight: u32,
+    /// Requests that reached an upstream whose slots and queue were full.
+    pub(crate) overloads: u64,
 }
 
 /// A simulated deployment.
@@ -217,14 +240,7 @@
         let ids = (1u64..).zip(zones.iter().cycle());
         for (id, zone) in ids.take(zones.len() * cfg.upstreams_per_zone as usize) {
             all.push(DirectoryUpdate::Upstream(announcement(id, *zone)));
-            let upstream = Upstream {
-                zone: *zone,
-                health: Health::Healthy,
-                slots: [0; 2],
-                started_requests: BTreeMap::new(),
-                in_flight: 0,
-            };
-            simulation.upstreams.insert(id, upstream);
+            simulation.upstreams.insert(id, Upstream::new(*zone));
         }
         for (at, zone) in
             zones.iter().flat_map(|it| vec![it; cfg.hosts_per_zone as usize]).enumerate()
@@ -268,6 +284,38 @@
         simulation
     }
 
+    /// Adds an upstream and announces it to all hosts.
+    pub(crate) fn add_upstream(&mut self, zone: ZoneId) -> u64 {
+        let id = self.upstreams.keys().last().map_or(1, |it| it + 1);
+        self.upstreams.insert(id, Upstream::new(zone));
+        self.apply_update(&DirectoryUpdate::Upstream(announcement(id, zone)));
+        id
+    }
+
+    /// Adds an upstream that is cold for `cold_ms`.
+    pub(crate) fn add_cold_upstream(&mut self, id: u64, zone: ZoneId, cold_ms: u64) {
+        self.upstreams.insert(id, Upstream::new(zone));
+        let cold = Announcement { cold_left: Millis(cold_ms), ..announcement(id, zone) };
+        self.apply_update(&DirectoryUpdate::Upstream(cold));
+    }
+
+    /// Returns the number of requests that an upstream has started.
+    pub(crate) fn started_at(&self, upstream: u64) -> usize {
+        self.upstreams.get(&upstream).map_or(0, |it| it.started_requests.len())
+    }
+
+    /// Returns the number of requests that all upstreams have started.
+    pub(crate) fn started(&self) -> usize {
+        self.upstreams.values().map(|it| it.started_requests.len()).sum()
+    }
+
+    /// Applies an update of the directory at all hosts.
+    pub(crate) fn apply_update(&mut self, update: &DirectoryUpdate) {
+        for (_, host) in &mut self.hosts {
+            host.apply_update(Millis(self.now), update);
+        }
+    }
+
     pub(crate) fn set_health(&mut self, upstream: u64, health: Health) {
         if let Some(it) = self.upstreams.get_mut(&upstream) {
             it.health = health;
@@ -358,6 +406,11 @@
                     self.start_request(caller);
                 }
             }
+            Event::Reopen { caller, step } => {
+                if self.callers[caller].step == step {
+                    self.open_new_flow(caller);
+                }
+            }
             Event::Expire { caller, step } => {
                 if self.callers[caller].step == step {
                     self.counts.expired +=
@@ -493,6 +546,7 @@
         let end = it.slots[free].max(now) + work;
         it.slots[free] = end;
         it.in_flight += 1;
+        self.counts.overloads += u64::from(it.in_flight > MAX_IN_FLIGHT);
         self.counts.max_in_flight = self.counts.max_in_flight.max(it.in_flight);
         self.schedule(
             end - self.now + response_delay,
@@ -545,7 +599,12 @@
         let it = &self.callers[caller];
         if failed && !it.sends_bad_requests || it.answered >= self.cfg.flow_requests {
             // The retry, or the next request, opens a new flow.
-            self.open_new_flow(caller);
+            if self.cfg.max_pause_ms == 0 {
+                self.open_new_flow(caller);
+            } else {
+                let pause = self.rng.random_range(1..=self.cfg.max_pause_ms);
+                self.schedule(pause, Event::Reopen { caller, step });
+            }
             return;
         }
         let think = self.rng.random_range(1..=self.cfg.max_think_ms);
