Forward flows from the first page of the first listing

Change: the directory is listed page by page. Until the listing is complete, an opening packet without an upstream is dropped and not refused, because a later page may bring one. Peers are served only from a complete listing.

--- a/crates/pomelorun-core/src/direct/directory_sync.rs
+++ b/crates/pomelorun-core/src/direct/directory_sync.rs
@@ -23,8 +23,9 @@
 const FOLLOWED_WATCH_WAIT: Millis = Millis(1_000);
 /// Time for a response on top of the wait: more than a hundred times the usual response time.
 const RESPONSE_TIMEOUT: Millis = Millis(600);
-/// Timeout of a listing, which consists of several pages.
-const LIST_TIMEOUT: Millis = Millis(1_000);
+/// Timeout of one page of a listing. The whole listing has none, because it grows with the directory
+/// and all hosts may list it at once.
+const PAGE_TIMEOUT: Millis = Millis(1_000);
 /// Delay after an event, so that events in quick succession are read in one call.
 const EVENT_BATCH_DELAY: Millis = Millis(250);
 /// Delay after the first failure, doubled after each further one.
@@ -122,9 +123,9 @@
 pub enum SyncStep {
     /// List the directory after a pause.
     List {
-        /// Pause before the call.
+        /// Pause before the first call.
         pause: Millis,
-        /// Timeout of the call.
+        /// Timeout of the call for each page.
         limit: Millis,
     },
     /// Watch the directory after a pause.
@@ -200,7 +201,7 @@
                 };
                 SyncStep::Watch { pause, after, wait, limit: wait + RESPONSE_TIMEOUT }
             }
-            None | Some(_) => SyncStep::List { pause, limit: LIST_TIMEOUT },
+            None | Some(_) => SyncStep::List { pause, limit: PAGE_TIMEOUT },
         }
     }
 
--- a/crates/pomelorun-core/src/direct/host.rs
+++ b/crates/pomelorun-core/src/direct/host.rs
@@ -237,6 +237,8 @@
     /// When the directory last became available again.
     directory_recovered_at: Option<Millis>,
     directory_era: DirectoryEra,
+    /// `true` once a full listing has been applied.
+    has_listing: bool,
     /// Live hosts of all zones, including this one, sorted; empty until they are known.
     live_hosts: Vec<HostId>,
     /// Live hosts of this zone, including this one, sorted.
@@ -278,6 +280,7 @@
             directory_last_response: None,
             directory_recovered_at: None,
             directory_era: DirectoryEra::default(),
+            has_listing: false,
             zone_hosts: vec![cfg.host],
             live_hosts: Vec::new(),
             outcomes: OutcomesByRoute::default(),
@@ -304,6 +307,11 @@
         self.cfg = DirectSettings { host, zone, ..cfg };
     }
 
+    /// Returns `true` once the host has applied a full listing.
+    pub fn has_listing(&self) -> bool {
+        self.has_listing
+    }
+
     /// Returns `true` once the host has a revision and at least one upstream, and can forward
     /// flows.
     pub fn is_ready(&self) -> bool {
--- a/crates/pomelorun-core/src/direct/host/directory.rs
+++ b/crates/pomelorun-core/src/direct/host/directory.rs
@@ -30,6 +30,14 @@
         self.directory_state = state;
     }
 
+    /// Applies a page of the initial listing, so that the host forwards flows before it has read the
+    /// others. Does nothing if the host has applied a full listing.
+    pub fn apply_initial_page(&mut self, now: Millis, items: &[DirectoryUpdate]) {
+        if !self.has_listing {
+            items.iter().for_each(|it| self.apply_update(now, it));
+        }
+    }
+
     /// Applies a full listing that this host has read from the directory in `era`.
     ///
     /// In a new era, the listing only adds to what this host knows until the directory has settled
@@ -82,6 +90,7 @@
     /// The listing removes nothing. The configuration never reverts to an older revision, here and
     /// everywhere else.
     fn apply_unsettled_listing(&mut self, now: Millis, all: &[DirectoryUpdate]) {
+        self.has_listing = true;
         for it in all {
             let DirectoryUpdate::Upstream(listed) = it else {
                 self.apply_update(now, it);
@@ -104,6 +113,7 @@
     /// Upstreams that it does not contain count as removed, zones that it does not contain as
     /// restored.
     pub fn apply_listing(&mut self, now: Millis, all: &[DirectoryUpdate]) {
+        self.has_listing = true;
         let mut zones: Vec<ZoneId> = Vec::new();
         let mut ids: Vec<u64> = Vec::new();
         for it in all {
--- a/crates/pomelorun-core/src/direct/host/rejection.rs
+++ b/crates/pomelorun-core/src/direct/host/rejection.rs
@@ -43,8 +43,8 @@
 
     /// Rejects an opening packet for a service without an eligible upstream.
     ///
-    /// The packet is dropped if a cold upstream may accept a retransmission, or if the directory is
-    /// unavailable, because this host may then not know of a new upstream.
+    /// The packet is dropped if a cold upstream may accept a retransmission, or if this host may not
+    /// know all upstreams, because the directory is unavailable or was not listed completely yet.
     pub(super) fn reject_without_upstream(
         &mut self,
         now: Millis,
@@ -57,7 +57,8 @@
             self.registry.get(*ix).is_some_and(|it| it.is_eligible() && now < it.cold_until)
         };
         let has_cold_upstream = self.registry.by_service(service).iter().any(is_cold);
-        if self.directory_state == DirectoryState::Available && !has_cold_upstream {
+        let is_complete = self.has_listing && self.directory_state == DirectoryState::Available;
+        if is_complete && !has_cold_upstream {
             return Verdict::Reset(self.make_reset(
                 now,
                 None,
--- a/crates/pomelorun-core/tests/core/direct/host.rs
+++ b/crates/pomelorun-core/tests/core/direct/host.rs
@@ -3,15 +3,15 @@
 use pomelorun_core::{
     Millis,
     direct::{
-        DirectoryState, DirectoryUpdate, PeerUpdate, ProbeKind, ProbeResult, Reachability, Token,
-        Verdict,
+        DirectHost, DirectoryState, DirectoryUpdate, PeerUpdate, ProbeKind, ProbeResult,
+        Reachability, Token, Verdict,
     },
 };
-use pomelorun_wire::HostId;
+use pomelorun_wire::{FlowKey, HostId, ServiceAddr};
 
 use crate::direct::fixtures::{
     COLD_START_S, LOCAL_HOST, LOCAL_ZONE, REMOTE_ZONE, SERVICE, addr, announcement, data_segment,
-    flow, forwarded_to, host, key, open_flow, open_segment, route, routing,
+    flow, forwarded_to, host, key, open_flow, open_segment, route, routing, settings,
 };
 
 /// Maximum number of flows per second that a cold upstream may receive with these settings. A rule
@@ -506,3 +506,26 @@
     receiving_host.apply_peer_update(Millis(1_500), &update);
     assert!(receiving_host.take_resets().is_empty());
 }
+
+#[test]
+fn host_forwards_from_the_first_page_and_refuses_nothing_until_the_listing_is_complete() {
+    let mut host = DirectHost::new(settings(LOCAL_ZONE));
+    host.set_directory_state(Millis(0), DirectoryState::Available);
+    host.set_hosts(vec![LOCAL_HOST]);
+    let other = ServiceAddr { port: 444, ..SERVICE };
+    let routes = vec![route(SERVICE, "feed"), route(other, "desk")];
+    let first =
+        [routing(1, routes.clone()), DirectoryUpdate::Upstream(announcement(1, LOCAL_ZONE))];
+    host.apply_initial_page(Millis(0), &first);
+    assert!(host.is_ready() && !host.has_listing());
+    open_flow(&mut host, Millis(10), flow(1));
+    let desk = FlowKey { service: other, ..flow(2) };
+    assert_eq!(host.handle_packet(Millis(10), &open_segment(desk, 0)), Verdict::Drop);
+    host.apply_directory_listing(Millis(20), 1, &first);
+    let refused =
+        host.handle_packet(Millis(30), &open_segment(FlowKey { service: other, ..flow(3) }, 0));
+    assert!(matches!(refused, Verdict::Reset(_)), "{refused:?}");
+    // A page of a later listing changes nothing by itself.
+    host.apply_initial_page(Millis(40), &[DirectoryUpdate::ZoneWithdrawn(LOCAL_ZONE)]);
+    assert!(host.view(Millis(40)).zones_out.is_empty());
+}
--- a/crates/pomelorun/src/direct.rs
+++ b/crates/pomelorun/src/direct.rs
@@ -19,7 +19,8 @@
 pub use crate::direct::{
     introspection::{DirectReport, FlowReport, ForwardingMode},
     platform::{
-        Directory, DirectoryError, Events, Listing, MalformedPacket, PacketCodec, Platform, Prober,
+        Directory, DirectoryError, Events, ListingPage, MalformedPacket, PacketCodec, Platform,
+        Prober,
     },
     run::run,
     settings::DirectSettingsFile,
--- a/crates/pomelorun/src/direct/edge.rs
+++ b/crates/pomelorun/src/direct/edge.rs
@@ -119,9 +119,10 @@
 }
 
 impl Edge {
-    /// Returns `true` if the host has a configuration and at least one upstream.
+    /// Returns `true` once the host has applied a full listing with a configuration and at least
+    /// one upstream.
     pub(crate) fn has_initial_listing(&self) -> bool {
-        self.host.is_ready()
+        self.host.has_listing() && self.host.is_ready()
     }
 
     /// Returns `true` if the fabric may send callers' packets to this host.
@@ -299,6 +300,13 @@
         self.host.set_directory_state(now(), state);
     }
 
+    /// Applies a page of the initial listing, before the others have been read.
+    pub(crate) fn apply_initial_page(&mut self, items: &[DirectoryUpdate]) {
+        let now = now();
+        self.host.apply_initial_page(now, items);
+        self.finish_listing(now);
+    }
+
     /// Applies a full listing that this host has read from the directory in `era`.
     pub(crate) fn apply_listing(&mut self, era: u64, items: &[DirectoryUpdate]) {
         let now = now();
@@ -321,7 +329,7 @@
         self.host.is_listing_due(now())
     }
 
-    /// Handles the packets that were received before the first listing.
+    /// Handles the packets that were received before the host could forward any.
     fn finish_listing(&mut self, now: Millis) {
         if self.host.is_ready() {
             for packet in self.early_packets.take_fresh(now) {
--- a/crates/pomelorun/src/direct/platform.rs
+++ b/crates/pomelorun/src/direct/platform.rs
@@ -53,15 +53,18 @@
     AddressChanged,
 }
 
-/// A full listing of the directory.
+/// One page of a full listing of the directory.
 #[derive(Debug, Clone, Default, PartialEq)]
-pub struct Listing {
-    /// All updates that describe the directory's content.
+pub struct ListingPage {
+    /// Updates that describe this part of the directory's content. The configuration and withdrawn
+    /// zones are in the first page.
     pub items: Vec<DirectoryUpdate>,
-    /// Position after which a watch continues.
+    /// Position of the directory when the page was read.
     pub position: DirectoryPosition,
     /// Descriptions of the entries that could not be parsed, each with the reason.
     pub unreadable: Vec<String>,
+    /// Key after which the next page begins; `None` for the last page.
+    pub next: Option<String>,
 }
 
 /// Changes of the directory after a revision.
@@ -80,8 +83,15 @@
     /// Sets the address used for further requests.
     fn set_address(&self, address: SocketAddrV4);
 
-    /// Lists the whole directory.
-    fn list(&self, timeout: Duration) -> LocalBoxFuture<'_, Result<Listing, DirectoryError>>;
+    /// Lists the part of the directory that begins after a key; the first part after an empty one.
+    ///
+    /// The pages are not a snapshot, so a watch must start at the position of the first page. It may
+    /// repeat changes that later pages already contain.
+    fn list_page<'a>(
+        &'a self,
+        after: &'a str,
+        timeout: Duration,
+    ) -> LocalBoxFuture<'a, Result<ListingPage, DirectoryError>>;
 
     /// Returns the changes after a position, waiting for one for at most `wait`.
     ///
--- a/crates/pomelorun/src/direct/reader.rs
+++ b/crates/pomelorun/src/direct/reader.rs
@@ -139,25 +139,36 @@
     }
 }
 
+/// Lists the directory page by page.
 async fn list(
     cx: &ReaderContext,
     sync: &DirectorySync,
-    timeout: Duration,
+    page_timeout: Duration,
 ) -> Result<SyncOutcome, DirectoryError> {
-    let it = cx.directory.list(timeout).await?;
-    match sync.response_era(it.position) {
+    let first = cx.directory.list_page("", page_timeout).await?;
+    match sync.response_era(first.position) {
         ResponseEra::Current => {}
-        ResponseEra::Newer => log_restoration(sync.known_position(), it.position),
-        ResponseEra::Older => return Ok(drop_obsolete(sync.known_position(), it.position)),
+        ResponseEra::Newer => log_restoration(sync.known_position(), first.position),
+        ResponseEra::Older => return Ok(drop_obsolete(sync.known_position(), first.position)),
     }
-    log_unreadable(&it.unreadable);
-    {
-        let mut edge = cx.edge.borrow_mut();
-        edge.set_directory_state(DirectoryState::Available);
-        edge.apply_listing(it.position.era, &it.items);
+    cx.edge.borrow_mut().set_directory_state(DirectoryState::Available);
+    log_unreadable(&first.unreadable);
+    let (position, mut next, mut items) = (first.position, first.next, first.items);
+    let mut applied = 0;
+    while let Some(after) = next {
+        cx.edge.borrow_mut().apply_initial_page(&items[applied..]);
+        applied = items.len();
+        let page = cx.directory.list_page(&after, page_timeout).await?;
+        if page.position.era != position.era {
+            return Ok(SyncOutcome::HistoryExpired);
+        }
+        log_unreadable(&page.unreadable);
+        items.extend(page.items);
+        next = page.next;
     }
-    cx.feed.borrow_mut().reset_followers(it.position);
-    Ok(SyncOutcome::Listed(it.position))
+    cx.edge.borrow_mut().apply_listing(position.era, &items);
+    cx.feed.borrow_mut().reset_followers(position);
+    Ok(SyncOutcome::Listed(position))
 }
 
 async fn watch(
