Start from another host when the first one does not respond

Ruled out: membership (six hosts were known 5 ms after the start), the store (it was turned away until 13.4 s).

Change: the last source is left out, as it was among readers; connecting has a time limit of 0.25 s of its own.

The test fails before: the same host for each of four random numbers.

--- a/crates/pomelorun-core/src/direct/directory_sync.rs
+++ b/crates/pomelorun-core/src/direct/directory_sync.rs
@@ -283,15 +283,20 @@
     fn host_to_follow(&self, now: Millis, readers: &Readers, jitter: f64) -> Option<HostId> {
         if self.known_position.is_none() {
             let ask_directory = self.failures == 0 || self.follow_attempts >= MAX_FOLLOW_ATTEMPTS;
-            return if ask_directory { None } else { pick(&readers.bootstrap_hosts, jitter) };
+            return if ask_directory { None } else { self.pick(&readers.bootstrap_hosts, jitter) };
         }
         if readers.is_reader || self.is_reader(now) || self.follow_attempts >= MAX_FOLLOW_ATTEMPTS {
             return None;
         }
-        // Skips the host that was last followed, because it stopped sending or lost the directory.
+        self.pick(&readers.ranked, jitter)
+    }
+
+    /// Returns one of the hosts, but not the one that was last followed if that ended just now: it
+    /// does not respond, stopped sending or lost the directory.
+    fn pick(&self, hosts: &[HostId], jitter: f64) -> Option<HostId> {
         let is_other = |it: &&HostId| self.follow_attempts == 0 || Some(**it) != self.last_followed;
-        let usable: Vec<HostId> = readers.ranked.iter().filter(is_other).copied().collect();
-        pick(&usable, jitter)
+        let usable: Vec<HostId> = hosts.iter().filter(is_other).copied().collect();
+        usable.get((jitter * usable.len() as f64) as usize).copied()
     }
 
     fn backoff(&self, jitter: f64) -> Millis {
@@ -300,7 +305,3 @@
         Millis((ceiling * (0.5 + jitter / 2.0)) as u64)
     }
 }
-
-fn pick(hosts: &[HostId], jitter: f64) -> Option<HostId> {
-    hosts.get((jitter * hosts.len() as f64) as usize).copied()
-}
--- a/crates/pomelorun-core/tests/core/direct/directory_sync.rs
+++ b/crates/pomelorun-core/tests/core/direct/directory_sync.rs
@@ -273,3 +273,19 @@
     let next = sync.next_step(Millis(30), outcome, &reader(), HasFollowers::Yes, 0.5);
     assert!(matches!(next, SyncStep::Watch { wait, .. } if wait > Millis(0)), "{next:?}");
 }
+
+#[test]
+fn uninitialized_host_does_not_try_the_same_host_twice_in_a_row() {
+    for jitter in [0.0, 0.3, 0.6, 0.99] {
+        let mut sync = DirectorySync::default();
+        let readers = follower();
+        sync.next_step(Millis(0), None, &readers, HasFollowers::No, jitter);
+        let failed = Some(SyncOutcome::Failed);
+        let first = sync.next_step(Millis(10), failed, &readers, HasFollowers::No, jitter);
+        let SyncStep::Follow { host: first, .. } = first else { panic!("{first:?}") };
+        let ended = Some(SyncOutcome::FollowEnded { position: None });
+        let second = sync.next_step(Millis(400), ended, &readers, HasFollowers::No, jitter);
+        let SyncStep::Follow { host: second, .. } = second else { panic!("{second:?}") };
+        assert_ne!(first, second);
+    }
+}
--- a/crates/pomelorun/src/direct/feed.rs
+++ b/crates/pomelorun/src/direct/feed.rs
@@ -35,7 +35,10 @@
 /// Time without a message after which a follower closes a stream: one missed heartbeat, and 600 ms
 /// of delay of the next one.
 const FEED_TIMEOUT: Duration = Duration::from_millis(2_000);
-/// Timeout for each step of opening a stream and for sending one message.
+/// Timeout for connecting to a host. A connection that is accepted at all is accepted within
+/// milliseconds; a host without power does not respond.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Timeout for each further step of opening a stream and for sending one message.
 const IO_TIMEOUT: Duration = Duration::from_millis(700);
 /// Number of messages that a slow follower may lag behind before its stream is closed.
 const MAX_BACKLOG: usize = 256;
@@ -334,7 +337,7 @@
     pub(crate) async fn connect(address: SocketAddrV4, hello: Hello) -> Result<FeedStream, String> {
         let timeout_error = |_| format!("{address}: timed out");
         let stream =
-            timeout(IO_TIMEOUT, TcpStream::connect(address)).await.map_err(timeout_error)?;
+            timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await.map_err(timeout_error)?;
         let stream = stream.map_err(|e| format!("{address}: {e}"))?;
         let opened =
             client_async_with_config(format!("ws://{address}/"), stream, Some(websocket_config()));
