Compare an upstream with its reference in the same time

A reader with a link of 20 Mbit/s that had just sent 1,881 new routes to its followers had a full link while it probed, and an empty one 19 ms later for the reference. The upstream lived; its flows were reset by ten hosts.

Change: after 75 ms without an answer, a second attempt and the reference begin together, and all end after 150 ms as before. `conclude_attempts` decides what they show. Ruled out: a longer time limit alone (a link may be full for longer), the reference at the very start (a connection more for each suspicion, most of which end in milliseconds).

The tests of the verdict are new, since the verdict was no code of its own; the connections themselves are covered by no test.

--- a/crates/pomelorun-core/src/direct.rs
+++ b/crates/pomelorun-core/src/direct.rs
@@ -43,7 +43,10 @@
         ReplicatedUpdate, ResetPacket, Verdict,
     },
     latency::{BUCKET_BOUNDS_MS, LatencyHistogram},
-    liveness::{Liveness, ProbeEffect, ProbeKind, ProbeResult, Reachability, UnansweredPacket},
+    liveness::{
+        ConnectAttempt, Liveness, ProbeEffect, ProbeKind, ProbeResult, Reachability,
+        UnansweredPacket, conclude_attempts,
+    },
     load::Load,
     observed_flows::{Flow, ObservedFlows},
     outcomes::ServiceOutcomes,
--- a/crates/pomelorun-core/src/direct/host.rs
+++ b/crates/pomelorun-core/src/direct/host.rs
@@ -160,7 +160,8 @@
     pub kind: ProbeKind,
     /// Path of the health check, which returns the upstream's identity.
     pub path: String,
-    /// Address of another upstream that responded recently, to be probed after a timeout.
+    /// Address of another upstream that responded recently, to be connected to together with a second
+    /// attempt if the upstream does not accept a connection at once.
     ///
     /// If it does not respond either, the fault is probably local and the probe is inconclusive.
     pub reference_addr: Option<SocketAddrV4>,
--- a/crates/pomelorun-core/src/direct/liveness.rs
+++ b/crates/pomelorun-core/src/direct/liveness.rs
@@ -64,6 +64,43 @@
     Inconclusive,
 }
 
+/// Result of an attempt to connect.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConnectAttempt {
+    /// The connection was accepted.
+    Accepted,
+    /// The address responded, but no process listens there.
+    Refused,
+    /// The attempt timed out, or the network or host is unreachable.
+    NoResponse,
+    /// The attempt failed on this host, for example for lack of file descriptors.
+    LocalError,
+}
+
+/// Returns what two attempts to connect to an upstream show, compared with an attempt to connect to a
+/// reference upstream in the same time.
+///
+/// The reference tells a fault of the upstream from one of this host's own link. There are two
+/// attempts because a full link drops single packets.
+pub fn conclude_attempts(
+    attempts: [ConnectAttempt; 2],
+    reference: Option<ConnectAttempt>,
+) -> ProbeResult {
+    if attempts.contains(&ConnectAttempt::Accepted) {
+        return ProbeResult::Answered;
+    }
+    if attempts.contains(&ConnectAttempt::Refused) {
+        return ProbeResult::NoResponse;
+    }
+    if attempts.contains(&ConnectAttempt::LocalError) {
+        return ProbeResult::Inconclusive;
+    }
+    match reference {
+        None | Some(ConnectAttempt::Accepted | ConnectAttempt::Refused) => ProbeResult::NoResponse,
+        Some(ConnectAttempt::NoResponse | ConnectAttempt::LocalError) => ProbeResult::Inconclusive,
+    }
+}
+
 /// Reachability of an upstream from this host.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Reachability {
--- a/crates/pomelorun-core/tests/core/direct.rs
+++ b/crates/pomelorun-core/tests/core/direct.rs
@@ -11,6 +11,7 @@
 mod introspection;
 mod joining;
 mod outliers;
+mod probing;
 mod registry;
 mod routing;
 mod simulation;
--- /dev/null
+++ b/crates/pomelorun-core/tests/core/direct/probing.rs
@@ -0,0 +1,35 @@
+//! What attempts to connect show about an upstream.
+
+use pomelorun_core::direct::{ConnectAttempt, ProbeResult, conclude_attempts};
+
+use ConnectAttempt::{Accepted, LocalError, NoResponse, Refused};
+
+#[test]
+fn one_accepted_attempt_shows_that_the_upstream_lives() {
+    for reference in [None, Some(Accepted), Some(NoResponse)] {
+        // The first packet was dropped by a full link, or the first attempt was slow.
+        assert_eq!(conclude_attempts([NoResponse, Accepted], reference), ProbeResult::Answered);
+        assert_eq!(conclude_attempts([Accepted, NoResponse], reference), ProbeResult::Answered);
+        assert_eq!(conclude_attempts([Refused, Accepted], reference), ProbeResult::Answered);
+    }
+}
+
+#[test]
+fn silence_counts_only_if_the_reference_responds_in_the_same_time() {
+    let silent = [NoResponse; 2];
+    assert_eq!(conclude_attempts(silent, Some(Accepted)), ProbeResult::NoResponse);
+    assert_eq!(conclude_attempts(silent, Some(Refused)), ProbeResult::NoResponse);
+    assert_eq!(conclude_attempts(silent, None), ProbeResult::NoResponse);
+    assert_eq!(conclude_attempts(silent, Some(NoResponse)), ProbeResult::Inconclusive);
+    assert_eq!(conclude_attempts(silent, Some(LocalError)), ProbeResult::Inconclusive);
+}
+
+#[test]
+fn refusals_count_and_local_errors_do_not() {
+    assert_eq!(conclude_attempts([Refused; 2], None), ProbeResult::NoResponse);
+    assert_eq!(conclude_attempts([LocalError; 2], None), ProbeResult::Inconclusive);
+    assert_eq!(
+        conclude_attempts([NoResponse, LocalError], Some(Accepted)),
+        ProbeResult::Inconclusive
+    );
+}
--- a/crates/pomelorun/src/direct/probes.rs
+++ b/crates/pomelorun/src/direct/probes.rs
@@ -1,9 +1,9 @@
 //! The service `probes`: checks whether an upstream responds, and whether it is the expected one.
 
-use std::{io::ErrorKind, net::SocketAddrV4, rc::Rc, time::Duration};
+use std::{io::ErrorKind, net::SocketAddrV4, pin::pin, rc::Rc, time::Duration};
 
 use actix::Recipient;
-use pomelorun_core::direct::{Probe, ProbeKind, ProbeResult};
+use pomelorun_core::direct::{ConnectAttempt, Probe, ProbeKind, ProbeResult, conclude_attempts};
 use pomelorun_wire::Code;
 use spdlog::prelude::*;
 use tokio::{
@@ -25,10 +25,10 @@
 const PROBES: &str = "probes";
 /// Timeout for connecting to an upstream: about 30 round trips between zones.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
-/// Timeout for connecting to the reference upstream, which responded recently; if it does not
-/// accept the connection either, the fault is probably local. Half of [`CONNECT_TIMEOUT`], because
-/// a path slow enough to delay the first connection delays this one too.
-const REFERENCE_TIMEOUT: Duration = Duration::from_millis(75);
+/// Delay after which an upstream that has not accepted a connection gets a second attempt, together
+/// with the reference upstream. Both have half of [`CONNECT_TIMEOUT`] left, so that they end with the
+/// first attempt: a reference that is connected to later may find that a full link has drained.
+const SECOND_ATTEMPT_DELAY: Duration = Duration::from_millis(75);
 /// Timeout for the identifier of an upstream, which responds only after the requests queued there.
 const IDENTIFY_TIMEOUT: Duration = Duration::from_millis(500);
 /// Maximum number of concurrent probes.
@@ -99,52 +99,52 @@
     }
 }
 
+/// Connects to the upstream, and after [`SECOND_ATTEMPT_DELAY`] once more, together with the reference
+/// upstream.
 async fn connect(it: &Probe) -> ProbeResult {
-    match try_connect(it.addr, CONNECT_TIMEOUT).await {
-        ConnectResult::Accepted => ProbeResult::Answered,
-        ConnectResult::Refused => ProbeResult::NoResponse,
-        ConnectResult::LocalError => ProbeResult::Inconclusive,
-        ConnectResult::NoResponse => {
-            let Some(reference) = it.reference_addr else { return ProbeResult::NoResponse };
-            match try_connect(reference, REFERENCE_TIMEOUT).await {
-                ConnectResult::Accepted | ConnectResult::Refused => ProbeResult::NoResponse,
-                ConnectResult::NoResponse | ConnectResult::LocalError => {
-                    warn!("probe inconclusive: reference upstream does not respond either", kv: {
-                        code = Code::LOCAL_FAULT.to_string(),
-                        upstream = format!("{:016x}", it.upstream.id)
-                    });
-                    ProbeResult::Inconclusive
-                }
-            }
+    let mut first = pin!(try_connect(it.addr, CONNECT_TIMEOUT));
+    let early = timeout(SECOND_ATTEMPT_DELAY, &mut first).await.ok();
+    if let Some(it) = early.filter(|it| *it != ConnectAttempt::NoResponse) {
+        return conclude_attempts([it; 2], None);
+    }
+    let remaining = CONNECT_TIMEOUT - SECOND_ATTEMPT_DELAY;
+    let rest_of_first = async {
+        match early {
+            Some(it) => it,
+            None => first.await,
         }
+    };
+    let reference = async {
+        match it.reference_addr {
+            Some(addr) => Some(try_connect(addr, remaining).await),
+            None => None,
+        }
+    };
+    let second = try_connect(it.addr, remaining);
+    let (first, second, reference) = tokio::join!(rest_of_first, second, reference);
+    let result = conclude_attempts([first, second], reference);
+    if result == ProbeResult::Inconclusive {
+        warn!("probe inconclusive: reference upstream does not respond either", kv: {
+            code = Code::LOCAL_FAULT.to_string(), upstream = format!("{:016x}", it.upstream.id)
+        });
     }
+    result
 }
 
-/// Result of an attempt to connect.
-enum ConnectResult {
-    Accepted,
-    /// The address responded, but no process listens there.
-    Refused,
-    /// The attempt timed out, or the network or host is unreachable.
-    NoResponse,
-    /// The attempt failed on this host, for example for lack of file descriptors.
-    LocalError,
-}
-
-async fn try_connect(addr: SocketAddrV4, connect_timeout: Duration) -> ConnectResult {
+async fn try_connect(addr: SocketAddrV4, connect_timeout: Duration) -> ConnectAttempt {
     match timeout(connect_timeout, TcpStream::connect(addr)).await {
-        Ok(Ok(_)) => ConnectResult::Accepted,
-        Err(_) => ConnectResult::NoResponse,
+        Ok(Ok(_)) => ConnectAttempt::Accepted,
+        Err(_) => ConnectAttempt::NoResponse,
         Ok(Err(e)) => match e.kind() {
-            ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset => ConnectResult::Refused,
+            ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset => ConnectAttempt::Refused,
             ErrorKind::HostUnreachable | ErrorKind::NetworkUnreachable | ErrorKind::TimedOut => {
-                ConnectResult::NoResponse
+                ConnectAttempt::NoResponse
             }
             _ => {
                 warn!("cannot send probe", kv: {
                     code = Code::LOCAL_FAULT.to_string(), error = e.to_string()
                 });
-                ConnectResult::LocalError
+                ConnectAttempt::LocalError
             }
         },
     }
