Send an opening packet to another upstream when its answer is overdue

Cause: a caller retransmits its opening packet after 200 ms, and response-time goals are 120 and 150 ms.

Change: a host observes per zone how long openings take (mean and deviation as in RFC 6298), and sends an opening that is overdue to another good upstream at once; suspicion of the first one starts then. A budget of a fifth of the openings answered recently bounds the retries, so that slow openings under load are not doubled. Answers in the socket are read before an opening counts as overdue.

Ruled out: a fixed delay (a slow path would have all openings sent twice), and a wider flow table entry per attempt.

Tests without the bench: opening_retries (upstreams gone, full, 5% loss, none answering, overload); the first three seen to fail without the retries.

--- a/crates/pomelorun-core/src/direct.rs
+++ b/crates/pomelorun-core/src/direct.rs
@@ -17,7 +17,9 @@
 mod latency;
 mod liveness;
 mod load;
+mod mechanism;
 mod observed_flows;
+mod opening_retry;
 mod outcomes;
 mod outlier;
 mod peer_update;
@@ -36,11 +38,11 @@
     directory_sync::{
         DirectoryPosition, DirectorySync, HasFollowers, Readers, ResponseEra, SyncOutcome, SyncStep,
     },
-    event::{DirectEvent, DropReason, LifecycleChange, OpenReason, ResetReason},
+    event::{DirectEvent, DropReason, LifecycleChange, OpenCause, OpenReason, ResetReason},
     fleet::{Fleet, FleetMsg, OutboundMessages, address_of, host_at},
     host::{
-        DirectHost, DirectSettings, DirectStats, DirectoryState, DirectoryUpdate, Probe,
-        ReplicatedUpdate, ResetPacket, Verdict,
+        DirectHost, DirectSettings, DirectStats, DirectoryState, DirectoryUpdate, OpeningRetry,
+        Probe, ReplicatedUpdate, ResetPacket, Verdict,
     },
     latency::{BUCKET_BOUNDS_MS, LatencyHistogram},
     liveness::{
@@ -48,6 +50,7 @@
         UnansweredPacket, conclude_attempts,
     },
     load::Load,
+    mechanism::{Disabled, Mechanism},
     observed_flows::{Flow, ObservedFlows},
     outcomes::ServiceOutcomes,
     outlier::FailureReport,
--- a/crates/pomelorun-core/src/direct/event.rs
+++ b/crates/pomelorun-core/src/direct/event.rs
@@ -7,6 +7,17 @@
     time::Millis,
 };
 
+/// Why an opening packet was sent to an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OpenCause {
+    /// It is the caller's first transmission.
+    FirstPacket,
+    /// The caller retransmitted it.
+    Retransmission,
+    /// The answer of another upstream was overdue.
+    Overdue,
+}
+
 /// Why an upstream was chosen for a flow.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct OpenReason {
@@ -18,6 +29,8 @@
     pub waiting: f64,
     /// Copies of the opening packet that were sent to other upstreams before.
     pub previous_attempts: usize,
+    /// Why the opening packet was sent.
+    pub cause: OpenCause,
 }
 
 /// Why a flow was reset.
--- a/crates/pomelorun-core/src/direct/host.rs
+++ b/crates/pomelorun-core/src/direct/host.rs
@@ -4,6 +4,7 @@
 mod failure_detection;
 mod flow_placement;
 mod introspection;
+mod opening_retries;
 mod outlier_detection;
 mod rejection;
 mod token_queries;
@@ -13,6 +14,7 @@
 use pomelorun_wire::{FlowKey, HostId, ZoneId};
 use serde::{Deserialize, Serialize};
 
+pub use crate::direct::host::opening_retries::OpeningRetry;
 use crate::{
     direct::{
         cold::{ColdBudget, ColdLimit},
@@ -21,7 +23,9 @@
         latency::LatencyHistogram,
         liveness::{Liveness, MIN_RETRANSMIT_GAP, ProbeKind, Reachability},
         load::Load,
-        observed_flows::{Flow, ObservedFlows, TriedUpstreams},
+        mechanism::Disabled,
+        observed_flows::{Attempts, Flow, ObservedFlows},
+        opening_retry::{OpeningTimes, PendingOpenings, RetryBudget},
         outcomes::{OutcomesByRoute, ServiceOutcomes},
         outlier::{AnswersByRoute, FailureReport, OutlierState, PendingReport, REPORT_INTERVAL},
         peer_update::PeerUpdate,
@@ -67,6 +71,8 @@
     /// Maximum age of the directory's last response at which an address without a route is rejected
     /// instead of dropped.
     pub directory_max_age: Millis,
+    /// Mechanisms that are switched off.
+    pub disabled: Disabled,
 }
 
 impl DirectSettings {
@@ -176,6 +182,10 @@
     pub opened: u64,
     /// Retransmitted opening packets that were placed again, on another upstream if there is one.
     pub retried_opens: u64,
+    /// Opening packets that this host sent to another upstream because the answer was overdue.
+    pub overdue_opens: u64,
+    /// Overdue opening packets that were not sent again, because too many were.
+    pub retries_withheld: u64,
     /// Flows reset.
     pub resets: u64,
     /// Opening packets rejected or dropped because the service address that they are sent to has no
@@ -230,6 +240,10 @@
     /// When expired upstreams were last removed.
     last_expiry: Millis,
     flows: ObservedFlows,
+    pending_openings: PendingOpenings,
+    /// Time that upstreams take to answer opening packets, sorted by zone.
+    opening_times: Vec<(ZoneId, OpeningTimes)>,
+    retry_budget: RetryBudget,
     /// Sorted.
     withdrawn_zones: Vec<ZoneId>,
     directory_state: DirectoryState,
@@ -270,6 +284,9 @@
     pub fn new(cfg: DirectSettings) -> DirectHost {
         DirectHost {
             flows: ObservedFlows::new(cfg.max_flows),
+            pending_openings: PendingOpenings::default(),
+            opening_times: Vec::new(),
+            retry_budget: RetryBudget::default(),
             routing: Arc::default(),
             registry: Registry::default(),
             upstream_states: Vec::new(),
@@ -483,15 +500,15 @@
                 return self.forward(ix);
             }
             let (ix, sent) = (flow.upstream(), flow.unanswered_since.unwrap_or(now));
-            if now.since(sent) < MIN_RETRANSMIT_GAP {
+            let attempts = flow.attempts.clone();
+            if now.since(attempts.first_sent) < MIN_RETRANSMIT_GAP {
                 return self.forward(ix);
             }
-            let tried = flow.tried.clone();
             self.record_retransmission(now, ix, seg.flow, sent);
-            return self.place_flow(now, seg, tried);
+            return self.place_flow(now, seg, attempts);
         }
         self.remove_flow(&seg.flow);
-        self.place_flow(now, seg, TriedUpstreams::new())
+        self.place_flow(now, seg, Attempts::none(now))
     }
 
     fn forward_by_token(&mut self, now: Millis, seg: &Segment) -> Verdict {
--- a/crates/pomelorun-core/src/direct/host/failure_detection.rs
+++ b/crates/pomelorun-core/src/direct/host/failure_detection.rs
@@ -8,8 +8,8 @@
     direct::{
         event::{DirectEvent, LifecycleChange, ResetReason},
         host::{DirectHost, Probe, ResetPacket, release_load},
-        liveness::{ProbeEffect, ProbeKind, ProbeResult, Reachability},
-        observed_flows::Flow,
+        liveness::{MIN_RETRANSMIT_GAP, ProbeEffect, ProbeKind, ProbeResult, Reachability},
+        observed_flows::{Attempts, Flow},
         outlier::EjectDecision,
         peer_update::PeerUpdate,
         registry::{UpstreamIx, UpstreamKey},
@@ -134,9 +134,7 @@
     /// when the flow was opened through another host.
     pub(super) fn record_established(&mut self, now: Millis, ix: UpstreamIx, seg: &Segment) {
         if let Some(opening) = self.flows.remove(&seg.flow) {
-            if let Some(sent_at) = opening.unanswered_since {
-                self.stats.open_latency.record(now.since(sent_at).0);
-            }
+            self.record_opening_time(now, ix, &opening);
             if let Some(it) = self.outcomes.counters(&self.routing, seg.flow.service) {
                 it.opened += 1;
             }
@@ -145,7 +143,7 @@
         let has_data = seg.len > 0;
         let inserted = self.flows.insert(Flow {
             key: seg.flow,
-            tried: SmallVec::from_slice(&[ix]),
+            attempts: Attempts { upstreams: SmallVec::from_slice(&[ix]), first_sent: now },
             established: true,
             last_packet: now,
             ack: seg.ack,
@@ -192,9 +190,23 @@
         ix: UpstreamIx,
         flow: FlowKey,
         sent: Millis,
+    ) {
+        if now.since(sent) >= MIN_RETRANSMIT_GAP {
+            self.record_unanswered(now, ix, flow, sent);
+        }
+    }
+
+    /// Records that a packet forwarded at `sent` has no answer although it is due, and probes its
+    /// upstream if that makes it suspect.
+    pub(super) fn record_unanswered(
+        &mut self,
+        now: Millis,
+        ix: UpstreamIx,
+        flow: FlowKey,
+        sent: Millis,
     ) {
         let Some(state) = self.upstream_states.get_mut(ix.0 as usize) else { return };
-        let kind = state.liveness.record_retransmission(now, flow, sent);
+        let kind = state.liveness.record_unanswered(now, flow, sent);
         if state.liveness.reachability() != Reachability::Answering {
             self.mark_unhealthy(ix);
         }
--- a/crates/pomelorun-core/src/direct/host/flow_placement.rs
+++ b/crates/pomelorun-core/src/direct/host/flow_placement.rs
@@ -8,10 +8,10 @@
 use crate::{
     direct::{
         admission::{Contender, credit_joining},
-        event::{DirectEvent, OpenReason},
+        event::{DirectEvent, OpenCause, OpenReason},
         host::{DirectHost, Verdict},
         liveness::Reachability,
-        observed_flows::{Flow, TriedUpstreams},
+        observed_flows::{Attempts, Flow},
         placement::{Candidate, Choice, choose},
         registry::{Upstream, UpstreamIx, UpstreamKey},
         segment::Segment,
@@ -23,12 +23,7 @@
 
 impl DirectHost {
     /// Chooses an upstream for a flow and forwards its opening packet there.
-    pub(super) fn place_flow(
-        &mut self,
-        now: Millis,
-        seg: &Segment,
-        mut tried: TriedUpstreams,
-    ) -> Verdict {
+    pub(super) fn place_flow(&mut self, now: Millis, seg: &Segment, attempts: Attempts) -> Verdict {
         let routing = Arc::clone(&self.routing);
         let Some(route) = routing.route(seg.flow.service) else {
             return self.reject_without_route(now, seg);
@@ -36,7 +31,7 @@
         let Some(service) = route.service_of(&seg.flow) else {
             return self.reject_without_route(now, seg);
         };
-        let mut candidates = self.candidates(now, service, &seg.flow, &tried);
+        let mut candidates = self.candidates(now, service, &seg.flow, &attempts.upstreams);
         self.admit_joining(now, &mut candidates);
         let Some(best) = choose(&candidates) else {
             return self.reject_without_upstream(now, service, seg);
@@ -44,34 +39,54 @@
         if best.choice == Choice::Unreachable {
             return self.reject_unreachable(now, &candidates, seg);
         }
+        let cause = if attempts.upstreams.is_empty() {
+            OpenCause::FirstPacket
+        } else {
+            OpenCause::Retransmission
+        };
+        self.open_at(now, seg, attempts, &best, candidates.len(), cause)
+    }
+
+    /// Forwards an opening packet to an upstream and tracks the flow.
+    pub(super) fn open_at(
+        &mut self,
+        now: Millis,
+        seg: &Segment,
+        mut attempts: Attempts,
+        best: &Candidate,
+        candidates: usize,
+        cause: OpenCause,
+    ) -> Verdict {
         let state = &mut self.upstream_states[best.ix.0 as usize];
         state.load.record_open(now);
         if self.registry.get(best.ix).is_some_and(|it| now < it.cold_until) {
             state.cold.record_open(now);
         }
         let Some(it) = self.registry.get(best.ix) else { return Verdict::Drop };
-        let upstream = it.announcement.key;
+        let (upstream, zone) = (it.announcement.key, it.announcement.zone);
         let reason = OpenReason {
             choice: best.choice,
-            candidates: candidates.len(),
+            candidates,
             waiting: best.waiting,
-            previous_attempts: tried.len(),
+            previous_attempts: attempts.upstreams.len(),
+            cause,
         };
         self.emit(DirectEvent::Opened {
             flow: seg.flow,
             upstream,
             reason,
-            revision: routing.revision,
+            revision: self.routing.revision,
         });
-        if tried.is_empty() {
-            self.stats.opened += 1;
-        } else {
-            self.stats.retried_opens += 1;
+        match cause {
+            OpenCause::FirstPacket => self.stats.opened += 1,
+            OpenCause::Retransmission => self.stats.retried_opens += 1,
+            OpenCause::Overdue => self.stats.overdue_opens += 1,
         }
-        tried.push(best.ix);
+        attempts.upstreams.push(best.ix);
+        self.await_answer(now, seg, zone, attempts.upstreams.len());
         self.flows.insert(Flow {
             key: seg.flow,
-            tried,
+            attempts,
             established: false,
             last_packet: now,
             ack: 0,
--- a/crates/pomelorun-core/src/direct/liveness.rs
+++ b/crates/pomelorun-core/src/direct/liveness.rs
@@ -173,9 +173,9 @@
         self.mark_responding(now)
     }
 
-    /// Records the retransmission of a packet that was first forwarded at `sent`, and returns the
-    /// kind of probe to send, if any.
-    pub fn record_retransmission(
+    /// Records that a packet first forwarded at `sent` has no answer although it is due, and returns
+    /// the kind of probe to send, if any.
+    pub fn record_unanswered(
         &mut self,
         now: Millis,
         flow: FlowKey,
@@ -183,10 +183,7 @@
     ) -> Option<ProbeKind> {
         // `sent` can equal `last_response`, because one packet can carry a request and acknowledge
         // the previous response. The request is unanswered in that case.
-        if self.unreachable.is_some()
-            || sent < self.last_response
-            || now.since(sent) < MIN_RETRANSMIT_GAP
-        {
+        if self.unreachable.is_some() || sent < self.last_response {
             return None;
         }
         self.expire_unanswered(now);
--- a/crates/pomelorun-core/src/direct/observed_flows.rs
+++ b/crates/pomelorun-core/src/direct/observed_flows.rs
@@ -9,8 +9,21 @@
 
 use crate::{direct::registry::UpstreamIx, time::Millis};
 
-/// Upstreams to which the transmissions of one opening packet were sent, in order.
-pub(crate) type TriedUpstreams = SmallVec<[UpstreamIx; 3]>;
+/// Transmissions of one opening packet, by its caller and by this host.
+#[derive(Debug, Clone)]
+pub(crate) struct Attempts {
+    /// Upstreams that it was sent to, in order.
+    pub(crate) upstreams: SmallVec<[UpstreamIx; 3]>,
+    /// When it was sent to the first of them.
+    pub(crate) first_sent: Millis,
+}
+
+impl Attempts {
+    /// Returns the attempts of a packet that has not been sent yet.
+    pub(crate) fn none(now: Millis) -> Attempts {
+        Attempts { upstreams: SmallVec::new(), first_sent: now }
+    }
+}
 
 /// State of one flow.
 #[derive(Debug, Clone)]
@@ -18,7 +31,7 @@
     /// Identity of the flow.
     pub key: FlowKey,
     /// Upstreams that the opening packet was sent to; the last one holds the flow.
-    pub(crate) tried: TriedUpstreams,
+    pub(crate) attempts: Attempts,
     /// `true` once a packet after the opening one was seen.
     pub established: bool,
     /// When the last packet was seen.
@@ -47,7 +60,15 @@
 impl Flow {
     /// Returns the upstream that holds the flow, or that its opening packet was last sent to.
     pub fn upstream(&self) -> UpstreamIx {
-        self.tried.last().copied().unwrap_or(UpstreamIx(u32::MAX))
+        self.attempts.upstreams.last().copied().unwrap_or(UpstreamIx(u32::MAX))
+    }
+
+    /// Returns when the opening packet was sent to an upstream, if it was the first or the last one.
+    pub(crate) fn sent_to(&self, ix: UpstreamIx) -> Option<Millis> {
+        if self.upstream() == ix {
+            return self.unanswered_since;
+        }
+        (self.attempts.upstreams.first() == Some(&ix)).then_some(self.attempts.first_sent)
     }
 }
 
--- a/crates/pomelorun-core/tests/core/direct/fixtures.rs
+++ b/crates/pomelorun-core/tests/core/direct/fixtures.rs
@@ -6,8 +6,8 @@
     Millis,
     direct::{
         Announcement, ColdLimit, DirectHost, DirectRoute, DirectSettings, DirectoryState,
-        DirectoryUpdate, RouteTarget, Routing, Segment, SegmentKind, ServiceLimits, Token,
-        UpstreamKey, Verdict,
+        DirectoryUpdate, Disabled, RouteTarget, Routing, Segment, SegmentKind, ServiceLimits,
+        Token, UpstreamKey, Verdict,
     },
 };
 use pomelorun_wire::{FlowKey, HostId, ServiceAddr, ZoneId};
@@ -28,6 +28,7 @@
         lapse_grace: Millis(2_000),
         flow_lifetime: Millis(60_000),
         directory_max_age: Millis(4_500),
+        disabled: Disabled::default(),
     }
 }
 
--- /dev/null
+++ b/crates/pomelorun-core/tests/core/direct/opening_retries.rs
@@ -0,0 +1,143 @@
+//! Load of callers that open a flow for each request while openings are not answered: how many of
+//! them open late.
+
+use pomelorun_core::direct::{Disabled, Mechanism};
+
+use crate::direct::simulation::{Counts, Health, OutlierScope, Simulation, SimulationConfig};
+
+const SHORT_FLOWS: SimulationConfig = SimulationConfig {
+    zones: 3,
+    hosts_per_zone: 3,
+    upstreams_per_zone: 5,
+    callers_per_zone: 40,
+    max_think_ms: 1,
+    max_work_ms: 40,
+    loss_one_in: 0,
+    outlier_scope: OutlierScope::PerZone,
+    flow_requests: 1,
+    max_pause_ms: 400,
+};
+const SEEDS: u64 = 8;
+/// Fewer, because an overloaded simulation is slow.
+const OVERLOAD_SEEDS: u64 = 2;
+const FAULT_START_MS: u64 = 6_000;
+const FAULT_DURATION_MS: u64 = 3_000;
+/// Maximum share of the openings that hosts may retry, as a fraction of one in this many, beyond
+/// [`MAX_FREE_RETRIES`].
+const MAX_RETRIES_ONE_IN: u64 = 5;
+/// Retries that a host may make without any recent opening.
+const MAX_FREE_RETRIES: u64 = 3;
+
+/// Runs a fault with and without retries, and returns what happened during it.
+fn during(cfg: SimulationConfig, seed: u64, start: impl Fn(&mut Simulation)) -> (Counts, Counts) {
+    let run = |disabled: Disabled| {
+        let mut simulation = Simulation::without(disabled, cfg, seed);
+        simulation.run_until(FAULT_START_MS);
+        let before = simulation.counts;
+        start(&mut simulation);
+        simulation.run_until(FAULT_START_MS + FAULT_DURATION_MS);
+        let after = simulation.counts;
+        Counts {
+            answered: after.answered - before.answered,
+            in_time: after.in_time - before.in_time,
+            opened: after.opened - before.opened,
+            late_openings: after.late_openings - before.late_openings,
+            retries: after.retries - before.retries,
+            ..after
+        }
+    };
+    (run(Disabled::default()), run(Disabled::new(vec![Mechanism::OpeningRetry])))
+}
+
+/// Checks that retries leave at most the fraction `left` of the late openings that there are without
+/// them, over all seeds.
+fn assert_fewer_late_openings(
+    name: &str,
+    cfg: SimulationConfig,
+    left: (u64, u64),
+    start: impl Fn(&mut Simulation),
+) {
+    let (mut late, mut late_without) = (0, 0);
+    let (mut answered, mut answered_without) = (0, 0);
+    for seed in 0..SEEDS {
+        let (with, without) = during(cfg, seed, &start);
+        assert_eq!(with.false_resets, 0, "{name}, seed {seed}");
+        late += with.late_openings;
+        late_without += without.late_openings;
+        answered += with.answered;
+        answered_without += without.answered;
+    }
+    // The callers' random pauses differ between the two runs once one opening does.
+    assert!(answered * 100 >= answered_without * 99, "{name}: {answered} of {answered_without}");
+    assert!(late_without > 0, "{name}: the load shows nothing");
+    assert!(
+        late * left.1 <= late_without * left.0,
+        "{name}: {late} late, {late_without} without retries"
+    );
+}
+
+#[test]
+fn callers_do_not_wait_for_an_upstream_that_is_gone() {
+    assert_fewer_late_openings("gone", SHORT_FLOWS, (1, 4), |it| {
+        it.set_health(2, Health::Unresponsive);
+        it.set_health(6, Health::Unresponsive);
+    });
+}
+
+#[test]
+fn callers_do_not_wait_for_a_full_upstream() {
+    assert_fewer_late_openings("full", SHORT_FLOWS, (1, 4), |it| it.set_health(4, Health::Full));
+}
+
+#[test]
+fn lost_opening_packets_are_sent_again() {
+    let cfg = SimulationConfig { loss_one_in: 20, ..SHORT_FLOWS };
+    // Half of the packets are lost on their way from the caller, out of the hosts' reach.
+    assert_fewer_late_openings("lossy", cfg, (2, 3), |_| {});
+}
+
+#[test]
+fn openings_are_not_retried_while_all_are_answered() {
+    for seed in 0..SEEDS {
+        let (with, without) = during(SHORT_FLOWS, seed, |_| {});
+        assert_eq!((with.retries, with.late_openings), (0, 0), "seed {seed}");
+        assert_eq!(with.answered, without.answered, "seed {seed}");
+    }
+}
+
+#[test]
+fn retries_stay_within_the_budget_while_no_upstream_answers() {
+    for seed in 0..SEEDS {
+        let upstreams = u64::from(SHORT_FLOWS.zones) * SHORT_FLOWS.upstreams_per_zone;
+        let (with, without) = during(SHORT_FLOWS, seed, |it| {
+            for id in 1..=upstreams {
+                it.set_health(id, Health::Full);
+            }
+        });
+        let hosts = u64::from(SHORT_FLOWS.zones * SHORT_FLOWS.hosts_per_zone);
+        // The budget counts the openings of the seconds before.
+        let opened_before = with.opened.max(1) + opened_before(seed);
+        let bound = hosts * MAX_FREE_RETRIES + opened_before / MAX_RETRIES_ONE_IN;
+        assert!(with.retries <= bound, "seed {seed}: {} retries of {opened_before}", with.retries);
+        assert!(with.answered >= without.answered, "seed {seed}: {with:?} {without:?}");
+    }
+}
+
+/// Returns the number of flows opened before the fault.
+fn opened_before(seed: u64) -> u64 {
+    let mut simulation = Simulation::new(SHORT_FLOWS, seed);
+    simulation.run_until(FAULT_START_MS);
+    simulation.counts.opened
+}
+
+#[test]
+fn overload_is_not_made_worse() {
+    // Twice as many callers as the upstreams can serve.
+    let cfg = SimulationConfig { callers_per_zone: 400, max_pause_ms: 200, ..SHORT_FLOWS };
+    for seed in 0..OVERLOAD_SEEDS {
+        let (with, without) = during(cfg, seed, |_| {});
+        let bound = with.opened / MAX_RETRIES_ONE_IN;
+        assert!(with.retries <= bound, "seed {seed}: {with:?}");
+        assert!(with.in_time * 100 >= without.in_time * 99, "seed {seed}: {with:?} {without:?}");
+    }
+}
--- a/crates/pomelorun-core/tests/core/direct/simulation.rs
+++ b/crates/pomelorun-core/tests/core/direct/simulation.rs
@@ -10,16 +10,20 @@
 use pomelorun_core::{
     Millis,
     direct::{
-        Announcement, DirectEvent, DirectHost, DirectoryState, DirectoryUpdate, ProbeKind,
-        ProbeResult, ResetPacket, Segment, SegmentKind, Token, Verdict,
+        Announcement, DirectEvent, DirectHost, DirectoryState, DirectoryUpdate, Disabled,
+        ProbeKind, ProbeResult, ResetPacket, Segment, SegmentKind, Token, Verdict,
     },
 };
 use pomelorun_wire::{FlowKey, HostId, ZoneId};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use crate::direct::fixtures::{SERVICE, addr, announcement, key, route, routing, settings};
+use crate::direct::fixtures::{
+    SERVICE, addr, announcement, key, open_segment, route, routing, settings,
+};
 
+/// Time after which a request that opens a flow is late, in milliseconds, whatever comes then.
+pub(crate) const LATE_OPENING_MS: u64 = 100;
 /// Retransmission times of an opening packet, in milliseconds after the first packet.
 const OPEN_RETRANSMIT_MS: [u64; 2] = [200, 600];
 /// Time after which opening a flow times out at the caller, in milliseconds.
@@ -55,6 +59,8 @@
     Slow(u64),
     /// Neither responds nor refuses connections.
     Unresponsive,
+    /// Accepts connections and serves open flows, but does not answer opening packets.
+    Full,
     /// Responds to this percentage of the requests with an error.
     ErrorPercent(u32),
     /// Does not respond to this percentage of the requests.
@@ -141,6 +147,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
     Tick(usize),
+    /// A host's next retry of an opening packet is due.
+    RetryOpenings(usize),
     /// A caller transmits a packet; `copy` counts its retransmissions.
     Send {
         caller: usize,
@@ -187,6 +195,12 @@
     pub(crate) expired: u64,
     /// Requests that received an error response.
     pub(crate) failed: u64,
+    /// Flows that were opened.
+    pub(crate) opened: u64,
+    /// Flows that took longer than [`LATE_OPENING_MS`] to open, or were given up.
+    pub(crate) late_openings: u64,
+    /// Opening packets that hosts sent to another upstream.
+    pub(crate) retries: u64,
     /// Ejections of healthy upstreams.
     pub(crate) false_ejections: u64,
     pub(crate) ejections: u64,
@@ -220,6 +234,11 @@
 
 impl Simulation {
     pub(crate) fn new(cfg: SimulationConfig, seed: u64) -> Simulation {
+        Simulation::without(Disabled::default(), cfg, seed)
+    }
+
+    /// Creates a simulation whose hosts have some mechanisms switched off.
+    pub(crate) fn without(disabled: Disabled, cfg: SimulationConfig, seed: u64) -> Simulation {
         let mut simulation = Simulation {
             now: 0,
             counts: Counts::default(),
@@ -247,6 +266,7 @@
         {
             let mut host_cfg = settings(*zone);
             host_cfg.host = HostId(at as u64 + 1);
+            host_cfg.disabled = disabled.clone();
             let mut host = DirectHost::new(host_cfg);
             host.set_directory_state(Millis(0), DirectoryState::Available);
             host.apply_listing(Millis(0), &all);
@@ -394,6 +414,7 @@
                 self.process_outputs(host);
                 self.schedule(50, Event::Tick(host));
             }
+            Event::RetryOpenings(host) => self.retry_openings(host),
             Event::Send { caller, step, copy } => self.send(caller, step, copy),
             Event::Accepted { caller, step, upstream, token } => {
                 self.handle_accepted(caller, step, upstream, Token(token));
@@ -413,8 +434,9 @@
             }
             Event::Expire { caller, step } => {
                 if self.callers[caller].step == step {
-                    self.counts.expired +=
-                        u64::from(self.callers[caller].phase == Phase::Requesting);
+                    let phase = self.callers[caller].phase;
+                    self.counts.expired += u64::from(phase == Phase::Requesting);
+                    self.counts.late_openings += u64::from(phase == Phase::Opening);
                     self.open_new_flow(caller);
                 }
             }
@@ -520,7 +542,11 @@
         let slowdown = match it.health {
             Health::Slow(x) => x,
             Health::Unresponsive => return,
-            Health::Healthy | Health::ErrorPercent(_) | Health::NoResponsePercent(_) => 1,
+            Health::Full if segment.kind == SegmentKind::Open => return,
+            Health::Full
+            | Health::Healthy
+            | Health::ErrorPercent(_)
+            | Health::NoResponsePercent(_) => 1,
         };
         if segment.kind == SegmentKind::Open {
             let token = token.0;
@@ -559,6 +585,8 @@
         if it.step != step || it.phase != Phase::Opening {
             return;
         }
+        self.counts.opened += 1;
+        self.counts.late_openings += u64::from(self.now - it.step_started_at > LATE_OPENING_MS);
         it.upstream = upstream;
         it.token = token;
         it.ack = 1;
@@ -611,8 +639,23 @@
         self.schedule(think, Event::Think { caller, step });
     }
 
+    fn retry_openings(&mut self, host: usize) {
+        for it in self.hosts[host].1.retry_openings(Millis(self.now)) {
+            self.counts.retries += 1;
+            let Some(caller) = self.callers.iter().position(|caller| caller.flow == it.flow) else {
+                continue;
+            };
+            let segment = open_segment(it.flow, 0);
+            self.deliver(caller, host, &segment, it.id, it.token);
+        }
+        self.process_outputs(host);
+    }
+
     fn process_outputs(&mut self, host: usize) {
         let from = self.hosts[host].0;
+        if let Some(due) = self.hosts[host].1.next_opening_retry() {
+            self.schedule(due.0.saturating_sub(self.now), Event::RetryOpenings(host));
+        }
         for it in self.hosts[host].1.take_resets() {
             self.reset(host, it);
         }
--- a/crates/pomelorun-standins/src/slopes/points/direct.rs
+++ b/crates/pomelorun-standins/src/slopes/points/direct.rs
@@ -6,7 +6,7 @@
     Millis,
     direct::{
         Announcement, ColdLimit, DirectHost, DirectRoute, DirectSettings, DirectoryState,
-        DirectoryUpdate, RouteTarget, Routing, Segment, SegmentKind, Token, UpstreamKey,
+        DirectoryUpdate, Disabled, RouteTarget, Routing, Segment, SegmentKind, Token, UpstreamKey,
     },
 };
 use pomelorun_wire::{FlowKey, HostId, ZoneId};
@@ -81,6 +81,7 @@
         lapse_grace: Millis(2_000),
         flow_lifetime: Millis(60_000),
         directory_max_age: Millis(60_000),
+        disabled: Disabled::default(),
     }
 }
 
--- a/crates/pomelorun-wire/src/code.rs
+++ b/crates/pomelorun-wire/src/code.rs
@@ -123,6 +123,7 @@
     UPSTREAM_ADOPTED = 425, "upstream_adopted", "another host identified the upstream of an unknown token; its flows continue there", "none";
     LOG_LINES_SUPPRESSED = 427, "lines_left_out", "log lines for flows that opened normally or for malformed packets were suppressed", "none: the counters include them all";
     OUTCOMES_LATE = 428, "minute_late", "the outcomes of a minute were not collected in time and count towards the next one", "check the host's CPU load";
+    FLOW_RETRIED = 429, "flow_retried", "an opening packet was sent to another upstream because the answer was overdue", "check the upstream that did not answer the first packet";
     STARTED = 430, "started", "the daemon has started", "none";
     SHUTTING_DOWN = 431, "leaving_host", "the daemon is shutting down: it refuses new flows and keeps forwarding packets", "none";
     STOPPED = 432, "stopped", "the daemon has stopped", "none";
--- a/crates/pomelorun/src/datagram_batch.rs
+++ b/crates/pomelorun/src/datagram_batch.rs
@@ -3,6 +3,7 @@
 use std::{
     io::{self, IoSlice, IoSliceMut},
     net::SocketAddrV4,
+    ops::ControlFlow,
     os::fd::AsRawFd,
 };
 
@@ -93,21 +94,32 @@
     mut handle: impl FnMut(&mut ReceiveBatch),
 ) {
     let mut incoming = ReceiveBatch::new(max_datagram_bytes);
-    loop {
-        if let Err(e) = socket.readable().await {
-            error!("packet socket failed", kv: { error = e.to_string() });
-            return;
-        }
-        match incoming.receive(socket) {
-            Ok(()) => handle(&mut incoming),
-            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-            // For example an ICMP error because a peer's port is closed; the socket stays usable.
-            Err(e) => debug!("receive failed", kv: { error = e.to_string() }),
-        }
+    while receive_next(socket, &mut incoming, &mut handle).await.is_continue() {
         tokio::task::yield_now().await;
     }
 }
 
+/// Waits for datagrams and passes them to `handle`. Breaks if the socket has failed.
+///
+/// Nothing is received if the future is dropped before it completes.
+pub(crate) async fn receive_next(
+    socket: &UdpSocket,
+    incoming: &mut ReceiveBatch,
+    handle: &mut impl FnMut(&mut ReceiveBatch),
+) -> ControlFlow<()> {
+    if let Err(e) = socket.readable().await {
+        error!("packet socket failed", kv: { error = e.to_string() });
+        return ControlFlow::Break(());
+    }
+    match incoming.receive(socket) {
+        Ok(()) => handle(incoming),
+        Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+        // For example an ICMP error because a peer's port is closed; the socket stays usable.
+        Err(e) => debug!("receive failed", kv: { error = e.to_string() }),
+    }
+    ControlFlow::Continue(())
+}
+
 /// Datagrams that are queued to be sent in one batch.
 pub(crate) struct SendQueue {
     headers: MultiHeaders<SockaddrIn>,
--- a/crates/pomelorun/src/direct/edge.rs
+++ b/crates/pomelorun/src/direct/edge.rs
@@ -1,6 +1,8 @@
 //! The service `edge`: receives and forwards packets and owns the decision core.
 
-use std::{cell::RefCell, net::SocketAddrV4, rc::Rc, sync::Arc, time::Duration};
+use std::{
+    cell::RefCell, collections::VecDeque, net::SocketAddrV4, rc::Rc, sync::Arc, time::Duration,
+};
 
 use actix::Recipient;
 use nix::time::{ClockId, clock_gettime};
@@ -8,11 +10,12 @@
     Millis,
     direct::{
         DirectHost, DirectSettings, DirectStats, DirectoryState, DirectoryUpdate, FailureReport,
-        ListingState, PeerUpdate, Probe, ProbeResult, ReplicatedUpdate, Token, TokenOwner,
-        UpstreamKey, Verdict,
+        ListingState, OpeningRetry, PeerUpdate, Probe, ProbeResult, ReplicatedUpdate, SegmentKind,
+        Token, TokenOwner, UpstreamKey, Verdict,
     },
 };
-use pomelorun_wire::HostId;
+use pomelorun_wire::{FlowKey, HostId};
+use smallvec::SmallVec;
 use thiserror::Error;
 use tokio::{
     net::UdpSocket,
@@ -22,7 +25,7 @@
 };
 
 use crate::{
-    datagram_batch::{ReceiveBatch, SendQueue, bind_udp, receive_loop},
+    datagram_batch::{ReceiveBatch, SendQueue, bind_udp, receive_next},
     direct::{
         event_log,
         introspection::{IntrospectionQuery, StatusReply},
@@ -41,6 +44,9 @@
 const MAX_DATAGRAM_BYTES: usize = 2_048;
 /// Time after which callers retransmit a packet, so that a buffered one is no longer needed.
 const EARLY_PACKET_TTL: Millis = Millis(200);
+/// Maximum number of opening packets kept for a retry, and the longest one that is kept, in bytes.
+const MAX_OPENING_PACKETS: usize = 1_024;
+const MAX_OPENING_BYTES: usize = 64;
 /// Maximum number of packets buffered before the initial listing: those of 200 ms at a few thousand
 /// new flows per second.
 const MAX_EARLY_PACKETS: usize = 512;
@@ -63,6 +69,7 @@
     event_log: event_log::EventLog,
     status: Arc<Status>,
     early_packets: EarlyPackets,
+    opening_packets: OpeningPackets,
     /// Notified once the initial listing has been applied.
     initial_listing: Rc<Notify>,
 }
@@ -97,6 +104,29 @@
     }
 }
 
+/// Opening packets forwarded recently, oldest first, which may have to be sent to another upstream.
+#[derive(Debug, Default)]
+struct OpeningPackets(VecDeque<(Millis, FlowKey, SmallVec<[u8; MAX_OPENING_BYTES]>)>);
+
+impl OpeningPackets {
+    /// Keeps a packet. If it is too long it is not kept, and if there are too many the oldest one is
+    /// dropped: the caller will retransmit it.
+    fn keep(&mut self, now: Millis, flow: FlowKey, bytes: &[u8]) {
+        while self.0.len() >= MAX_OPENING_PACKETS
+            || self.0.front().is_some_and(|it| now.since(it.0) >= EARLY_PACKET_TTL)
+        {
+            self.0.pop_front();
+        }
+        if bytes.len() <= MAX_OPENING_BYTES {
+            self.0.push_back((now, flow, SmallVec::from_slice(bytes)));
+        }
+    }
+
+    fn get(&self, flow: &FlowKey) -> Option<&[u8]> {
+        self.0.iter().rev().find(|it| it.1 == *flow).map(|it| it.2.as_slice())
+    }
+}
+
 /// The edge, shared by the services of one thread.
 pub(crate) type SharedEdge = Rc<RefCell<Edge>>;
 
@@ -370,6 +400,9 @@
         };
         match self.host.handle_packet(now, &segment) {
             Verdict::Forward { to, id, token } => {
+                if segment.kind == SegmentKind::Open {
+                    self.opening_packets.keep(now, segment.flow, bytes);
+                }
                 let codec = &self.codec;
                 self.out.push_with(|buf| {
                     codec.write_forward(bytes, id, token, buf);
@@ -384,6 +417,25 @@
         }
     }
 
+    /// Returns the time until the next retry of an opening packet is due.
+    fn until_next_retry(&mut self) -> Option<Duration> {
+        let due = self.host.next_opening_retry()?;
+        Some(Duration::from_millis(due.since(now()).0))
+    }
+
+    /// Sends the opening packets whose answers are overdue to other upstreams.
+    fn retry_openings(&mut self) {
+        for OpeningRetry { flow, to, id, token } in self.host.retry_openings(now()) {
+            let Some(bytes) = self.opening_packets.get(&flow) else { continue };
+            let codec = &self.codec;
+            self.out.push_with(|buf| {
+                codec.write_forward(bytes, id, token, buf);
+                to
+            });
+        }
+        self.flush_effects();
+    }
+
     fn tick(&mut self) {
         self.host.tick(now());
         self.flush_effects();
@@ -471,6 +523,7 @@
             event_log: event_log::EventLog::default(),
             status,
             early_packets: EarlyPackets::default(),
+            opening_packets: OpeningPackets::default(),
             initial_listing: Rc::new(Notify::new()),
         };
         let edge = Rc::new(RefCell::new(edge));
@@ -503,7 +556,24 @@
 }
 
 async fn receive(edge: SharedEdge, socket: Rc<UdpSocket>) {
-    receive_loop(&socket, MAX_DATAGRAM_BYTES, |it| edge.borrow_mut().handle_datagrams(it)).await;
+    let mut incoming = ReceiveBatch::new(MAX_DATAGRAM_BYTES);
+    let mut handle = |it: &mut ReceiveBatch| edge.borrow_mut().handle_datagrams(it);
+    loop {
+        let retry = edge.borrow_mut().until_next_retry();
+        tokio::select! {
+            // Answers that have arrived while the host was stalled are not overdue.
+            biased;
+            it = receive_next(&socket, &mut incoming, &mut handle) => {
+                if it.is_break() {
+                    return;
+                }
+            }
+            () = tokio::time::sleep(retry.unwrap_or_default()), if retry.is_some() => {
+                edge.borrow_mut().retry_openings();
+            }
+        }
+        tokio::task::yield_now().await;
+    }
 }
 
 async fn answer(edge: SharedEdge, mut rx: mpsc::UnboundedReceiver<IntrospectionQuery>) {
--- a/crates/pomelorun/src/direct/event_log.rs
+++ b/crates/pomelorun/src/direct/event_log.rs
@@ -5,7 +5,7 @@
 
 use pomelorun_core::{
     Millis,
-    direct::{DirectEvent, DropReason, LifecycleChange, ResetReason, UpstreamKey},
+    direct::{DirectEvent, DropReason, LifecycleChange, OpenCause, ResetReason, UpstreamKey},
 };
 use pomelorun_wire::{Code, FlowKey};
 use spdlog::prelude::*;
@@ -66,13 +66,13 @@
     pub(crate) fn log_event(&mut self, event: &DirectEvent) {
         match event {
             DirectEvent::Opened { flow, upstream, reason, revision } => {
-                // The caller retransmitted the opening packet, and it goes to another upstream; the
-                // log calls it a copy.
-                let is_retry = reason.previous_attempts > 0;
-                if !is_retry && !self.opened.admit(MAX_OPENED_PER_S) {
-                    return;
-                }
-                let code = if is_retry { Code::FLOW_COPIED } else { Code::FLOW_OPENED };
+                let code = match reason.cause {
+                    OpenCause::FirstPacket if !self.opened.admit(MAX_OPENED_PER_S) => return,
+                    OpenCause::FirstPacket => Code::FLOW_OPENED,
+                    // The log calls a retransmission by the caller a copy.
+                    OpenCause::Retransmission => Code::FLOW_COPIED,
+                    OpenCause::Overdue => Code::FLOW_RETRIED,
+                };
                 info!("flow opened", kv: {
                     code = code.to_string(), flow = flow.to_string(), upstream = id_text(upstream),
                     choice = format!("{:?}", reason.choice), candidates = reason.candidates,
--- a/crates/pomelorun/src/direct/metrics.rs
+++ b/crates/pomelorun/src/direct/metrics.rs
@@ -20,7 +20,7 @@
 
 /// Name, help text and value of each counter. `docs/operators/metrics.md` says what to do when one
 /// rises.
-const COUNTERS: [(&str, &str, ReadCount); 18] = [
+const COUNTERS: [(&str, &str, ReadCount); 20] = [
     ("pomelorun_packets_forwarded", "Packets forwarded to upstreams", |it| it.core.forwarded),
     ("pomelorun_flows_opened", "Flows opened, not counting retransmitted opening packets", |it| {
         it.core.opened
@@ -28,6 +28,16 @@
     ("pomelorun_flow_copies", "Retransmitted opening packets sent to another upstream", |it| {
         it.core.retried_opens
     }),
+    (
+        "pomelorun_flow_retries",
+        "Opening packets sent to another upstream because the answer was overdue",
+        |it| it.core.overdue_opens,
+    ),
+    (
+        "pomelorun_flow_retries_withheld",
+        "Overdue opening packets that were not sent again, because too many were overdue",
+        |it| it.core.retries_withheld,
+    ),
     ("pomelorun_flow_resets", "Flows reset", |it| it.core.resets),
     ("pomelorun_packets_no_route", "Opening packets to an address without a route", |it| {
         it.core.no_route
--- a/crates/pomelorun/src/direct/settings.rs
+++ b/crates/pomelorun/src/direct/settings.rs
@@ -9,7 +9,7 @@
 use pomelorun_config::{Fault, Faults};
 use pomelorun_core::{
     CoreSettings, Millis,
-    direct::{ColdLimit, DirectSettings, Fleet, host_at},
+    direct::{ColdLimit, DirectSettings, Disabled, Fleet, host_at},
 };
 use pomelorun_wire::{Code, HostId, MemberInfo, MemberState, ZoneId};
 use serde::{Deserialize, Serialize};
@@ -188,6 +188,7 @@
             lapse_grace: LAPSE_GRACE,
             flow_lifetime: Millis(bounds.flow_lifetime_s * 1_000),
             directory_max_age: DIRECTORY_MAX_AGE,
+            disabled: Disabled::default(),
         }
     }
 }
