Bootstrap a starting host from its own zone first

Change: the first attempt to follow goes to the same zone, the second to another one. A host without a listing that has somebody to follow gives a page of the store 400 ms, doubled after each failure up to the 1 s of the others.

--- a/crates/pomelorun-core/src/direct.rs
+++ b/crates/pomelorun-core/src/direct.rs
@@ -36,7 +36,8 @@
     cold::{ColdBudget, ColdLimit},
     directory_merge::ListingState,
     directory_sync::{
-        DirectoryPosition, DirectorySync, HasFollowers, Readers, ResponseEra, SyncOutcome, SyncStep,
+        BootstrapHosts, DirectoryPosition, DirectorySync, HasFollowers, Readers, ResponseEra,
+        SyncOutcome, SyncStep,
     },
     event::{DirectEvent, DropReason, LifecycleChange, OpenCause, OpenReason, ResetReason},
     fleet::{Fleet, FleetMsg, OutboundMessages, address_of, host_at},
--- a/crates/pomelorun-core/src/direct/directory_sync.rs
+++ b/crates/pomelorun-core/src/direct/directory_sync.rs
@@ -27,6 +27,9 @@
 /// Timeout of one page of a listing. The whole listing has none, because it grows with the directory
 /// and all hosts may list it at once.
 const PAGE_TIMEOUT: Millis = Millis(1_000);
+/// Timeout of a page for a host without a listing that may follow another host instead, doubled after
+/// each failure: a path that is cut must not cost it the time within which callers give up.
+const FIRST_PAGE_TIMEOUT: Millis = Millis(400);
 /// Delay after an event, so that events in quick succession are read in one call.
 const EVENT_BATCH_DELAY: Millis = Millis(250);
 /// Delay after the first failure, doubled after each further one.
@@ -107,8 +110,17 @@
     pub is_reader: bool,
     /// `true` if the view of the zone's hosts is synced, so that the readers are reliable.
     pub synced: bool,
-    /// Hosts of any zone that a host without a listing may follow.
-    pub bootstrap_hosts: Vec<HostId>,
+    /// Hosts that a host without a listing may follow.
+    pub bootstrap: BootstrapHosts,
+}
+
+/// Hosts that a host without a listing may follow.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct BootstrapHosts {
+    /// Hosts of this host's zone, which a cut of the zone leaves within reach.
+    pub same_zone: Vec<HostId>,
+    /// Hosts of other zones.
+    pub other_zones: Vec<HostId>,
 }
 
 /// Whether other hosts follow this host.
@@ -203,7 +215,9 @@
                 };
                 SyncStep::Watch { pause, after, wait, limit: wait + RESPONSE_TIMEOUT }
             }
-            None | Some(_) => SyncStep::List { pause, limit: PAGE_TIMEOUT },
+            None | Some(_) => {
+                SyncStep::List { pause, limit: self.page_timeout(&readers.bootstrap) }
+            }
         }
     }
 
@@ -283,7 +297,11 @@
     fn host_to_follow(&self, now: Millis, readers: &Readers, jitter: f64) -> Option<HostId> {
         if self.known_position.is_none() {
             let ask_directory = self.failures == 0 || self.follow_attempts >= MAX_FOLLOW_ATTEMPTS;
-            return if ask_directory { None } else { self.pick(&readers.bootstrap_hosts, jitter) };
+            return if ask_directory {
+                None
+            } else {
+                self.pick_bootstrap(&readers.bootstrap, jitter)
+            };
         }
         if readers.is_reader || self.is_reader(now) || self.follow_attempts >= MAX_FOLLOW_ATTEMPTS {
             return None;
@@ -291,6 +309,24 @@
         self.pick(&readers.ranked, jitter)
     }
 
+    /// Returns a host of the same zone at the first attempt, and preferably one of another zone at the
+    /// second one.
+    fn pick_bootstrap(&self, hosts: &BootstrapHosts, jitter: f64) -> Option<HostId> {
+        let (first, second) = match self.follow_attempts {
+            0 => (&hosts.same_zone, &hosts.other_zones),
+            _ => (&hosts.other_zones, &hosts.same_zone),
+        };
+        self.pick(first, jitter).or_else(|| self.pick(second, jitter))
+    }
+
+    fn page_timeout(&self, hosts: &BootstrapHosts) -> Millis {
+        let alone = hosts.same_zone.is_empty() && hosts.other_zones.is_empty();
+        if self.known_position.is_some() || alone {
+            return PAGE_TIMEOUT;
+        }
+        Millis(FIRST_PAGE_TIMEOUT.0 << self.failures.min(8)).min(PAGE_TIMEOUT)
+    }
+
     /// Returns one of the hosts, but not the one that was last followed if that ended just now: it
     /// does not respond, stopped sending or lost the directory.
     fn pick(&self, hosts: &[HostId], jitter: f64) -> Option<HostId> {
--- a/crates/pomelorun-core/src/direct/fleet.rs
+++ b/crates/pomelorun-core/src/direct/fleet.rs
@@ -13,7 +13,10 @@
 
 use crate::{
     direct::{
-        directory_sync::Readers, outlier::FailureReport, peer_update::PeerUpdate, token::Token,
+        directory_sync::{BootstrapHosts, Readers},
+        outlier::FailureReport,
+        peer_update::PeerUpdate,
+        token::Token,
         unknown_tokens::TokenOwner,
     },
     members::Members,
@@ -158,9 +161,9 @@
         if me.state != MemberState::Live {
             return Readers::default();
         }
-        let bootstrap_hosts = self.bootstrap_hosts();
+        let bootstrap = self.bootstrap_hosts();
         if !self.synced {
-            return Readers { bootstrap_hosts, ..Readers::default() };
+            return Readers { bootstrap, ..Readers::default() };
         }
         let score = |it: &HostId| rendezvous_score(it.0, READER_SALT);
         let mut ranked: Vec<HostId> = self.hosts_in_zone(me.zone).chain([me.host]).collect();
@@ -168,17 +171,21 @@
         ranked.truncate(READERS_PER_ZONE);
         let is_reader = ranked.contains(&me.host);
         ranked.retain(|it| *it != me.host);
-        Readers { ranked, is_reader, synced: true, bootstrap_hosts }
+        Readers { ranked, is_reader, synced: true, bootstrap }
     }
 
-    /// Returns hosts of this zone first, because they are close, then hosts of other zones.
-    fn bootstrap_hosts(&self) -> Vec<HostId> {
+    fn bootstrap_hosts(&self) -> BootstrapHosts {
         let zone = self.members.me().zone;
-        let others = self.members.others().iter().filter(|it| it.accepts_work());
-        let mut hosts: Vec<(bool, HostId)> = others.map(|it| (it.zone != zone, it.host)).collect();
-        hosts.sort_unstable();
-        hosts.truncate(MAX_BOOTSTRAP_HOSTS);
-        hosts.into_iter().map(|it| it.1).collect()
+        let (mut same_zone, mut other_zones) = (Vec::new(), Vec::new());
+        for it in self.members.others().iter().filter(|it| it.accepts_work()) {
+            let hosts = if it.zone == zone { &mut same_zone } else { &mut other_zones };
+            hosts.push(it.host);
+        }
+        for hosts in [&mut same_zone, &mut other_zones] {
+            hosts.sort_unstable();
+            hosts.truncate(MAX_BOOTSTRAP_HOSTS);
+        }
+        BootstrapHosts { same_zone, other_zones }
     }
 
     fn hosts_in_zone(&self, zone: ZoneId) -> impl Iterator<Item = HostId> {
--- a/crates/pomelorun-core/tests/core/direct/directory_sync.rs
+++ b/crates/pomelorun-core/tests/core/direct/directory_sync.rs
@@ -3,7 +3,8 @@
 use pomelorun_core::{
     Millis,
     direct::{
-        DirectoryPosition, DirectorySync, HasFollowers, Readers, ResponseEra, SyncOutcome, SyncStep,
+        BootstrapHosts, DirectoryPosition, DirectorySync, HasFollowers, Readers, ResponseEra,
+        SyncOutcome, SyncStep,
     },
 };
 use pomelorun_wire::HostId;
@@ -16,12 +17,21 @@
     DirectoryPosition { era: 1, revision }
 }
 
+fn bootstrap(same_zone: &[HostId], other_zones: &[HostId]) -> BootstrapHosts {
+    BootstrapHosts { same_zone: same_zone.to_vec(), other_zones: other_zones.to_vec() }
+}
+
 fn follower() -> Readers {
-    Readers { ranked: vec![A, B], is_reader: false, synced: true, bootstrap_hosts: vec![A, B] }
+    Readers {
+        ranked: vec![A, B],
+        is_reader: false,
+        synced: true,
+        bootstrap: bootstrap(&[A, B], &[]),
+    }
 }
 
 fn reader() -> Readers {
-    Readers { ranked: vec![B], is_reader: true, synced: true, bootstrap_hosts: vec![B] }
+    Readers { ranked: vec![B], is_reader: true, synced: true, bootstrap: bootstrap(&[B], &[]) }
 }
 
 fn sync_after_listing(sync: &mut DirectorySync, readers: &Readers) -> SyncStep {
@@ -289,3 +299,55 @@
         assert_ne!(first, second);
     }
 }
+
+/// Time from its start until a host in a zone that is cut off has a listing, if `served_by` are the
+/// hosts that it can reach and that have one.
+fn time_until_listed(readers: &Readers, served_by: &[HostId], jitter: f64) -> Millis {
+    const CONNECT_TIMEOUT: Millis = Millis(250);
+    const CONNECT: Millis = Millis(5);
+    let mut sync = DirectorySync::default();
+    let (mut now, mut outcome) = (Millis(0), None);
+    for _ in 0..20 {
+        let step = sync.next_step(now, outcome, readers, HasFollowers::No, jitter);
+        outcome = Some(match step {
+            SyncStep::Pause(pause) => {
+                now = now + pause;
+                SyncOutcome::Waited
+            }
+            SyncStep::List { pause, limit } | SyncStep::Watch { pause, limit, .. } => {
+                now = now + pause + limit;
+                SyncOutcome::Failed
+            }
+            SyncStep::Follow { pause, host } if served_by.contains(&host) => {
+                return now + pause + CONNECT;
+            }
+            SyncStep::Follow { pause, .. } => {
+                now = now + pause + CONNECT_TIMEOUT;
+                SyncOutcome::FollowEnded { position: None }
+            }
+        });
+    }
+    panic!("no host with a listing was followed by {now:?}");
+}
+
+#[test]
+fn host_started_in_a_zone_that_is_cut_off_is_listed_before_its_callers_give_up() {
+    // A caller that opens at the host's start retransmits for the last time after 600 ms.
+    const LAST_RETRANSMISSION: Millis = Millis(600);
+    let far: Vec<HostId> = (20..26).map(HostId).collect();
+    let readers = Readers { bootstrap: bootstrap(&[A], &far), ..Readers::default() };
+    for jitter in [0.0, 0.3, 0.6, 0.99] {
+        let took = time_until_listed(&readers, &[A], jitter);
+        assert!(took <= LAST_RETRANSMISSION, "jitter {jitter}: {took:?}");
+    }
+}
+
+#[test]
+fn host_whose_zone_has_no_listing_tries_another_zone_next() {
+    let far: Vec<HostId> = (20..26).map(HostId).collect();
+    let readers = Readers { bootstrap: bootstrap(&[A, B], &far), ..Readers::default() };
+    for jitter in [0.0, 0.3, 0.6, 0.99] {
+        let took = time_until_listed(&readers, &far, jitter);
+        assert!(took <= Millis(1_000), "jitter {jitter}: {took:?}");
+    }
+}
