--- a/crates/pomelorun-core/src/direct.rs
+++ b/crates/pomelorun-core/src/direct.rs
@@ -51,7 +51,7 @@
         UnansweredPacket, conclude_attempts,
     },
     load::Load,
-    mechanism::{Disabled, Mechanism},
+    mechanism::{Disabled, Mechanism, UnknownMechanism},
     observed_flows::{Flow, ObservedFlows},
     outcomes::ServiceOutcomes,
     outlier::FailureReport,
--- a/crates/pomelorun-core/src/direct/host.rs
+++ b/crates/pomelorun-core/src/direct/host.rs
@@ -23,7 +23,7 @@
         latency::LatencyHistogram,
         liveness::{Liveness, MIN_RETRANSMIT_GAP, ProbeKind, Reachability},
         load::Load,
-        mechanism::Disabled,
+        mechanism::{Disabled, Mechanism},
         observed_flows::{Attempts, Flow, ObservedFlows},
         opening_retry::{OpeningTimes, PendingOpenings, RetryBudget},
         outcomes::{OutcomesByRoute, ServiceOutcomes},
@@ -480,6 +480,10 @@
         }
     }
 
+    fn is_enabled(&self, mechanism: Mechanism) -> bool {
+        !self.cfg.disabled.contains(mechanism)
+    }
+
     fn emit(&mut self, event: DirectEvent) {
         if self.events.len() < MAX_EVENTS {
             self.events.push(event);
--- a/crates/pomelorun-core/src/direct/host/failure_detection.rs
+++ b/crates/pomelorun-core/src/direct/host/failure_detection.rs
@@ -9,6 +9,7 @@
         event::{DirectEvent, LifecycleChange, ResetReason},
         host::{DirectHost, Probe, ResetPacket, release_load},
         liveness::{MIN_RETRANSMIT_GAP, ProbeEffect, ProbeKind, ProbeResult, Reachability},
+        mechanism::Mechanism,
         observed_flows::{Attempts, Flow},
         outlier::EjectDecision,
         peer_update::PeerUpdate,
@@ -36,7 +37,9 @@
         match liveness.record_probe(now, result) {
             ProbeEffect::Unchanged => {}
             ProbeEffect::Recovered => self.record_recovery(now, key, since),
-            ProbeEffect::Unreachable if self.is_local_fault(now) => {
+            ProbeEffect::Unreachable
+                if self.is_enabled(Mechanism::LocalFault) && self.is_local_fault(now) =>
+            {
                 self.stats.local_faults += 1;
                 self.emit(DirectEvent::LocalFault { upstream: key, waited });
             }
@@ -55,7 +58,8 @@
 
     /// Applies an update from another host of this zone.
     pub fn apply_peer_update(&mut self, now: Millis, update: &PeerUpdate) {
-        for &(id, started_at, waited_ms) in &update.unreachable {
+        let shared = self.is_enabled(Mechanism::SharedFailures);
+        for &(id, started_at, waited_ms) in update.unreachable.iter().filter(|_| shared) {
             let Some(ix) = self.registry.by_key(UpstreamKey { id, started_at }) else { continue };
             let waited = Millis(u64::from(waited_ms));
             let liveness = &self.upstream_states[ix.0 as usize].liveness;
@@ -210,7 +214,9 @@
         if state.liveness.reachability() != Reachability::Answering {
             self.mark_unhealthy(ix);
         }
-        let Some(kind) = kind else { return };
+        let Some(kind) = kind.filter(|_| self.is_enabled(Mechanism::FailureDetection)) else {
+            return;
+        };
         let Some(it) = self.registry.get(ix) else { return };
         let upstream = it.announcement.key;
         self.emit(DirectEvent::Suspected { upstream, flow, waited: now - sent });
@@ -255,6 +261,9 @@
             than.is_none_or(|it| last_response(ix) >= last_response(it))
         };
         let mut latest = [None; 2];
+        if !self.is_enabled(Mechanism::ProbeReference) {
+            return latest;
+        }
         for (ix, it) in self.registry.iter() {
             let recently_active = now.since(last_response(ix)) < RECENT_ACTIVITY;
             if it.ended || !recently_active || self.reachability(ix) != Reachability::Answering {
@@ -301,7 +310,7 @@
         let silent_since = now - waited;
         let response = self.zone_responses.binary_search_by_key(&zone, |it| it.0);
         let responded = response.is_ok_and(|at| self.zone_responses[at].1 > silent_since);
-        if zone == self.cfg.zone || responded {
+        if zone == self.cfg.zone || responded || !self.is_enabled(Mechanism::ZoneProbe) {
             return;
         }
         let zone_upstreams: Vec<UpstreamIx> = self
@@ -346,7 +355,9 @@
     ) -> usize {
         let mut count = 0;
         for flow in self.flows.take_by_upstream(ix) {
-            if !flow.established {
+            let is_kept =
+                flow.unanswered_since.is_none() && !self.is_enabled(Mechanism::IdleFlowReset);
+            if !flow.established || is_kept {
                 // Not established: retransmitted opening packets go to another upstream.
                 self.flows.insert(flow);
                 continue;
--- a/crates/pomelorun-core/src/direct/host/flow_placement.rs
+++ b/crates/pomelorun-core/src/direct/host/flow_placement.rs
@@ -11,6 +11,7 @@
         event::{DirectEvent, OpenCause, OpenReason},
         host::{DirectHost, Verdict},
         liveness::Reachability,
+        mechanism::Mechanism,
         observed_flows::{Attempts, Flow},
         placement::{Candidate, Choice, choose},
         registry::{Upstream, UpstreamIx, UpstreamKey},
@@ -101,6 +102,9 @@
     /// Credits the candidates that were none for the previous flow with the flows that the others
     /// have got meanwhile.
     fn admit_joining(&mut self, now: Millis, candidates: &mut [Candidate]) {
+        if !self.is_enabled(Mechanism::JoiningCredit) {
+            return;
+        }
         // Upstreams that get flows only if there is no other stay out until they are good again.
         let is_regular = |it: &Candidate| matches!(it.choice, Choice::Good | Choice::Tried);
         let regular: SmallVec<[usize; 32]> =
@@ -151,7 +155,8 @@
             let Ok(choice) = self.classify(now, ix, it) else { continue };
             // A retransmitted opening packet goes to a tried upstream only if every other eligible
             // upstream is unreachable.
-            let choice = if tried.contains(&ix) { choice.max(Choice::Tried) } else { choice };
+            let is_tried = tried.contains(&ix) && self.is_enabled(Mechanism::RetransmitElsewhere);
+            let choice = if is_tried { choice.max(Choice::Tried) } else { choice };
             let tie_break = rendezvous_score(flow_hash, it.announcement.key.id);
             found.push(Candidate { choice, tie_break, ..self.candidate(now, ix, it) });
         }
@@ -161,14 +166,17 @@
     /// Returns an upstream as a candidate with its load, and with the rank [`Choice::Good`].
     pub(super) fn candidate(&self, now: Millis, ix: UpstreamIx, it: &Upstream) -> Candidate {
         let state = &self.upstream_states[ix.0 as usize];
+        let if_enabled =
+            |mechanism, value: f64| if self.is_enabled(mechanism) { value } else { 0.0 };
         Candidate {
             ix,
             choice: Choice::Good,
-            same_zone: it.announcement.zone == self.cfg.zone,
-            waiting: f64::from(state.load.waiting),
-            recent_opens: state.load.recent_opens(now),
+            same_zone: it.announcement.zone == self.cfg.zone
+                || !self.is_enabled(Mechanism::ZonePreference),
+            waiting: if_enabled(Mechanism::WaitingRequests, f64::from(state.load.waiting)),
+            recent_opens: if_enabled(Mechanism::RecentOpens, state.load.recent_opens(now)),
             slots: it.announcement.slots,
-            penalty: state.outlier.penalty(now),
+            penalty: if_enabled(Mechanism::OutlierEjection, state.outlier.penalty(now)),
             tie_break: 0,
         }
     }
@@ -198,7 +206,10 @@
         }
         let usable = match it.lapsed_at {
             None => Choice::Good,
-            Some(at) if now.since(at) >= self.cfg.lapse_grace => {
+            Some(at)
+                if now.since(at) >= self.cfg.lapse_grace
+                    || !self.is_enabled(Mechanism::LapseGrace) =>
+            {
                 return Err(IneligibleReason::Lapsed);
             }
             Some(at) if self.directory_recovered_shortly_before(at) => Choice::Good,
@@ -206,6 +217,7 @@
         };
         Ok(match state.liveness.reachability() {
             Reachability::Answering => usable,
+            Reachability::Suspect if !self.is_enabled(Mechanism::Suspicion) => usable,
             Reachability::Suspect => Choice::Suspect,
             Reachability::Unreachable { .. } => Choice::Unreachable,
         })
@@ -244,6 +256,9 @@
     /// Only the owner, chosen by rendezvous hashing, opens flows at a cold upstream: the
     /// limit on its new flows holds over all hosts, so one host must count them.
     pub(super) fn is_cold_start_owner(&self, key: UpstreamKey) -> bool {
+        if !self.is_enabled(Mechanism::ColdStartOwner) {
+            return true;
+        }
         let score = |it: &HostId| rendezvous_score(it.0, key.id ^ key.started_at);
         self.live_hosts.iter().max_by_key(|it| score(it)) == Some(&self.cfg.host)
     }
--- a/crates/pomelorun-core/src/direct/host/opening_retries.rs
+++ b/crates/pomelorun-core/src/direct/host/opening_retries.rs
@@ -79,7 +79,7 @@
         zone: ZoneId,
         attempts: usize,
     ) {
-        if attempts >= MAX_ATTEMPTS || self.cfg.disabled.contains(Mechanism::OpeningRetry) {
+        if attempts >= MAX_ATTEMPTS || !self.is_enabled(Mechanism::OpeningRetry) {
             return;
         }
         let Ok(at) = self.opening_times.binary_search_by_key(&zone, |it| it.0) else { return };
--- a/crates/pomelorun-core/src/direct/host/rejection.rs
+++ b/crates/pomelorun-core/src/direct/host/rejection.rs
@@ -8,6 +8,7 @@
     direct::{
         event::{DirectEvent, DropReason, ResetReason},
         host::{DirectHost, DirectoryState, Verdict},
+        mechanism::Mechanism,
         placement::Candidate,
         registry::UpstreamIx,
         segment::Segment,
@@ -58,7 +59,7 @@
         };
         let has_cold_upstream = self.registry.by_service(service).iter().any(is_cold);
         let is_complete = self.has_listing && self.directory_state == DirectoryState::Available;
-        if is_complete && !has_cold_upstream {
+        if is_complete && !has_cold_upstream && self.is_enabled(Mechanism::ImmediateRejection) {
             return Verdict::Reset(self.make_reset(
                 now,
                 None,
@@ -88,6 +89,9 @@
         for it in candidates {
             self.upstream_states[it.ix.0 as usize].liveness.expedite_probe(now);
         }
+        if !self.is_enabled(Mechanism::ImmediateRejection) {
+            return Verdict::Drop;
+        }
         Verdict::Reset(self.make_reset(now, None, seg.flow, seg.ack, ResetReason::NoUpstream))
     }
 
--- a/crates/pomelorun-core/src/direct/host/token_queries.rs
+++ b/crates/pomelorun-core/src/direct/host/token_queries.rs
@@ -9,6 +9,7 @@
     direct::{
         event::{DirectEvent, DropReason, LifecycleChange, ResetReason},
         host::{DirectHost, Verdict},
+        mechanism::Mechanism,
         registry::{Announcement, RegistryChange},
         segment::{Segment, SegmentKind},
         token::Token,
@@ -67,7 +68,7 @@
         self.stats.unknown_token += 1;
         let (flow, token) = (seg.flow, seg.token);
         let abort = seg.kind == SegmentKind::Abort;
-        let status = if token == Token::NONE || abort {
+        let status = if token == Token::NONE || abort || !self.is_enabled(Mechanism::TokenQueries) {
             TokenStatus::Unresolved
         } else {
             self.unknown_tokens.record_packet(now, token, flow, seg.ack)
