Retry an opening in another zone than the one that did not answer

Cause: in a zone cut, the upstream with the least load that an overdue opening goes to next is often in the same zone as the first one, and does not answer either; the caller then waits for its own retransmission. In the simulated zone cut the retries left 130 of 516 late openings.

Change: upstreams of another zone that holds an upstream which did not answer get a score penalty for this packet. A preference, not a ban: if no other is left, they still get it. The host's own zone is exempt, since a host that is cut off alone still reaches it.

Ruled out: a third attempt, since with the preference the second one is enough in the simulation.

--- a/crates/pomelorun-core/src/direct/host/flow_placement.rs
+++ b/crates/pomelorun-core/src/direct/host/flow_placement.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use pomelorun_wire::{FlowKey, HostId};
+use pomelorun_wire::{FlowKey, HostId, ZoneId};
 use smallvec::SmallVec;
 
 use crate::{
@@ -150,6 +150,7 @@
     ) -> SmallVec<[Candidate; 32]> {
         let mut found: SmallVec<[Candidate; 32]> = SmallVec::new();
         let flow_hash = flow.stable_hash();
+        let unanswering_zones = self.unanswering_zones(tried);
         for &ix in self.registry.by_service(service) {
             let Some(it) = self.registry.get(ix) else { continue };
             let Ok(choice) = self.classify(now, ix, it) else { continue };
@@ -158,11 +159,22 @@
             let is_tried = tried.contains(&ix) && self.is_enabled(Mechanism::RetransmitElsewhere);
             let choice = if is_tried { choice.max(Choice::Tried) } else { choice };
             let tie_break = rendezvous_score(flow_hash, it.announcement.key.id);
-            found.push(Candidate { choice, tie_break, ..self.candidate(now, ix, it) });
+            let in_unanswering_zone = unanswering_zones.contains(&it.announcement.zone);
+            let it = self.candidate(now, ix, it);
+            found.push(Candidate { choice, in_unanswering_zone, tie_break, ..it });
         }
         found
     }
 
+    /// Returns the other zones with an upstream that did not answer the opening packet.
+    fn unanswering_zones(&self, tried: &[UpstreamIx]) -> SmallVec<[ZoneId; 3]> {
+        if !self.is_enabled(Mechanism::AvoidUnansweringZone) {
+            return SmallVec::new();
+        }
+        let zones = tried.iter().filter_map(|ix| self.registry.get(*ix));
+        zones.map(|it| it.announcement.zone).filter(|it| *it != self.cfg.zone).collect()
+    }
+
     /// Returns an upstream as a candidate with its load, and with the rank [`Choice::Good`].
     pub(super) fn candidate(&self, now: Millis, ix: UpstreamIx, it: &Upstream) -> Candidate {
         let state = &self.upstream_states[ix.0 as usize];
@@ -173,6 +185,7 @@
             choice: Choice::Good,
             same_zone: it.announcement.zone == self.cfg.zone
                 || !self.is_enabled(Mechanism::ZonePreference),
+            in_unanswering_zone: false,
             waiting: if_enabled(Mechanism::WaitingRequests, f64::from(state.load.waiting)),
             recent_opens: if_enabled(Mechanism::RecentOpens, state.load.recent_opens(now)),
             slots: it.announcement.slots,
--- a/crates/pomelorun-core/src/direct/mechanism.rs
+++ b/crates/pomelorun-core/src/direct/mechanism.rs
@@ -38,6 +38,8 @@
     OpeningRetry,
     /// Sending a retransmitted opening packet to another upstream.
     RetransmitElsewhere,
+    /// Sending an opening packet next to another zone than the one that did not answer it.
+    AvoidUnansweringZone,
     /// Keeping new flows off an upstream that left a packet unanswered.
     Suspicion,
     /// Probing suspect upstreams and resetting the flows of those that do not respond.
--- a/crates/pomelorun-core/src/direct/placement.rs
+++ b/crates/pomelorun-core/src/direct/placement.rs
@@ -11,6 +11,10 @@
 /// Score penalty for an upstream in another zone, in waiting requests per slot: a round trip to
 /// another zone takes a few milliseconds more, and the path can be cut.
 const REMOTE_ZONE_PENALTY: f64 = 0.6;
+/// Score penalty for an upstream in another zone that holds an upstream which did not answer the
+/// opening packet, in waiting requests per slot. The path to the whole zone may be cut, so almost any
+/// load elsewhere is better.
+const UNANSWERING_ZONE_PENALTY: f64 = 8.0;
 /// Weight of a request that waits for a response.
 const WAITING_WEIGHT: f64 = 1.0;
 /// Weight of a recently opened flow, which is likely to carry a request soon.
@@ -47,6 +51,8 @@
     pub choice: Choice,
     /// `true` if the upstream is in this host's zone.
     pub same_zone: bool,
+    /// `true` if an upstream of its zone, which is not this host's, did not answer the opening packet.
+    pub in_unanswering_zone: bool,
     /// Number of requests that wait for a response.
     pub waiting: f64,
     /// Exponentially decaying number of flows opened there.
@@ -71,6 +77,7 @@
         let zone_penalty = if self.same_zone { 0.0 } else { REMOTE_ZONE_PENALTY };
         (self.waiting * WAITING_WEIGHT + self.recent_opens * OPENED_WEIGHT) / self.slot_count()
             + zone_penalty
+            + if self.in_unanswering_zone { UNANSWERING_ZONE_PENALTY } else { 0.0 }
             + self.penalty
     }
 }
--- a/crates/pomelorun-core/tests/core/direct/opening_retries.rs
+++ b/crates/pomelorun-core/tests/core/direct/opening_retries.rs
@@ -2,6 +2,7 @@
 //! them open late.
 
 use pomelorun_core::direct::{Disabled, Mechanism};
+use pomelorun_wire::ZoneId;
 
 use crate::direct::simulation::{Counts, Health, OutlierScope, Simulation, SimulationConfig};
 
@@ -89,6 +90,11 @@
     assert_fewer_late_openings("full", SHORT_FLOWS, (1, 4), |it| it.set_health(4, Health::Full));
 }
 
+#[test]
+fn callers_do_not_wait_for_a_zone_that_is_cut_off() {
+    assert_fewer_late_openings("cut", SHORT_FLOWS, (1, 4), |it| it.partition_zone(Some(ZoneId(2))));
+}
+
 #[test]
 fn lost_opening_packets_are_sent_again() {
     let cfg = SimulationConfig { loss_one_in: 20, ..SHORT_FLOWS };
