Sum up flows that were late or lost from the hosts' logs

pomelorunctl losses reads logs line by line and counts flows opened, copied, retried, reset, refused and dropped, by code, zone, upstream and second, and each host's starts with its silence before. Unreadable lines are counted and the first is named; tables are bounded. Reading log files is shared with trace.

An answer that is piped into head no longer panics when the pipe is closed.

--- a/crates/pomelorunctl/src/answer.rs
+++ b/crates/pomelorunctl/src/answer.rs
@@ -1,6 +1,11 @@
 //! What a command answers and how it is shown.
 
-use std::{fmt, process::ExitCode, str::FromStr};
+use std::{
+    fmt,
+    io::{self, Write as _},
+    process::ExitCode,
+    str::FromStr,
+};
 
 use pomelorun_config::Faults;
 use serde::Serialize;
@@ -99,10 +104,8 @@
     /// Shows the answer and returns the exit status.
     pub(crate) fn give(&self) -> ExitCode {
         if !self.out.is_empty() {
-            #[expect(clippy::print_stdout, reason = "the answer to the command")]
-            {
-                println!("{}", self.out.trim_end());
-            }
+            // A reader that has seen enough, such as `head`, closes the pipe.
+            let _ = writeln!(io::stdout(), "{}", self.out.trim_end());
         }
         if !self.err.is_empty() {
             eprintln!("{}", self.err.trim_end());
--- a/crates/pomelorunctl/src/main.rs
+++ b/crates/pomelorunctl/src/main.rs
@@ -5,6 +5,8 @@
 mod direct;
 mod explain;
 mod hosts;
+mod log_lines;
+mod losses;
 mod objects;
 mod status;
 mod trace;
@@ -42,6 +44,8 @@
     Burn(burn::BurnArgs),
     /// show what hosts logged of a flow, in order
     Trace(trace::TraceArgs),
+    /// sum up what hosts logged of flows that were late or lost
+    Losses(losses::LossesArgs),
 }
 
 #[actix_rt::main]
@@ -58,6 +62,7 @@
         Some(Command::Explain(it)) => explain::explain(&it).await,
         Some(Command::Burn(it)) => burn::burn(&it).await,
         Some(Command::Trace(it)) => trace::trace(&it),
+        Some(Command::Losses(it)) => losses::losses(&it),
         None => Answer::usage(format!("a command is required\n\n{}", Args::usage())),
     };
     answer.give()
--- a/crates/pomelorunctl/src/trace.rs
+++ b/crates/pomelorunctl/src/trace.rs
@@ -1,12 +1,14 @@
 //! `trace`: one flow's lines of several hosts' logs, in order, with what was believed around them.
 
-use std::{fs, path::PathBuf};
+use std::path::PathBuf;
 
 use gumdrop::Options;
 use serde::Serialize;
-use serde_json::Value;
 
-use crate::answer::{Answer, Format, to_json};
+use crate::{
+    answer::{Answer, Format, to_json},
+    log_lines::{Line, Unread, read_log},
+};
 
 /// Time before and after a flow's own lines in which lines about its upstreams and hosts are shown,
 /// milliseconds: the longest that a caller waits for an opening, and some more.
@@ -29,23 +31,6 @@
     format: Format,
 }
 
-/// One line of a log.
-#[derive(Debug, Clone, Serialize)]
-#[serde(rename_all = "snake_case")]
-struct Line {
-    timestamp: u64,
-    host: String,
-    code: String,
-    text: String,
-    fields: Value,
-}
-
-impl Line {
-    fn field(&self, name: &str) -> &str {
-        self.fields.get(name).and_then(Value::as_str).unwrap_or_default()
-    }
-}
-
 /// What was found of a flow.
 #[derive(Debug, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -61,22 +46,15 @@
         return Answer::usage("a log file is required".to_owned());
     }
     let mut lines = Vec::new();
-    let mut unread = 0;
+    let mut unread = Unread::default();
     for file in &args.files {
-        let text = match fs::read_to_string(file) {
-            Ok(it) => it,
-            Err(e) => return Answer::usage(format!("{}: {e}", file.display())),
-        };
-        let name = file.file_stem().unwrap_or_default().to_string_lossy();
-        for line in text.lines().filter(|it| !it.trim().is_empty()) {
-            match parse(line, &name) {
-                Some(it) => lines.push(it),
-                None => unread += 1,
-            }
+        if let Err(e) = read_log(file, &mut unread, |it| lines.push(it)) {
+            return Answer::usage(format!("{}: {e}", file.display()));
         }
     }
     lines.sort_by_key(|it| it.timestamp);
-    let trace = Trace { flow: args.flow.clone(), lines: select(&args.flow, &lines), unread };
+    let trace =
+        Trace { flow: args.flow.clone(), lines: select(&args.flow, &lines), unread: unread.count };
     if trace.lines.is_empty() {
         let message =
             format!("no line names the flow `{}`; was it left out by sampling?", args.flow);
@@ -88,20 +66,6 @@
     })
 }
 
-fn parse(line: &str, file: &str) -> Option<Line> {
-    let start = line.find('{')?;
-    let value: Value = serde_json::from_str(&line[start..]).ok()?;
-    let fields = value.get("kv").cloned().unwrap_or_default();
-    let host = line[..start].split_whitespace().last().unwrap_or(file).to_owned();
-    Some(Line {
-        timestamp: value.get("timestamp")?.as_u64()?,
-        host,
-        code: fields.get("code").and_then(Value::as_str).unwrap_or_default().to_owned(),
-        text: value.get("payload")?.as_str()?.to_owned(),
-        fields,
-    })
-}
-
 /// The flow's own lines, and what its hosts believed of its upstreams and of themselves meanwhile.
 fn select(flow: &str, lines: &[Line]) -> Vec<Line> {
     let own: Vec<&Line> = lines.iter().filter(|it| it.field("flow") == flow).collect();
--- a/crates/pomelorunctl/tests/ctl/main.rs
+++ b/crates/pomelorunctl/tests/ctl/main.rs
@@ -4,6 +4,7 @@
 
 mod burn;
 mod direct;
+mod losses;
 mod objects;
 mod run;
 mod status;
