Retry openings also in a zone that has not answered yet

Cause: the time after which an answer is overdue was known only for zones with eight observed openings.

Change: the slowest other zone stands in for a zone without observations, with another margin; a host without any waits half of the callers' retransmission interval.

Ruled out: fewer samples, since a cut zone gives none.

--- a/crates/pomelorun-core/src/direct/host.rs
+++ b/crates/pomelorun-core/src/direct/host.rs
@@ -25,7 +25,7 @@
         load::Load,
         mechanism::{Disabled, Mechanism},
         observed_flows::{Attempts, Flow, ObservedFlows},
-        opening_retry::{OpeningTimes, PendingOpenings, RetryBudget},
+        opening_retry::{PendingOpenings, RetryBudget, ZoneOpeningTimes},
         outcomes::{OutcomesByRoute, ServiceOutcomes},
         outlier::{AnswersByRoute, FailureReport, OutlierState, PendingReport, REPORT_INTERVAL},
         peer_update::PeerUpdate,
@@ -241,8 +241,7 @@
     last_expiry: Millis,
     flows: ObservedFlows,
     pending_openings: PendingOpenings,
-    /// Time that upstreams take to answer opening packets, sorted by zone.
-    opening_times: Vec<(ZoneId, OpeningTimes)>,
+    opening_times: ZoneOpeningTimes,
     retry_budget: RetryBudget,
     /// Sorted.
     withdrawn_zones: Vec<ZoneId>,
@@ -285,7 +284,7 @@
         DirectHost {
             flows: ObservedFlows::new(cfg.max_flows),
             pending_openings: PendingOpenings::default(),
-            opening_times: Vec::new(),
+            opening_times: ZoneOpeningTimes::default(),
             retry_budget: RetryBudget::default(),
             routing: Arc::default(),
             registry: Registry::default(),
--- a/crates/pomelorun-core/src/direct/host/opening_retries.rs
+++ b/crates/pomelorun-core/src/direct/host/opening_retries.rs
@@ -11,7 +11,7 @@
         liveness::MIN_RETRANSMIT_GAP,
         mechanism::Mechanism,
         observed_flows::Flow,
-        opening_retry::{OpeningTimes, PendingOpening},
+        opening_retry::PendingOpening,
         placement::{Choice, choose},
         registry::UpstreamIx,
         segment::Segment,
@@ -82,13 +82,11 @@
         if attempts >= MAX_ATTEMPTS || !self.is_enabled(Mechanism::OpeningRetry) {
             return;
         }
-        let Ok(at) = self.opening_times.binary_search_by_key(&zone, |it| it.0) else { return };
+        let timeout = self.opening_times.timeout(zone);
         // The caller's retransmission comes before a later retry would help.
-        let Some(timeout) =
-            self.opening_times[at].1.timeout().filter(|it| *it < MIN_RETRANSMIT_GAP)
-        else {
+        if timeout >= MIN_RETRANSMIT_GAP {
             return;
-        };
+        }
         let it = PendingOpening { due: now + timeout, segment: *segment, attempts };
         self.stats.retries_withheld += u64::from(!self.pending_openings.push(it));
     }
@@ -104,15 +102,9 @@
         if took >= MIN_RETRANSMIT_GAP {
             return;
         }
-        let Some(zone) = self.registry.get(ix).map(|it| it.announcement.zone) else { return };
-        let at = match self.opening_times.binary_search_by_key(&zone, |it| it.0) {
-            Ok(at) => at,
-            Err(at) => {
-                self.opening_times.insert(at, (zone, OpeningTimes::default()));
-                at
-            }
-        };
-        self.opening_times[at].1.record(took);
+        if let Some(it) = self.registry.get(ix) {
+            self.opening_times.record(it.announcement.zone, took);
+        }
     }
 
     fn assess_pending(&mut self, it: &PendingOpening) -> Overdue {
--- a/crates/pomelorun-core/src/direct/opening_retry.rs
+++ b/crates/pomelorun-core/src/direct/opening_retry.rs
@@ -8,6 +8,8 @@
 
 use std::collections::VecDeque;
 
+use pomelorun_wire::ZoneId;
+
 use crate::{
     direct::{decaying_sum::DecayingSum, segment::Segment},
     time::Millis,
@@ -25,6 +27,10 @@
 /// Openings that must have been observed before an answer can be overdue.
 const MIN_SAMPLES: u32 = 8;
 
+/// Time after which an answer is overdue for a host that has not observed any: half of the callers'
+/// retransmission interval.
+const INITIAL_TIMEOUT: Millis = Millis(100);
+
 /// Half-life of the openings and retries that the budget compares, in milliseconds.
 const BUDGET_HALF_LIFE_MS: f64 = 5_000.0;
 /// Retries allowed for each opening that was answered recently. If more are overdue, the upstreams
@@ -39,7 +45,7 @@
 /// Time from an opening packet to the caller's next packet, as for the retransmission timeout of
 /// RFC 6298.
 #[derive(Debug, Clone, Copy, Default)]
-pub(crate) struct OpeningTimes {
+struct OpeningTimes {
     samples: u32,
     mean_ms: f64,
     deviation_ms: f64,
@@ -47,7 +53,7 @@
 
 impl OpeningTimes {
     /// Records the time that an opening took.
-    pub(crate) fn record(&mut self, took: Millis) {
+    fn record(&mut self, took: Millis) {
         let took_ms = took.0 as f64;
         if self.samples == 0 {
             self.mean_ms = took_ms;
@@ -61,12 +67,46 @@
     }
 
     /// Returns the time after which an answer is overdue, or `None` if too few were observed.
-    pub(crate) fn timeout(&self) -> Option<Millis> {
+    fn timeout(&self) -> Option<Millis> {
         let margin_ms = (OVERDUE_DEVIATIONS * self.deviation_ms).max(MIN_MARGIN_MS);
         (self.samples >= MIN_SAMPLES).then_some(Millis((self.mean_ms + margin_ms) as u64))
     }
 }
 
+/// Times of the openings in each zone.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct ZoneOpeningTimes {
+    /// Sorted by zone.
+    zones: Vec<(ZoneId, OpeningTimes)>,
+}
+
+impl ZoneOpeningTimes {
+    /// Records the time that an opening took at an upstream in `zone`.
+    pub(crate) fn record(&mut self, zone: ZoneId, took: Millis) {
+        let at = match self.zones.binary_search_by_key(&zone, |it| it.0) {
+            Ok(at) => at,
+            Err(at) => {
+                self.zones.insert(at, (zone, OpeningTimes::default()));
+                at
+            }
+        };
+        self.zones[at].1.record(took);
+    }
+
+    /// Returns the time after which the answer of an upstream in `zone` is overdue.
+    ///
+    /// A zone that has not answered yet may be cut off. The slowest of the others then stands in for
+    /// it, with another margin because its distance is unknown.
+    pub(crate) fn timeout(&self, zone: ZoneId) -> Millis {
+        let own = self.zones.binary_search_by_key(&zone, |it| it.0);
+        if let Some(timeout) = own.ok().and_then(|at| self.zones[at].1.timeout()) {
+            return timeout;
+        }
+        let slowest = self.zones.iter().filter_map(|it| it.1.timeout()).max();
+        slowest.map_or(INITIAL_TIMEOUT, |it| it + Millis(MIN_MARGIN_MS as u64))
+    }
+}
+
 /// Bounds the retries to a share of the openings that were answered recently.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct RetryBudget {
--- a/crates/pomelorun-core/tests/core/direct/opening_retries.rs
+++ b/crates/pomelorun-core/tests/core/direct/opening_retries.rs
@@ -1,10 +1,18 @@
 //! Load of callers that open a flow for each request while openings are not answered: how many of
 //! them open late.
 
-use pomelorun_core::direct::{Disabled, Mechanism};
+use pomelorun_core::{
+    Millis,
+    direct::{Disabled, Mechanism},
+};
 use pomelorun_wire::ZoneId;
 
-use crate::direct::simulation::{Counts, Health, OutlierScope, Simulation, SimulationConfig};
+use crate::direct::{
+    fixtures::{
+        LOCAL_ZONE, REMOTE_ZONE, announcement, data_segment, flow, forwarded_to, host, open_segment,
+    },
+    simulation::{Counts, Health, OutlierScope, Simulation, SimulationConfig},
+};
 
 const SHORT_FLOWS: SimulationConfig = SimulationConfig {
     zones: 3,
@@ -147,3 +155,42 @@
         assert!(with.in_time * 100 >= without.in_time * 99, "seed {seed}: {with:?} {without:?}");
     }
 }
+
+/// Openings through a host that has just started, after which it knows how long answers take.
+const OPENINGS_TO_LEARN_FROM: u32 = 20;
+/// Time within which a retry must follow for the caller not to be late, with time left for the answer.
+const IN_TIME: Millis = Millis(50);
+
+#[test]
+fn host_started_while_a_zone_is_cut_off_retries_its_openings_there_in_time() {
+    let upstreams = [announcement(1, LOCAL_ZONE), announcement(2, REMOTE_ZONE)];
+    let mut host = host(&upstreams);
+    let mut unanswered = 0;
+    for number in 0..40 {
+        let now = Millis(1_000 + 100 * u64::from(number));
+        let verdict = host.handle_packet(now, &open_segment(flow(number), 0));
+        let Some((id, token)) = forwarded_to(verdict) else { panic!("flow {number} not opened") };
+        if id == 1 {
+            let established = data_segment(flow(number), token, 1, 100, 0);
+            host.handle_packet(now + Millis(8), &established);
+        } else if number >= OPENINGS_TO_LEARN_FROM {
+            unanswered += 1;
+            let due = host.next_opening_retry();
+            assert!(due.is_some_and(|it| it <= now + IN_TIME), "flow {number}: {due:?}");
+        }
+    }
+    assert!(unanswered > 0);
+}
+
+#[test]
+fn host_that_has_observed_no_opening_retries_before_the_caller_does() {
+    let upstreams = [announcement(1, LOCAL_ZONE), announcement(2, LOCAL_ZONE)];
+    let mut host = host(&upstreams);
+    let now = Millis(1_000);
+    let first = forwarded_to(host.handle_packet(now, &open_segment(flow(0), 0)));
+    let due = host.next_opening_retry();
+    assert!(due.is_some_and(|it| it < now + Millis(200)), "{due:?}");
+    let retries = host.retry_openings(due.unwrap_or_default());
+    assert_eq!(retries.len(), 1);
+    assert_ne!(Some(retries[0].id), first.map(|it| it.0));
+}
