Count an opened flow as load for as long as flows of its service live

Cause: hosts spread flows by how many they opened in the last seconds, half-life 2 s, since a caller that keeps its flow open sends more requests on it. A caller that opens a flow for each request does not: its flow is load for some 50 ms.

Change: a host observes per service how long flows live from their opening to the caller's FIN (those that it opened itself); the weight of an opened flow is that share of its half-life. Long flows are placed as before.

The simulated callers close their flows now.

--- a/crates/pomelorun-core/src/direct.rs
+++ b/crates/pomelorun-core/src/direct.rs
@@ -13,6 +13,7 @@
 mod directory_sync;
 mod event;
 mod fleet;
+mod flow_lifetimes;
 mod host;
 mod latency;
 mod liveness;
--- a/crates/pomelorun-core/src/direct/host.rs
+++ b/crates/pomelorun-core/src/direct/host.rs
@@ -20,6 +20,7 @@
         cold::{ColdBudget, ColdLimit},
         directory_merge::DirectoryEra,
         event::{DirectEvent, LifecycleChange, ResetReason},
+        flow_lifetimes::FlowLifetimes,
         latency::LatencyHistogram,
         liveness::{Liveness, MIN_RETRANSMIT_GAP, ProbeKind, Reachability},
         load::Load,
@@ -243,6 +244,7 @@
     pending_openings: PendingOpenings,
     opening_times: ZoneOpeningTimes,
     retry_budget: RetryBudget,
+    flow_lifetimes: FlowLifetimes,
     /// Sorted.
     withdrawn_zones: Vec<ZoneId>,
     directory_state: DirectoryState,
@@ -286,6 +288,7 @@
             pending_openings: PendingOpenings::default(),
             opening_times: ZoneOpeningTimes::default(),
             retry_budget: RetryBudget::default(),
+            flow_lifetimes: FlowLifetimes::default(),
             routing: Arc::default(),
             registry: Registry::default(),
             upstream_states: Vec::new(),
@@ -504,7 +507,7 @@
             }
             let (ix, sent) = (flow.upstream(), flow.unanswered_since.unwrap_or(now));
             let attempts = flow.attempts.clone();
-            if now.since(attempts.first_sent) < MIN_RETRANSMIT_GAP {
+            if attempts.first_sent.is_some_and(|it| now.since(it) < MIN_RETRANSMIT_GAP) {
                 return self.forward(ix);
             }
             self.record_retransmission(now, ix, seg.flow, sent);
@@ -535,6 +538,7 @@
         self.observe_packet(now, ix, seg);
         if seg.kind == SegmentKind::Finish {
             self.assess_last_answer(now, ix, &seg.flow);
+            self.record_lifetime(now, ix, &seg.flow);
         }
         self.forward(ix)
     }
--- a/crates/pomelorun-core/src/direct/host/failure_detection.rs
+++ b/crates/pomelorun-core/src/direct/host/failure_detection.rs
@@ -137,7 +137,9 @@
     /// Adds a flow to the flow table as established: at its first packet after the opening one, or
     /// when the flow was opened through another host.
     pub(super) fn record_established(&mut self, now: Millis, ix: UpstreamIx, seg: &Segment) {
+        let mut first_sent = None;
         if let Some(opening) = self.flows.remove(&seg.flow) {
+            first_sent = opening.attempts.first_sent;
             self.record_opening_time(now, ix, &opening);
             if let Some(it) = self.outcomes.counters(&self.routing, seg.flow.service) {
                 it.opened += 1;
@@ -147,7 +149,7 @@
         let has_data = seg.len > 0;
         let inserted = self.flows.insert(Flow {
             key: seg.flow,
-            attempts: Attempts { upstreams: SmallVec::from_slice(&[ix]), first_sent: now },
+            attempts: Attempts { upstreams: SmallVec::from_slice(&[ix]), first_sent },
             established: true,
             last_packet: now,
             ack: seg.ack,
--- a/crates/pomelorun-core/src/direct/host/flow_placement.rs
+++ b/crates/pomelorun-core/src/direct/host/flow_placement.rs
@@ -99,6 +99,25 @@
         self.forward(best.ix)
     }
 
+    /// Records how long a flow has lived that its caller closes.
+    pub(super) fn record_lifetime(&mut self, now: Millis, ix: UpstreamIx, key: &FlowKey) {
+        let Some(flow) = self.flows.get_mut(key) else { return };
+        // Only a flow that this host has opened, and once.
+        let Some(opened_at) = flow.attempts.first_sent.take() else { return };
+        if let Some(it) = self.registry.get(ix) {
+            self.flow_lifetimes.record(&it.announcement.service, now.since(opened_at));
+        }
+    }
+
+    /// Returns for which part of the time that an opening counts its flow is load.
+    pub(super) fn load_share(&self, service: &str) -> f64 {
+        if self.is_enabled(Mechanism::FlowLifetimes) {
+            self.flow_lifetimes.load_share(service)
+        } else {
+            1.0
+        }
+    }
+
     /// Credits the candidates that were none for the previous flow with the flows that the others
     /// have got meanwhile.
     fn admit_joining(&mut self, now: Millis, candidates: &mut [Candidate]) {
@@ -151,6 +170,7 @@
         let mut found: SmallVec<[Candidate; 32]> = SmallVec::new();
         let flow_hash = flow.stable_hash();
         let unanswering_zones = self.unanswering_zones(tried);
+        let load_share = self.load_share(service);
         for &ix in self.registry.by_service(service) {
             let Some(it) = self.registry.get(ix) else { continue };
             let Ok(choice) = self.classify(now, ix, it) else { continue };
@@ -160,7 +180,7 @@
             let choice = if is_tried { choice.max(Choice::Tried) } else { choice };
             let tie_break = rendezvous_score(flow_hash, it.announcement.key.id);
             let in_unanswering_zone = unanswering_zones.contains(&it.announcement.zone);
-            let it = self.candidate(now, ix, it);
+            let it = Candidate { load_share, ..self.candidate(now, ix, it) };
             found.push(Candidate { choice, in_unanswering_zone, tie_break, ..it });
         }
         found
@@ -188,6 +208,7 @@
             in_unanswering_zone: false,
             waiting: if_enabled(Mechanism::WaitingRequests, f64::from(state.load.waiting)),
             recent_opens: if_enabled(Mechanism::RecentOpens, state.load.recent_opens(now)),
+            load_share: 1.0,
             slots: it.announcement.slots,
             penalty: if_enabled(Mechanism::OutlierEjection, state.outlier.penalty(now)),
             tie_break: 0,
--- a/crates/pomelorun-core/src/direct/host/introspection.rs
+++ b/crates/pomelorun-core/src/direct/host/introspection.rs
@@ -6,7 +6,7 @@
     direct::{
         host::{DirectHost, DirectoryState},
         liveness::Reachability,
-        placement::choose,
+        placement::{Candidate, choose},
         registry::{Upstream, UpstreamIx},
         token::Token,
         view::{DirectView, FlowView, KnownFrom, ReachabilityView, UpstreamView},
@@ -70,6 +70,7 @@
     fn upstream_view(&self, now: Millis, ix: UpstreamIx, it: &Upstream) -> UpstreamView {
         let state = &self.upstream_states[ix.0 as usize];
         let choice = self.classify(now, ix, it);
+        let load_share = self.load_share(&it.announcement.service);
         UpstreamView {
             upstream: format_id(it),
             token: it.token.to_string(),
@@ -88,7 +89,7 @@
             waiting: state.load.waiting,
             choice: choice.ok(),
             ineligible: choice.err(),
-            score: self.candidate(now, ix, it).score(),
+            score: Candidate { load_share, ..self.candidate(now, ix, it) }.score(),
         }
     }
 }
--- a/crates/pomelorun-core/src/direct/load.rs
+++ b/crates/pomelorun-core/src/direct/load.rs
@@ -4,7 +4,7 @@
 
 /// Half-life of an opened flow, in milliseconds: about the time until a caller that keeps its flow
 /// open sends the next request.
-const OPENS_HALF_LIFE_MS: f64 = 2_000.0;
+pub(crate) const OPENS_HALF_LIFE_MS: f64 = 2_000.0;
 
 /// Estimated load of one upstream.
 #[derive(Debug, Clone, Copy, Default)]
--- a/crates/pomelorun-core/src/direct/mechanism.rs
+++ b/crates/pomelorun-core/src/direct/mechanism.rs
@@ -24,6 +24,8 @@
 mechanisms! {
     /// Spreading flows by how many were opened recently at each upstream.
     RecentOpens,
+    /// Counting opened flows for as long as flows of their service live.
+    FlowLifetimes,
     /// Spreading flows by how many requests wait at each upstream.
     WaitingRequests,
     /// Preferring upstreams of the host's own zone.
--- a/crates/pomelorun-core/src/direct/observed_flows.rs
+++ b/crates/pomelorun-core/src/direct/observed_flows.rs
@@ -14,14 +14,14 @@
 pub(crate) struct Attempts {
     /// Upstreams that it was sent to, in order.
     pub(crate) upstreams: SmallVec<[UpstreamIx; 3]>,
-    /// When it was sent to the first of them.
-    pub(crate) first_sent: Millis,
+    /// When this host sent it to the first of them; `None` if another host did.
+    pub(crate) first_sent: Option<Millis>,
 }
 
 impl Attempts {
     /// Returns the attempts of a packet that has not been sent yet.
     pub(crate) fn none(now: Millis) -> Attempts {
-        Attempts { upstreams: SmallVec::new(), first_sent: now }
+        Attempts { upstreams: SmallVec::new(), first_sent: Some(now) }
     }
 }
 
@@ -68,7 +68,7 @@
         if self.upstream() == ix {
             return self.unanswered_since;
         }
-        (self.attempts.upstreams.first() == Some(&ix)).then_some(self.attempts.first_sent)
+        self.attempts.first_sent.filter(|_| self.attempts.upstreams.first() == Some(&ix))
     }
 }
 
--- a/crates/pomelorun-core/src/direct/placement.rs
+++ b/crates/pomelorun-core/src/direct/placement.rs
@@ -57,6 +57,8 @@
     pub waiting: f64,
     /// Exponentially decaying number of flows opened there.
     pub recent_opens: f64,
+    /// Part of the time that an opening counts for which its flow is load, from 0 to 1.
+    pub load_share: f64,
     /// Number of requests that the upstream runs concurrently.
     pub slots: u32,
     /// Score penalty for failed requests, in waiting requests per slot.
@@ -75,7 +77,8 @@
     /// Returns the load per slot plus the penalties; lower is better.
     pub fn score(&self) -> f64 {
         let zone_penalty = if self.same_zone { 0.0 } else { REMOTE_ZONE_PENALTY };
-        (self.waiting * WAITING_WEIGHT + self.recent_opens * OPENED_WEIGHT) / self.slot_count()
+        let opened = self.recent_opens * OPENED_WEIGHT * self.load_share;
+        (self.waiting * WAITING_WEIGHT + opened) / self.slot_count()
             + zone_penalty
             + if self.in_unanswering_zone { UNANSWERING_ZONE_PENALTY } else { 0.0 }
             + self.penalty
--- a/crates/pomelorun-core/tests/core/direct/simulation.rs
+++ b/crates/pomelorun-core/tests/core/direct/simulation.rs
@@ -199,6 +199,8 @@
     pub(crate) opened: u64,
     /// Flows that took longer than [`LATE_OPENING_MS`] to open, or were given up.
     pub(crate) late_openings: u64,
+    /// Flows that were opened at an upstream of another zone.
+    pub(crate) remote_flows: u64,
     /// Opening packets that hosts sent to another upstream.
     pub(crate) retries: u64,
     /// Ejections of healthy upstreams.
@@ -586,6 +588,8 @@
             return;
         }
         self.counts.opened += 1;
+        let upstream_zone = self.upstreams.get(&upstream).map(|it| it.zone);
+        self.counts.remote_flows += u64::from(upstream_zone != Some(it.zone));
         self.counts.late_openings += u64::from(self.now - it.step_started_at > LATE_OPENING_MS);
         it.upstream = upstream;
         it.token = token;
@@ -626,6 +630,10 @@
         }
         let it = &self.callers[caller];
         if failed && !it.sends_bad_requests || it.answered >= self.cfg.flow_requests {
+            self.send_through_host(
+                caller,
+                Segment { flow, kind: SegmentKind::Finish, token, seq, ack, len: 0 },
+            );
             // The retry, or the next request, opens a new flow.
             if self.cfg.max_pause_ms == 0 {
                 self.open_new_flow(caller);
