--- a/crates/pomelorun-core/src/direct/event.rs
+++ b/crates/pomelorun-core/src/direct/event.rs
@@ -114,11 +114,12 @@
         /// The token that it carries.
         token: Token,
     },
-    /// A caller retransmitted a packet that the upstream had not answered; the upstream is probed.
+    /// A caller retransmitted a packet, or the answer to its opening packet is overdue; the upstream is
+    /// probed.
     Suspected {
         /// The upstream.
         upstream: UpstreamKey,
-        /// The flow of the retransmitted packet.
+        /// The flow of the packet.
         flow: FlowKey,
         /// Time since the packet was first sent.
         waited: Millis,
--- a/crates/pomelorun-core/src/direct/host/opening_retries.rs
+++ b/crates/pomelorun-core/src/direct/host/opening_retries.rs
@@ -20,7 +20,8 @@
     time::Millis,
 };
 
-/// Maximum number of upstreams that one transmission of an opening packet is sent to.
+/// Number of upstreams after which an answer is no longer awaited; what follows are the caller's own
+/// retransmissions.
 const MAX_ATTEMPTS: usize = 2;
 
 /// An opening packet to be sent to another upstream.
--- a/crates/pomelorun-core/src/direct/liveness.rs
+++ b/crates/pomelorun-core/src/direct/liveness.rs
@@ -1,7 +1,8 @@
 //! Tracks whether an upstream responds, from callers' packets and probes.
 //!
 //! A caller that proceeds in a flow has received a response. A caller that retransmits a packet has
-//! not, and the packet counts as unanswered if it was first sent after the last response.
+//! not, nor has one whose opening packet is overdue. The packet counts as unanswered if it was first
+//! sent after the last response.
 //! Unanswered packets alone never make an upstream unreachable, because packets get lost and
 //! responses are slow. They make it suspect, so that it gets no new flows, and trigger a probe. An
 //! upstream is considered unreachable only if the probe fails too. This holds for this host and its
--- a/crates/pomelorun-wire/src/code.rs
+++ b/crates/pomelorun-wire/src/code.rs
@@ -105,7 +105,7 @@
     PACKET_NO_UPSTREAM = 407, "packet_no_upstream", "an opening packet was dropped: no upstream of the service can accept it", "check the service's upstreams; the caller retransmits the packet";
     PACKET_UNKNOWN_TOKEN = 408, "packet_unknown_token", "a packet was dropped: no known upstream has its affinity token", "none if its upstream terminated long ago; the caller times out";
     FLOW_RESET_NO_UPSTREAM = 409, "flow_reset_no_upstream", "an opening packet was refused: no upstream of the service responds, or none is left", "check the service's upstreams and the network paths to them";
-    UPSTREAM_SUSPECTED = 410, "upstream_suspected", "a caller retransmits a packet because the upstream has not responded; the upstream is probed", "none unless it recurs";
+    UPSTREAM_SUSPECTED = 410, "upstream_suspected", "a caller retransmits a packet, or the answer to its opening packet is overdue; the upstream is probed", "none unless it recurs";
     UPSTREAM_UNREACHABLE = 411, "upstream_unreachable", "an upstream responds neither to callers nor to a probe; its flows are reset", "check the upstream and the network path to it";
     UPSTREAM_RECOVERED = 412, "upstream_answers", "an unreachable upstream responds again", "none";
     LOCAL_FAULT = 413, "own_fault", "an upstream is not marked unreachable because most of the host's zone does not respond either", "check the host's network link and CPU load";
