Take an overdue opening as evidence only if openings were observed

The failure is no matter of load: the test's 20 openings take 20 ms each. It came with the retry in zones that have not answered yet. A host without history has no evidence; the check and its bound are unchanged.

Change: a timeout that follows from no observation retries and suspects nobody. The caller's retransmission counts against the first upstream too when this host has sent the packet to a second one meanwhile; it counted against neither.

--- a/crates/pomelorun-core/src/direct/host.rs
+++ b/crates/pomelorun-core/src/direct/host.rs
@@ -511,6 +511,13 @@
                 return self.forward(ix);
             }
             self.record_retransmission(now, ix, seg.flow, sent);
+            // If this host has sent the packet to a second upstream, the first one has not answered for
+            // longer.
+            if let (Some(first), Some(sent)) = (attempts.upstreams.first(), attempts.first_sent)
+                && *first != ix
+            {
+                self.record_retransmission(now, *first, seg.flow, sent);
+            }
             return self.place_flow(now, seg, attempts);
         }
         self.remove_flow(&seg.flow);
--- a/crates/pomelorun-core/src/direct/host/opening_retries.rs
+++ b/crates/pomelorun-core/src/direct/host/opening_retries.rs
@@ -130,7 +130,10 @@
         if now.since(sent) >= MIN_RETRANSMIT_GAP {
             return None;
         }
-        self.record_unanswered(now, overdue, seg.flow, sent);
+        // A timeout that follows from no observation is no evidence against the upstream.
+        if self.opening_times.has_observations() {
+            self.record_unanswered(now, overdue, seg.flow, sent);
+        }
         let routing = Arc::clone(&self.routing);
         let service = routing.route(seg.flow.service)?.service_of(&seg.flow)?;
         let flow = self.flows.get_mut(&seg.flow)?;
--- a/crates/pomelorun-core/src/direct/opening_retry.rs
+++ b/crates/pomelorun-core/src/direct/opening_retry.rs
@@ -93,6 +93,12 @@
         self.zones[at].1.record(took);
     }
 
+    /// Returns `true` if enough openings were observed, in whichever zone, for an overdue answer to
+    /// show something about the upstream.
+    pub(crate) fn has_observations(&self) -> bool {
+        self.zones.iter().any(|it| it.1.timeout().is_some())
+    }
+
     /// Returns the time after which the answer of an upstream in `zone` is overdue.
     ///
     /// A zone that has not answered yet may be cut off. The slowest of the others then stands in for
--- a/crates/pomelorun-core/tests/core/direct/opening_retries.rs
+++ b/crates/pomelorun-core/tests/core/direct/opening_retries.rs
@@ -194,3 +194,20 @@
     assert_eq!(retries.len(), 1);
     assert_ne!(Some(retries[0].id), first.map(|it| it.0));
 }
+
+#[test]
+fn host_that_has_observed_no_opening_suspects_no_upstream_before_the_caller_retransmits() {
+    let upstreams = [announcement(1, LOCAL_ZONE), announcement(2, LOCAL_ZONE)];
+    let mut host = host(&upstreams);
+    for number in 0..20 {
+        let now = Millis(1_000 + 20 * u64::from(number));
+        host.handle_packet(now, &open_segment(flow(number), 0));
+        if host.next_opening_retry().is_some_and(|it| it <= now) {
+            host.retry_openings(now);
+        }
+    }
+    assert!(host.stats().overdue_opens > 0);
+    assert!(host.take_probes().is_empty());
+    host.handle_packet(Millis(1_200), &open_segment(flow(0), 1));
+    assert!(!host.take_probes().is_empty(), "the caller's retransmission is evidence");
+}
