Agree on the interfaces of decisions under hard load

Messages of shared load, relative speed of upstreams, admission of flows by priority and the class of a route's requests, each as a stub that changes nothing, with the places where the host calls them.

--- a/crates/pomelorun-core/src/direct.rs
+++ b/crates/pomelorun-core/src/direct.rs
@@ -18,19 +18,27 @@
 mod latency;
 mod liveness;
 mod load;
+mod load_report;
 mod mechanism;
 mod observed_flows;
 mod opening_retry;
 mod outcomes;
 mod outlier;
+// Filled in by the parts that follow.
+#[allow(dead_code)]
+mod overload;
 mod peer_update;
 mod placement;
 mod registry;
 mod routing;
 mod segment;
+#[allow(dead_code)]
+mod shared_load;
 mod token;
 mod unknown_tokens;
 mod update_log;
+#[allow(dead_code)]
+mod upstream_speed;
 mod view;
 
 pub use crate::direct::{
@@ -43,8 +51,8 @@
     event::{DirectEvent, DropReason, LifecycleChange, OpenCause, OpenReason, ResetReason},
     fleet::{Fleet, FleetMsg, OutboundMessages, address_of, host_at},
     host::{
-        DirectHost, DirectSettings, DirectStats, DirectoryState, DirectoryUpdate, OpeningRetry,
-        Probe, ReplicatedUpdate, ResetPacket, Verdict,
+        DirectHost, DirectSettings, DirectStats, DirectoryState, DirectoryUpdate, LoadMessage,
+        OpeningRetry, Probe, ReplicatedUpdate, ResetPacket, Verdict,
     },
     latency::{BUCKET_BOUNDS_MS, LatencyHistogram},
     liveness::{
@@ -52,6 +60,9 @@
         UnansweredPacket, conclude_attempts,
     },
     load::Load,
+    load_report::{
+        IN_PROGRESS_UNIT, LoadReport, LoadSummary, RouteReport, UpstreamReport, UpstreamSum,
+    },
     mechanism::{Disabled, Mechanism, UnknownMechanism},
     observed_flows::{Flow, ObservedFlows},
     outcomes::ServiceOutcomes,
@@ -59,7 +70,7 @@
     peer_update::PeerUpdate,
     placement::{Candidate, Choice, choose},
     registry::{Announcement, Registry, Upstream, UpstreamIx, UpstreamKey},
-    routing::{DirectRoute, RouteTarget, Routing, RoutingChange, ServiceLimits},
+    routing::{DirectRoute, RequestClass, RouteTarget, Routing, RoutingChange, ServiceLimits},
     segment::{Segment, SegmentKind},
     token::Token,
     unknown_tokens::TokenOwner,
--- a/crates/pomelorun-core/src/direct/event.rs
+++ b/crates/pomelorun-core/src/direct/event.rs
@@ -46,6 +46,8 @@
     NoUpstream,
     /// Its upstream is unknown here, and a peer reported that the instance has ended.
     EndedAtPeer,
+    /// No upstream of its service has room for another request of its priority.
+    Overload,
 }
 
 /// Why a packet was dropped.
--- a/crates/pomelorun-core/src/direct/fleet.rs
+++ b/crates/pomelorun-core/src/direct/fleet.rs
@@ -14,6 +14,7 @@
 use crate::{
     direct::{
         directory_sync::{BootstrapHosts, Readers},
+        load_report::{LoadReport, LoadSummary},
         outlier::FailureReport,
         peer_update::PeerUpdate,
         token::Token,
@@ -52,6 +53,10 @@
     /// Reply to a token query, with what the sender knows.
     #[serde(rename = "owners")]
     TokenOwners(Vec<(Token, TokenOwner)>),
+    /// Load that the sender has seen, for the collector of its zone.
+    Load(LoadReport),
+    /// Sum of the load reports of a zone.
+    LoadSum(LoadSummary),
 }
 
 /// Messages to send, with their recipients.
--- a/crates/pomelorun-core/src/direct/host.rs
+++ b/crates/pomelorun-core/src/direct/host.rs
@@ -4,8 +4,10 @@
 mod failure_detection;
 mod flow_placement;
 mod introspection;
+mod load_sharing;
 mod opening_retries;
 mod outlier_detection;
+mod overload_control;
 mod rejection;
 mod token_queries;
 
@@ -14,7 +16,7 @@
 use pomelorun_wire::{FlowKey, HostId, ZoneId};
 use serde::{Deserialize, Serialize};
 
-pub use crate::direct::host::opening_retries::OpeningRetry;
+pub use crate::direct::host::{load_sharing::LoadMessage, opening_retries::OpeningRetry};
 use crate::{
     direct::{
         cold::{ColdBudget, ColdLimit},
@@ -29,12 +31,15 @@
         opening_retry::{PendingOpenings, RetryBudget, ZoneOpeningTimes},
         outcomes::{OutcomesByRoute, ServiceOutcomes},
         outlier::{AnswersByRoute, FailureReport, OutlierState, PendingReport, REPORT_INTERVAL},
+        overload::OverloadControl,
         peer_update::PeerUpdate,
         registry::{Announcement, Registry, UpstreamIx, UpstreamKey},
         routing::{Routing, RoutingChange},
         segment::{Segment, SegmentKind},
+        shared_load::SharedLoad,
         token::Token,
         unknown_tokens::UnknownTokens,
+        upstream_speed::ServiceTimes,
     },
     time::Millis,
 };
@@ -276,6 +281,10 @@
     /// Resets to send.
     resets: Vec<ResetPacket>,
     peer_update: PeerUpdate,
+    #[allow(dead_code)]
+    shared_load: SharedLoad,
+    service_times: ServiceTimes,
+    overload: OverloadControl,
     events: Vec<DirectEvent>,
     stats: DirectStats,
 }
@@ -314,6 +323,9 @@
             zone_responses: Vec::new(),
             resets: Vec::new(),
             peer_update: PeerUpdate::default(),
+            shared_load: SharedLoad::default(),
+            service_times: ServiceTimes::default(),
+            overload: OverloadControl::default(),
             events: Vec::new(),
             stats: DirectStats::default(),
             cfg,
@@ -443,6 +455,7 @@
             }
         }
         self.assess_timed_out_requests(now);
+        self.share_load(now);
         if now.since(self.last_report) >= REPORT_INTERVAL {
             self.last_report = now;
             self.queue_reports(now);
--- a/crates/pomelorun-core/src/direct/host/failure_detection.rs
+++ b/crates/pomelorun-core/src/direct/host/failure_detection.rs
@@ -15,6 +15,7 @@
         peer_update::PeerUpdate,
         registry::{UpstreamIx, UpstreamKey},
         segment::{Segment, seq_after},
+        upstream_speed::AnswerSample,
     },
     time::Millis,
 };
@@ -113,6 +114,14 @@
                 }
                 let load = &mut self.upstream_states[ix.0 as usize].load;
                 load.waiting = load.waiting.saturating_sub(1);
+                let may_have_queued = load.waiting > 0;
+                let sample = AnswerSample {
+                    route: seg.flow.service,
+                    took: waited,
+                    round_trip: Millis(0),
+                    may_have_queued,
+                };
+                self.record_answer_time(now, ix, &sample);
             }
             self.record_response(now, ix);
         }
@@ -126,6 +135,7 @@
                 flow.unanswered_seq = seg.seq;
                 self.upstream_states[ix.0 as usize].load.waiting += 1;
                 self.record_request(now, ix, seg);
+                self.count_request(now, ix, seg);
             }
             Some(sent) if seg.seq == flow.unanswered_seq => {
                 self.record_retransmission(now, ix, seg.flow, sent);
@@ -160,6 +170,7 @@
         });
         if inserted && has_data {
             self.record_request(now, ix, seg);
+            self.count_request(now, ix, seg);
         }
         if inserted {
             let load = &mut self.upstream_states[ix.0 as usize].load;
--- a/crates/pomelorun-core/src/direct/host/flow_placement.rs
+++ b/crates/pomelorun-core/src/direct/host/flow_placement.rs
@@ -13,6 +13,7 @@
         liveness::Reachability,
         mechanism::Mechanism,
         observed_flows::{Attempts, Flow},
+        overload::Admission,
         placement::{Candidate, Choice, choose},
         registry::{Upstream, UpstreamIx, UpstreamKey},
         segment::Segment,
@@ -33,6 +34,9 @@
             return self.reject_without_route(now, seg);
         };
         let mut candidates = self.candidates(now, service, &seg.flow, &attempts.upstreams);
+        if self.admit_flow(now, route, &candidates) == Admission::Reject {
+            return self.reject_overload(now, seg);
+        }
         self.admit_joining(now, &mut candidates);
         let Some(best) = choose(&candidates) else {
             return self.reject_without_upstream(now, service, seg);
--- a/crates/pomelorun-core/src/direct/host/rejection.rs
+++ b/crates/pomelorun-core/src/direct/host/rejection.rs
@@ -95,6 +95,12 @@
         Verdict::Reset(self.make_reset(now, None, seg.flow, seg.ack, ResetReason::NoUpstream))
     }
 
+    /// Rejects an opening packet because no upstream has room for requests of its priority.
+    pub(super) fn reject_overload(&mut self, now: Millis, seg: &Segment) -> Verdict {
+        self.count_rejected_flow(&seg.flow);
+        Verdict::Reset(self.make_reset(now, None, seg.flow, seg.ack, ResetReason::Overload))
+    }
+
     fn count_rejected_flow(&mut self, key: &FlowKey) {
         if let Some(it) = self.outcomes.counters(&self.routing, key.service) {
             it.refused += 1;
--- a/crates/pomelorun-core/src/direct/mechanism.rs
+++ b/crates/pomelorun-core/src/direct/mechanism.rs
@@ -60,6 +60,14 @@
     OutlierEjection,
     /// Rejecting openings at once while no upstream can take them.
     ImmediateRejection,
+    /// Adding up the load of upstreams over all hosts.
+    SharedLoad,
+    /// Giving faster upstreams more flows.
+    UpstreamSpeed,
+    /// Keeping some upstreams of a service for its more urgent requests.
+    UrgentReserve,
+    /// Rejecting less urgent flows while no upstream has room.
+    OverloadRejection,
     /// Asking other hosts for the upstream of an unknown token.
     TokenQueries,
 }
--- a/crates/pomelorun-core/src/direct/routing.rs
+++ b/crates/pomelorun-core/src/direct/routing.rs
@@ -14,6 +14,24 @@
     pub weight: u32,
 }
 
+/// What a route says about the requests that it carries.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RequestClass {
+    /// Priority; zero is the most urgent.
+    pub priority: u8,
+    /// `true` if a request may run more than once.
+    pub idempotent: bool,
+    /// Time after which a request is given up.
+    pub timeout: Millis,
+}
+
+impl Default for RequestClass {
+    /// Returns the class of a route that says nothing about its requests.
+    fn default() -> RequestClass {
+        RequestClass { priority: 0, idempotent: false, timeout: Millis(u64::from(u32::MAX)) }
+    }
+}
+
 /// Route of one address that callers open flows to.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct DirectRoute {
@@ -23,6 +41,8 @@
     pub targets: Vec<RouteTarget>,
     /// Response-time goal of requests.
     pub answer_within: Millis,
+    /// What else is known of the requests.
+    pub class: RequestClass,
 }
 
 impl DirectRoute {
@@ -187,6 +207,7 @@
             targets.push(RouteTarget { service, weight });
         }
         let addr = ServiceAddr { ip: row.0, port: row.1 };
-        Some(DirectRoute { addr, targets, answer_within: Millis(u64::from(row.3)) })
+        let answer_within = Millis(u64::from(row.3));
+        Some(DirectRoute { addr, targets, answer_within, class: RequestClass::default() })
     }
 }
--- a/crates/pomelorun-core/tests/core/direct/fixtures.rs
+++ b/crates/pomelorun-core/tests/core/direct/fixtures.rs
@@ -6,8 +6,8 @@
     Millis,
     direct::{
         Announcement, ColdLimit, DirectHost, DirectRoute, DirectSettings, DirectoryState,
-        DirectoryUpdate, Disabled, RouteTarget, Routing, Segment, SegmentKind, ServiceLimits,
-        Token, UpstreamKey, Verdict,
+        DirectoryUpdate, Disabled, RequestClass, RouteTarget, Routing, Segment, SegmentKind,
+        ServiceLimits, Token, UpstreamKey, Verdict,
     },
 };
 use pomelorun_wire::{FlowKey, HostId, ServiceAddr, ZoneId};
@@ -54,7 +54,8 @@
 
 pub(crate) fn route(addr: ServiceAddr, service: &str) -> DirectRoute {
     let targets = vec![RouteTarget { service: service.to_owned(), weight: 1 }];
-    DirectRoute { addr, targets, answer_within: Millis(100) }
+    let class = RequestClass::default();
+    DirectRoute { addr, targets, answer_within: Millis(100), class }
 }
 
 pub(crate) fn routing(revision: u64, routes: Vec<DirectRoute>) -> DirectoryUpdate {
--- a/crates/pomelorun-core/tests/core/direct/golden.rs
+++ b/crates/pomelorun-core/tests/core/direct/golden.rs
@@ -10,8 +10,9 @@
     CoreSettings, Millis,
     direct::{
         Announcement, Choice, DirectRoute, DirectView, FailureReport, FleetMsg, FlowView,
-        IneligibleReason, KnownFrom, PeerUpdate, ReachabilityView, ReplicatedUpdate, RouteTarget,
-        Routing, RoutingChange, ServiceLimits, Token, TokenOwner, UpstreamKey, UpstreamView,
+        IneligibleReason, KnownFrom, PeerUpdate, ReachabilityView, ReplicatedUpdate, RequestClass,
+        RouteTarget, Routing, RoutingChange, ServiceLimits, Token, TokenOwner, UpstreamKey,
+        UpstreamView,
     },
 };
 use pomelorun_wire::{PeerMsg, ServiceAddr, ZoneId, decode, encode};
@@ -61,6 +62,7 @@
         addr: ServiceAddr { ip: 0x0a14_0001, port },
         targets: vec![target("search", weight), target("search-next", 1)],
         answer_within: Millis(800),
+        class: RequestClass::default(),
     }
 }
 
--- a/crates/pomelorun-core/tests/core/direct/routing.rs
+++ b/crates/pomelorun-core/tests/core/direct/routing.rs
@@ -2,7 +2,7 @@
 
 use pomelorun_core::{
     Millis,
-    direct::{DirectRoute, RouteTarget, Routing, RoutingChange, ServiceLimits},
+    direct::{DirectRoute, RequestClass, RouteTarget, Routing, RoutingChange, ServiceLimits},
 };
 use pomelorun_wire::{ServiceAddr, encode};
 use proptest::prelude::*;
@@ -17,6 +17,7 @@
             RouteTarget { service: "rest".to_owned(), weight: 10 },
         ],
         answer_within: Millis(u64::from(port) / 2),
+        class: RequestClass::default(),
     });
     let limits = vec![ServiceLimits {
         service: "s1".to_owned(),
@@ -40,7 +41,11 @@
 fn route_with_zero_total_weight_selects_no_service() {
     let addr = ServiceAddr { ip: 1, port: 443 };
     let targets = vec![RouteTarget { service: "s".to_owned(), weight: 0 }];
-    assert_eq!(DirectRoute { addr, targets, answer_within: Millis(0) }.service_of(&flow(1)), None);
+    assert_eq!(
+        DirectRoute { addr, targets, answer_within: Millis(0), class: RequestClass::default() }
+            .service_of(&flow(1)),
+        None
+    );
 }
 
 #[test]
--- a/crates/pomelorun-standins/src/slopes/points/direct.rs
+++ b/crates/pomelorun-standins/src/slopes/points/direct.rs
@@ -6,7 +6,8 @@
     Millis,
     direct::{
         Announcement, ColdLimit, DirectHost, DirectRoute, DirectSettings, DirectoryState,
-        DirectoryUpdate, Disabled, RouteTarget, Routing, Segment, SegmentKind, Token, UpstreamKey,
+        DirectoryUpdate, Disabled, RequestClass, RouteTarget, Routing, Segment, SegmentKind, Token,
+        UpstreamKey,
     },
 };
 use pomelorun_wire::{FlowKey, HostId, ZoneId};
@@ -91,6 +92,7 @@
         addr: service_at(at),
         targets: vec![RouteTarget { service: name(at), weight: 1 }],
         answer_within: Millis(100),
+        class: RequestClass::default(),
     });
     let routing = Routing::new(1, routes.collect(), Vec::new(), Millis(60_000));
     let announced = (0..upstreams).map(|at| {
--- a/crates/pomelorun-wire/src/code.rs
+++ b/crates/pomelorun-wire/src/code.rs
@@ -128,4 +128,5 @@
     SHUTTING_DOWN = 431, "leaving_host", "the daemon is shutting down: it refuses new flows and keeps forwarding packets", "none";
     STOPPED = 432, "stopped", "the daemon has stopped", "none";
     RELOADED = 433, "reloaded", "the settings file was reloaded", "restart the daemon if the log line asks for it";
+    FLOW_RESET_OVERLOADED = 434, "flow_reset_overloaded", "an opening packet was refused: no upstream of the service has room for another request of its priority", "add upstreams, or reduce the demand of the less urgent routes";
 }
--- a/crates/pomelorun/src/direct/edge.rs
+++ b/crates/pomelorun/src/direct/edge.rs
@@ -10,8 +10,8 @@
     Millis,
     direct::{
         DirectHost, DirectSettings, DirectStats, DirectoryState, DirectoryUpdate, FailureReport,
-        ListingState, OpeningRetry, PeerUpdate, Probe, ProbeResult, ReplicatedUpdate, SegmentKind,
-        Token, TokenOwner, UpstreamKey, Verdict,
+        ListingState, LoadMessage, LoadReport, LoadSummary, OpeningRetry, PeerUpdate, Probe,
+        ProbeResult, ReplicatedUpdate, SegmentKind, Token, TokenOwner, UpstreamKey, Verdict,
     },
 };
 use pomelorun_wire::{FlowKey, HostId};
@@ -296,6 +296,21 @@
         self.host.take_reports()
     }
 
+    /// Applies the load report of another host of this zone.
+    pub(crate) fn apply_load_report(&mut self, from: HostId, report: &LoadReport) {
+        self.host.apply_load_report(now(), from, report);
+    }
+
+    /// Applies the load summary of a zone.
+    pub(crate) fn apply_load_summary(&mut self, from: HostId, summary: &LoadSummary) {
+        self.host.apply_load_summary(now(), from, summary);
+    }
+
+    /// Takes the messages about load to send, each with its receiver.
+    pub(crate) fn take_load_messages(&mut self) -> Vec<(HostId, LoadMessage)> {
+        self.host.take_load_messages()
+    }
+
     /// Takes the token queries to send, each with its receiver.
     pub(crate) fn take_token_queries(&mut self) -> Vec<(HostId, Vec<Token>)> {
         self.host.take_token_queries()
--- a/crates/pomelorun/src/direct/event_log.rs
+++ b/crates/pomelorun/src/direct/event_log.rs
@@ -177,6 +177,7 @@
         ResetReason::NoRoute => Code::FLOW_RESET_NO_ROUTE,
         ResetReason::NoUpstream => Code::FLOW_RESET_NO_UPSTREAM,
         ResetReason::EndedAtPeer => Code::FLOW_RESET_REPORTED_ENDED,
+        ResetReason::Overload => Code::FLOW_RESET_OVERLOADED,
     };
     warn!("flow reset", kv: {
         code = code.to_string(), flow = flow.to_string(),
--- a/crates/pomelorun/src/direct/fleet.rs
+++ b/crates/pomelorun/src/direct/fleet.rs
@@ -10,7 +10,9 @@
 use actix::Recipient;
 use pomelorun_core::{
     Millis,
-    direct::{Fleet, FleetMsg, OutboundMessages, PeerUpdate, Readers, address_of, host_at},
+    direct::{
+        Fleet, FleetMsg, LoadMessage, OutboundMessages, PeerUpdate, Readers, address_of, host_at,
+    },
 };
 use pomelorun_wire::{Code, HostId, decode, encode};
 use spdlog::prelude::*;
@@ -77,6 +79,8 @@
         self.send(queries.into_iter().map(|(to, it)| (to, FleetMsg::TokenQuery(it))).collect());
         let reports = self.edge.borrow_mut().take_reports();
         self.send(reports.into_iter().map(|(to, it)| (to, FleetMsg::Reports(it))).collect());
+        let load = self.edge.borrow_mut().take_load_messages();
+        self.send(load.into_iter().map(|(to, it)| (to, load_message(it))).collect());
         let out = self.fleet.tick(now);
         self.send(out);
         self.publish_membership();
@@ -105,6 +109,10 @@
             }
             FleetMsg::TokenOwners(owners) => self.edge.borrow_mut().apply_token_owners(&owners),
             FleetMsg::Reports(reports) => self.edge.borrow_mut().apply_reports(&reports),
+            FleetMsg::Load(report) => self.edge.borrow_mut().apply_load_report(from, &report),
+            FleetMsg::LoadSum(summary) => {
+                self.edge.borrow_mut().apply_load_summary(from, &summary);
+            }
         }
     }
 
@@ -149,6 +157,14 @@
     }
 }
 
+/// Returns the message between hosts that carries a message about load.
+fn load_message(it: LoadMessage) -> FleetMsg {
+    match it {
+        LoadMessage::Report(it) => FleetMsg::Load(it),
+        LoadMessage::Summary(it) => FleetMsg::LoadSum(it),
+    }
+}
+
 /// The service `fleet`.
 pub(crate) struct FleetService {
     transport: SharedFleet,
