--- a/crates/pomelorun-core/src/direct.rs
+++ b/crates/pomelorun-core/src/direct.rs
@@ -18,7 +18,9 @@
 mod latency;
 mod liveness;
 mod load;
+mod load_collector;
 mod load_report;
+mod load_sampler;
 mod mechanism;
 mod observed_flows;
 mod opening_retry;
@@ -32,7 +34,6 @@
 mod registry;
 mod routing;
 mod segment;
-#[allow(dead_code)]
 mod shared_load;
 mod token;
 mod unknown_tokens;
@@ -48,7 +49,10 @@
         BootstrapHosts, DirectoryPosition, DirectorySync, HasFollowers, Readers, ResponseEra,
         SyncOutcome, SyncStep,
     },
-    event::{DirectEvent, DropReason, LifecycleChange, OpenCause, OpenReason, ResetReason},
+    event::{
+        DirectEvent, DropReason, ImplausibleLoad, LifecycleChange, OpenCause, OpenReason,
+        ResetReason,
+    },
     fleet::{Fleet, FleetMsg, OutboundMessages, address_of, host_at},
     host::{
         DirectHost, DirectSettings, DirectStats, DirectoryState, DirectoryUpdate, LoadMessage,
@@ -75,5 +79,8 @@
     token::Token,
     unknown_tokens::TokenOwner,
     update_log::UpdateLog,
-    view::{DirectView, FlowView, IneligibleReason, KnownFrom, ReachabilityView, UpstreamView},
+    view::{
+        DirectView, FlowView, IneligibleReason, KnownFrom, ReachabilityView, RouteLoadView,
+        SharedLoadView, UpstreamView,
+    },
 };
--- a/crates/pomelorun-core/src/direct/event.rs
+++ b/crates/pomelorun-core/src/direct/event.rs
@@ -1,6 +1,6 @@
 //! Log events: what a host decided and why.
 
-use pomelorun_wire::{FlowKey, ZoneId};
+use pomelorun_wire::{FlowKey, HostId, ZoneId};
 
 use crate::{
     direct::{placement::Choice, registry::UpstreamKey, token::Token},
@@ -82,6 +82,27 @@
     Forgotten,
 }
 
+/// Why a message about load was not believed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ImplausibleLoad {
+    /// It tells of more requests in progress than an upstream can have.
+    InProgress {
+        /// Token of the upstream.
+        token: Token,
+    },
+    /// It tells of an impossible speed of an upstream.
+    Speed {
+        /// Token of the upstream.
+        token: Token,
+    },
+    /// It tells of an impossible rate of requests.
+    Rate,
+    /// It tells of more hosts than there are.
+    Hosts,
+    /// Its interval or its age is impossible.
+    Time,
+}
+
 /// A decision of a host, to be logged.
 #[derive(Debug, Clone, PartialEq)]
 pub enum DirectEvent {
@@ -166,6 +187,13 @@
         /// `true` if another host of the zone decided.
         from_peer: bool,
     },
+    /// A message about load was not believed; at most one such event per second.
+    LoadRejected {
+        /// Host that sent it.
+        from: HostId,
+        /// What is wrong with it.
+        why: ImplausibleLoad,
+    },
     /// The state of an upstream instance changed.
     Lifecycle {
         /// The upstream.
--- a/crates/pomelorun-core/src/direct/fleet.rs
+++ b/crates/pomelorun-core/src/direct/fleet.rs
@@ -154,6 +154,15 @@
         others.map(|it| it.host).chain([self.members.me().host]).collect()
     }
 
+    /// Returns all live hosts, including this one, with their zones.
+    pub fn live_hosts_by_zone(&self) -> Vec<(ZoneId, HostId)> {
+        // A seed that has not been heard from yet has incarnation 0.
+        let others =
+            self.members.others().iter().filter(|it| it.accepts_work() && it.incarnation > 0);
+        let me = self.members.me();
+        others.map(|it| (it.zone, it.host)).chain([(me.zone, me.host)]).collect()
+    }
+
     /// Returns the other live hosts of this host's zone.
     pub fn zone_peers(&self) -> Vec<HostId> {
         let zone = self.members.me().zone;
--- a/crates/pomelorun-core/src/direct/host.rs
+++ b/crates/pomelorun-core/src/direct/host.rs
@@ -23,6 +23,7 @@
         directory_merge::DirectoryEra,
         event::{DirectEvent, LifecycleChange, ResetReason},
         flow_lifetimes::FlowLifetimes,
+        host::load_sharing::LoadSharing,
         latency::LatencyHistogram,
         liveness::{Liveness, MIN_RETRANSMIT_GAP, ProbeKind, Reachability},
         load::Load,
@@ -211,6 +212,8 @@
     pub probes: u64,
     /// Times an upstream was ejected for failing requests.
     pub ejected: u64,
+    /// Messages about load that were not believed.
+    pub load_rejected: u64,
     /// Times the directory was found to be restored from an older copy.
     pub directory_restorations: u64,
     /// Time from a flow's opening packet to its next packet.
@@ -281,8 +284,8 @@
     /// Resets to send.
     resets: Vec<ResetPacket>,
     peer_update: PeerUpdate,
-    #[allow(dead_code)]
     shared_load: SharedLoad,
+    load_sharing: LoadSharing,
     service_times: ServiceTimes,
     overload: OverloadControl,
     events: Vec<DirectEvent>,
@@ -324,6 +327,7 @@
             resets: Vec::new(),
             peer_update: PeerUpdate::default(),
             shared_load: SharedLoad::default(),
+            load_sharing: LoadSharing::default(),
             service_times: ServiceTimes::default(),
             overload: OverloadControl::default(),
             events: Vec::new(),
--- a/crates/pomelorun-core/src/direct/host/flow_placement.rs
+++ b/crates/pomelorun-core/src/direct/host/flow_placement.rs
@@ -87,6 +87,7 @@
             OpenCause::Retransmission => self.stats.retried_opens += 1,
             OpenCause::Overdue => self.stats.overdue_opens += 1,
         }
+        self.count_placed(now, best.ix);
         attempts.upstreams.push(best.ix);
         self.await_answer(now, seg, zone, attempts.upstreams.len());
         self.flows.insert(Flow {
--- a/crates/pomelorun-core/src/direct/host/introspection.rs
+++ b/crates/pomelorun-core/src/direct/host/introspection.rs
@@ -1,6 +1,8 @@
 //! Views of the host's state and of single flows for operators.
 
-use pomelorun_wire::FlowKey;
+use std::net::SocketAddrV4;
+
+use pomelorun_wire::{FlowKey, ServiceAddr};
 
 use crate::{
     direct::{
@@ -9,7 +11,10 @@
         placement::{Candidate, choose},
         registry::{Upstream, UpstreamIx},
         token::Token,
-        view::{DirectView, FlowView, KnownFrom, ReachabilityView, UpstreamView},
+        view::{
+            DirectView, FlowView, KnownFrom, ReachabilityView, RouteLoadView, SharedLoadView,
+            UpstreamView,
+        },
     },
     time::Millis,
 };
@@ -26,6 +31,7 @@
             flows: self.flows.len(),
             hosts: self.live_hosts.len(),
             zone_hosts: self.zone_hosts.len(),
+            shared_load: self.shared_load_view(now),
             zones_out: self.withdrawn_zones.clone(),
             upstreams: self
                 .registry
@@ -67,6 +73,19 @@
         }
     }
 
+    fn shared_load_view(&self, now: Millis) -> Option<SharedLoadView> {
+        let age_ms = self.shared_load.age(now)?.0;
+        let route = |addr: ServiceAddr| {
+            Some(RouteLoadView {
+                address: SocketAddrV4::new(addr.ip.into(), addr.port),
+                requests_per_s: self.shared_load.requests_per_s(now, addr)?,
+                service_time_ms: self.shared_load.service_time_ms(addr),
+            })
+        };
+        let routes = self.shared_load.addresses().into_iter().filter_map(route).collect();
+        Some(SharedLoadView { age_ms, hosts: self.shared_load.hosts(now), routes })
+    }
+
     fn upstream_view(&self, now: Millis, ix: UpstreamIx, it: &Upstream) -> UpstreamView {
         let state = &self.upstream_states[ix.0 as usize];
         let choice = self.classify(now, ix, it);
@@ -87,6 +106,8 @@
             cold_left_ms: it.cold_until.since(now).0,
             lapsed_ms: it.lapsed_at.map(|at| now.since(at).0),
             waiting: state.load.waiting,
+            shared_in_progress: self.shared_load.in_progress(now, it.token),
+            speed: Some(self.shared_load.speed(it.token)).filter(|it| *it != 1.0),
             choice: choice.ok(),
             ineligible: choice.err(),
             score: Candidate { load_share, ..self.candidate(now, ix, it) }.score(),
--- a/crates/pomelorun-core/src/direct/host/load_sharing.rs
+++ b/crates/pomelorun-core/src/direct/host/load_sharing.rs
@@ -1,18 +1,56 @@
 //! Sharing of load between hosts: reports to the zone's collector, and summaries from it.
+//!
+//! Answers the load of a shortage, in which a host must know of an upstream more than the small
+//! part of its requests that pass here. The collector of a zone is the live host that ranks first by
+//! rendezvous hashing, so that hosts agree on it without messages.
 
-use pomelorun_wire::{HostId, ZoneId};
+use std::collections::VecDeque;
+
+use pomelorun_wire::{FlowKey, HostId, ZoneId};
 
 use crate::{
     direct::{
+        event::{DirectEvent, ImplausibleLoad},
         host::DirectHost,
-        load_report::{LoadReport, LoadSummary},
+        load_collector::{LoadCollector, SummaryScope, UpstreamHint},
+        load_report::{IN_PROGRESS_UNIT, LoadReport, LoadSummary},
+        load_sampler::LoadSampler,
+        mechanism::Mechanism,
         registry::UpstreamIx,
         segment::Segment,
+        shared_load::{SharedLoad, SummaryEffect, recent_for, split_summary},
+        token::Token,
         upstream_speed::AnswerSample,
     },
+    selection::rendezvous_score,
     time::Millis,
 };
 
+/// Shortest time between two reports.
+const MIN_INTERVAL: Millis = Millis(500);
+/// Longest time between two reports.
+const MAX_INTERVAL: Millis = Millis(3_000);
+/// Time between two reports per host of a zone, so that its collector gets at most 100 a second.
+const INTERVAL_PER_HOST: Millis = Millis(10);
+/// Time after which a host that ranks first serves as the collector although few others report.
+const TAKE_OVER_DELAY: Millis = Millis(2_000);
+/// Salt that makes the ranking of collectors independent of other rankings.
+const COLLECTOR_SALT: u64 = 0x6c6f_6164;
+/// Most requests in progress per slot of an upstream that one host can have seen.
+const MAX_IN_PROGRESS_PER_SLOT: f64 = 64.0;
+/// Highest rate of one address, in tenths of a request per second.
+const MAX_RATE_TENTHS: u32 = 100_000_000;
+/// Largest mean logarithm of a relative time, in thousandths: a thousand times the usual time.
+const MAX_SLOWNESS_MILLI: u64 = 6_908;
+/// Longest interval and age in a message, in milliseconds.
+const MAX_AGE_MS: u32 = 60_000;
+/// Least time between two events about messages that were not believed.
+const REJECTION_EVENT_INTERVAL: Millis = Millis(1_000);
+/// Most requests whose time-out is watched; further ones count until their flow ends.
+const MAX_WATCHED: usize = 32_768;
+/// Longest time-out that is watched.
+const MAX_WATCHED_TIMEOUT: Millis = Millis(60_000);
+
 /// A message about load to another host.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum LoadMessage {
@@ -22,34 +60,425 @@
     Summary(LoadSummary),
 }
 
+/// State of the sharing of load.
+#[derive(Debug, Default)]
+pub(super) struct LoadSharing {
+    /// All live hosts, sorted; empty until they are known.
+    hosts: Vec<(ZoneId, HostId)>,
+    /// Collector of each zone, sorted by zone.
+    collectors: Vec<(ZoneId, HostId)>,
+    /// Since when this host ranks first in its zone.
+    ranks_first_since: Option<Millis>,
+    /// `true` once the first report and summary are scheduled.
+    has_started: bool,
+    sampler: LoadSampler,
+    overdue: OverdueRequests,
+    collector: LoadCollector,
+    /// `true` while this host sends the summaries of its zone.
+    is_serving: bool,
+    /// Hosts of this zone that have joined since the last summary.
+    joined: Vec<HostId>,
+    next_report: Millis,
+    next_summary: Millis,
+    out: Vec<(HostId, LoadMessage)>,
+    last_rejection_event: Option<Millis>,
+}
+
+impl LoadSharing {
+    fn collector_of(&self, zone: ZoneId) -> Option<HostId> {
+        let at = self.collectors.binary_search_by_key(&zone, |it| it.0).ok()?;
+        Some(self.collectors[at].1)
+    }
+
+    fn hosts_in(&self, zone: ZoneId) -> &[(ZoneId, HostId)] {
+        let start = self.hosts.partition_point(|it| it.0 < zone);
+        let len = self.hosts[start..].iter().take_while(|it| it.0 == zone).count();
+        &self.hosts[start..start + len]
+    }
+
+    fn is_in(&self, zone: ZoneId, host: HostId) -> bool {
+        self.hosts.binary_search(&(zone, host)).is_ok()
+    }
+
+    fn interval(&self, zone: ZoneId) -> Millis {
+        let hosts = self.hosts_in(zone).len() as u64;
+        Millis((INTERVAL_PER_HOST.0 * hosts).clamp(MIN_INTERVAL.0, MAX_INTERVAL.0))
+    }
+}
+
+/// Requests that count as in progress until their time-out, by time-out.
+///
+/// The flow table may keep a request that nobody will answer for minutes.
+#[derive(Debug, Default)]
+struct OverdueRequests {
+    /// When each request was forwarded, oldest first; sorted by time-out.
+    watched: Vec<(Millis, VecDeque<(Millis, UpstreamIx, FlowKey)>)>,
+    len: usize,
+    /// Number of overdue requests by upstream, sorted.
+    overdue: Vec<(UpstreamIx, u32)>,
+}
+
+impl OverdueRequests {
+    fn watch(&mut self, now: Millis, timeout: Millis, ix: UpstreamIx, flow: FlowKey) {
+        if timeout > MAX_WATCHED_TIMEOUT || self.len >= MAX_WATCHED {
+            return;
+        }
+        let at = match self.watched.binary_search_by_key(&timeout, |it| it.0) {
+            Ok(at) => at,
+            Err(at) => {
+                self.watched.insert(at, (timeout, VecDeque::new()));
+                at
+            }
+        };
+        self.watched[at].1.push_back((now, ix, flow));
+        self.len += 1;
+    }
+
+    /// Counts the requests whose time-out has expired and that `is_waiting` says are unanswered.
+    fn expire(
+        &mut self,
+        now: Millis,
+        mut is_waiting: impl FnMut(&FlowKey, UpstreamIx, Millis) -> bool,
+    ) {
+        for (timeout, requests) in &mut self.watched {
+            while let Some((sent, ix, flow)) =
+                requests.pop_front_if(|it| now.since(it.0) >= *timeout)
+            {
+                self.len -= 1;
+                if !is_waiting(&flow, ix, sent) {
+                    continue;
+                }
+                match self.overdue.binary_search_by_key(&ix, |it| it.0) {
+                    Ok(at) => self.overdue[at].1 += 1,
+                    Err(at) => self.overdue.insert(at, (ix, 1)),
+                }
+            }
+        }
+        self.watched.retain(|it| !it.1.is_empty());
+    }
+
+    /// Returns how many of an upstream's waiting requests are not overdue.
+    fn in_progress(&self, ix: UpstreamIx, waiting: u32) -> u32 {
+        let overdue = self.overdue.binary_search_by_key(&ix, |it| it.0);
+        waiting.saturating_sub(overdue.map_or(0, |at| self.overdue[at].1))
+    }
+
+    /// Forgets an overdue request that was answered after all.
+    fn record_late_answer(&mut self, ix: UpstreamIx) {
+        if let Ok(at) = self.overdue.binary_search_by_key(&ix, |it| it.0) {
+            self.overdue[at].1 = self.overdue[at].1.saturating_sub(1);
+        }
+    }
+
+    /// Forgets overdue requests that have ended since. One that ends in another way than by its
+    /// answer is forgotten once nothing else waits at the upstream.
+    fn settle(&mut self, waiting: impl Fn(UpstreamIx) -> u32) {
+        self.overdue.retain_mut(|it| {
+            it.1 = it.1.min(waiting(it.0));
+            it.1 > 0
+        });
+    }
+}
+
 impl DirectHost {
     /// Sets all live hosts with their zones, among which the collectors are chosen.
-    pub fn set_hosts_by_zone(&mut self, _hosts: Vec<(ZoneId, HostId)>) {}
+    pub fn set_hosts_by_zone(&mut self, mut hosts: Vec<(ZoneId, HostId)>) {
+        hosts.push((self.cfg.zone, self.cfg.host));
+        hosts.sort_unstable();
+        hosts.dedup();
+        let me = self.cfg.host;
+        let sharing = &mut self.load_sharing;
+        if sharing.is_serving {
+            let own = hosts.iter().filter(|it| it.0 == self.cfg.zone && it.1 != me);
+            let joined = own.filter(|it| sharing.hosts.binary_search(it).is_err());
+            sharing.joined.extend(joined.map(|it| it.1));
+        }
+        let rank = |it: &&(ZoneId, HostId)| (rendezvous_score(it.1.0, COLLECTOR_SALT), it.1);
+        let zones = hosts.chunk_by(|a, b| a.0 == b.0);
+        sharing.collectors =
+            zones.filter_map(|zone| zone.iter().max_by_key(rank).copied()).collect();
+        sharing.hosts = hosts;
+        let zones: Vec<ZoneId> = sharing.collectors.iter().map(|it| it.0).collect();
+        self.shared_load.retain_zones(&zones);
+        self.shared_load.set_own_zone(self.cfg.zone);
+    }
 
     /// Takes the messages about load to send, each with its recipient.
     pub fn take_load_messages(&mut self) -> Vec<(HostId, LoadMessage)> {
-        Vec::new()
+        std::mem::take(&mut self.load_sharing.out)
     }
 
     /// Applies the load report of another host of this zone.
-    pub fn apply_load_report(&mut self, _now: Millis, _from: HostId, _report: &LoadReport) {}
+    pub fn apply_load_report(&mut self, now: Millis, from: HostId, report: &LoadReport) {
+        // A host that this one does not know yet reports again.
+        if !self.shares_load() || !self.load_sharing.is_in(self.cfg.zone, from) {
+            return;
+        }
+        match self.check_report(report) {
+            Ok(()) => self.load_sharing.collector.apply(now, from, report),
+            Err(why) => self.reject_load(now, from, why),
+        }
+    }
 
     /// Applies the load summary of a zone's collector.
-    pub fn apply_load_summary(&mut self, _now: Millis, _from: HostId, _summary: &LoadSummary) {}
+    pub fn apply_load_summary(&mut self, now: Millis, from: HostId, summary: &LoadSummary) {
+        let zone = self.cfg.zone;
+        let sharing = &self.load_sharing;
+        let from_collector = sharing.is_in(summary.zone, from);
+        if !self.shares_load() || !(from_collector || sharing.is_in(zone, from)) {
+            return;
+        }
+        if let Err(why) = self.check_summary(summary) {
+            self.reject_load(now, from, why);
+            return;
+        }
+        let recent = recent_for(sharing.interval(summary.zone));
+        if Millis(u64::from(summary.age_ms)) >= recent + MIN_INTERVAL
+            || self.shared_load.apply(now, summary, recent) == SummaryEffect::Outdated
+        {
+            return;
+        }
+        if from_collector && summary.zone != zone && self.load_sharing.is_serving {
+            self.send_to_zone(summary);
+        }
+    }
 
     /// Records the load at each tick, and queues reports and summaries that are due.
-    pub(super) fn share_load(&mut self, _now: Millis) {}
+    pub(super) fn share_load(&mut self, now: Millis) {
+        if !self.is_enabled(Mechanism::SharedLoad) {
+            self.stop_sharing();
+            return;
+        }
+        if !self.shares_load() {
+            return;
+        }
+        let (me, zone) = (self.cfg.host, self.cfg.zone);
+        self.sample_load(now);
+        let sharing = &mut self.load_sharing;
+        let interval = sharing.interval(zone);
+        let collector = sharing.collector_of(zone);
+        if !std::mem::replace(&mut sharing.has_started, true) {
+            // Hosts that start together do not report together.
+            let phase = |salt: u64| Millis(rendezvous_score(me.0, salt) % interval.0);
+            sharing.next_report = now + phase(COLLECTOR_SALT);
+            sharing.next_summary = now + phase(!COLLECTOR_SALT);
+        }
+        if now >= sharing.next_report {
+            sharing.next_report = next_due(now, sharing.next_report, interval);
+            self.report_load(now, interval, collector);
+        }
+        if collector != Some(me) {
+            self.load_sharing.is_serving = false;
+            self.load_sharing.ranks_first_since = None;
+            return;
+        }
+        let since = *self.load_sharing.ranks_first_since.get_or_insert(now);
+        if now >= self.load_sharing.next_summary {
+            self.load_sharing.next_summary =
+                next_due(now, self.load_sharing.next_summary, interval);
+            self.summarize_load(now, interval, since);
+        }
+    }
 
     /// Records that a request was forwarded to an upstream.
-    pub(super) fn count_request(&mut self, _now: Millis, _ix: UpstreamIx, _seg: &Segment) {}
+    pub(super) fn count_request(&mut self, now: Millis, ix: UpstreamIx, seg: &Segment) {
+        if !self.shares_load() {
+            return;
+        }
+        let addr = seg.flow.service;
+        self.load_sharing.sampler.count_request(ix, addr);
+        if let Some(it) = self.routing.route(addr) {
+            self.load_sharing.overdue.watch(now, it.class.timeout, ix, seg.flow);
+        }
+    }
+
+    /// Records that a flow was placed on an upstream.
+    pub(super) fn count_placed(&mut self, now: Millis, ix: UpstreamIx) {
+        if let Some(it) = self.registry.get(ix).filter(|_| self.shares_load()) {
+            self.shared_load.record_placed(now, it.token);
+        }
+    }
 
     /// Records how long an upstream took to answer a request.
     pub(super) fn record_answer_time(
         &mut self,
         now: Millis,
-        _ix: UpstreamIx,
+        ix: UpstreamIx,
         sample: &AnswerSample,
     ) {
-        let _slowness = self.service_times.record(now, sample);
+        let timeout = self.routing.route(sample.route).map(|it| it.class.timeout);
+        if timeout.is_some_and(|it| sample.took >= it) {
+            self.load_sharing.overdue.record_late_answer(ix);
+        }
+        let slowness = self.service_times.record(now, sample);
+        if let Some(slowness) = slowness.filter(|_| self.shares_load()) {
+            self.load_sharing.sampler.record_speed(ix, slowness);
+        }
+    }
+
+    fn shares_load(&self) -> bool {
+        !self.load_sharing.hosts.is_empty() && self.is_enabled(Mechanism::SharedLoad)
+    }
+
+    fn stop_sharing(&mut self) {
+        let hosts = std::mem::take(&mut self.load_sharing.hosts);
+        let collectors = std::mem::take(&mut self.load_sharing.collectors);
+        self.load_sharing = LoadSharing { hosts, collectors, ..LoadSharing::default() };
+        self.shared_load = SharedLoad::default();
+        self.shared_load.set_own_zone(self.cfg.zone);
+    }
+
+    fn sample_load(&mut self, now: Millis) {
+        let (flows, states) = (&mut self.flows, &self.upstream_states);
+        let waiting = |ix: UpstreamIx| states.get(ix.0 as usize).map_or(0, |it| it.load.waiting);
+        let LoadSharing { sampler, overdue, .. } = &mut self.load_sharing;
+        overdue.expire(now, |flow, ix, sent| {
+            let flow = flows.get_mut(flow).filter(|it| it.established && it.upstream() == ix);
+            flow.is_some_and(|it| it.unanswered_since == Some(sent))
+        });
+        overdue.settle(waiting);
+        sampler.sample(now, |ix| overdue.in_progress(ix, waiting(ix)));
+        self.shared_load.forget_placed(now);
+    }
+
+    fn report_load(&mut self, now: Millis, interval: Millis, collector: Option<HostId>) {
+        let (registry, service_times) = (&self.registry, &self.service_times);
+        let parts = self.load_sharing.sampler.take_report(
+            now,
+            interval,
+            |ix| registry.get(ix).map(|it| it.token),
+            |addr| service_times.get(addr),
+        );
+        let Some(collector) = collector else { return };
+        for it in parts {
+            if collector == self.cfg.host {
+                self.load_sharing.collector.apply(now, collector, &it);
+            } else {
+                self.load_sharing.out.push((collector, LoadMessage::Report(it)));
+            }
+        }
+    }
+
+    fn summarize_load(&mut self, now: Millis, interval: Millis, ranks_first_since: Millis) {
+        let (zone, recent) = (self.cfg.zone, recent_for(interval));
+        let sharing = &mut self.load_sharing;
+        let zone_hosts = sharing.hosts_in(zone).len();
+        let heard = sharing.collector.recent_hosts(now, recent);
+        // A host that knows no other one has probably just started.
+        let is_informed = sharing.hosts.len() > 1 && heard * 2 > zone_hosts;
+        let has_waited = now.since(ranks_first_since) >= TAKE_OVER_DELAY;
+        if !sharing.is_serving && !is_informed && !has_waited {
+            return;
+        }
+        let known = self.shared_load.incarnation(zone);
+        let term = sharing.collector.incarnation();
+        if !sharing.is_serving || known.is_some_and(|it| it > term) {
+            // Above that of any predecessor, so that its sum is replaced and not added to.
+            let next = known.unwrap_or(0).max(term).saturating_add(1).max(now.0);
+            sharing.collector.start_term(now, next, &self.shared_load.zone_upstreams(zone));
+            sharing.is_serving = true;
+            sharing.joined.clear();
+        }
+        let scope =
+            SummaryScope { zone, zones: sharing.collectors.len(), interval, recent_for: recent };
+        let (registry, shared) = (&self.registry, &self.shared_load);
+        let summary = sharing.collector.summarize(now, scope, |token| {
+            let upstream = registry.by_token(token).and_then(|it| registry.get(it));
+            UpstreamHint {
+                slots: upstream.map_or(1, |it| it.announcement.slots),
+                in_progress: shared.in_progress(now, token).unwrap_or(0.0),
+            }
+        });
+        self.shared_load.apply(now, &summary, recent);
+        self.send_to_joined(now, scope);
+        self.send_to_zone(&summary);
+        let sharing = &mut self.load_sharing;
+        let others = sharing.collectors.iter().filter(|it| it.0 != zone);
+        let messages = others.map(|it| (it.1, LoadMessage::Summary(summary.clone())));
+        sharing.out.extend(messages);
+    }
+
+    fn send_to_zone(&mut self, summary: &LoadSummary) {
+        let me = self.cfg.host;
+        let peers: Vec<HostId> =
+            self.load_sharing.hosts_in(self.cfg.zone).iter().map(|it| it.1).collect();
+        let messages = peers.into_iter().filter(|it| *it != me);
+        let messages = messages.map(|it| (it, LoadMessage::Summary(summary.clone())));
+        self.load_sharing.out.extend(messages);
+    }
+
+    /// Sends the whole picture to the hosts that have joined.
+    fn send_to_joined(&mut self, now: Millis, scope: SummaryScope) {
+        let sharing = &mut self.load_sharing;
+        for to in std::mem::take(&mut sharing.joined) {
+            let own = split_summary(&sharing.collector.full_summary(now, scope));
+            let parts = own.into_iter().chain(self.shared_load.other_zones(now));
+            sharing.out.extend(parts.map(|it| (to, LoadMessage::Summary(it))));
+        }
+    }
+
+    fn check_report(&self, report: &LoadReport) -> Result<(), ImplausibleLoad> {
+        if report.interval_ms > MAX_AGE_MS {
+            return Err(ImplausibleLoad::Time);
+        }
+        for it in &report.upstreams {
+            if f64::from(it.in_progress) * IN_PROGRESS_UNIT > self.max_in_progress(it.token) {
+                return Err(ImplausibleLoad::InProgress { token: it.token });
+            }
+            let slowness = u64::from(it.slowness_milli.unsigned_abs());
+            if slowness > u64::from(it.speed_samples) * MAX_SLOWNESS_MILLI {
+                return Err(ImplausibleLoad::Speed { token: it.token });
+            }
+        }
+        let is_possible = |rate: u32| rate <= MAX_RATE_TENTHS;
+        let is_possible = report.routes.iter().all(|it| is_possible(it.requests_per_s_tenths));
+        if is_possible { Ok(()) } else { Err(ImplausibleLoad::Rate) }
     }
+
+    fn check_summary(&self, summary: &LoadSummary) -> Result<(), ImplausibleLoad> {
+        let zone_hosts = self.load_sharing.hosts_in(summary.zone).len();
+        let hosts = usize::from(summary.hosts);
+        // A host may have joined that this one does not know yet.
+        if hosts > zone_hosts * 2 + 8 {
+            return Err(ImplausibleLoad::Hosts);
+        }
+        if summary.age_ms > MAX_AGE_MS {
+            return Err(ImplausibleLoad::Time);
+        }
+        for it in &summary.upstreams {
+            let most = self.max_in_progress(it.token) * hosts.max(1) as f64;
+            if f64::from(it.in_progress) * IN_PROGRESS_UNIT > most {
+                return Err(ImplausibleLoad::InProgress { token: it.token });
+            }
+            if it.speed_percent == 0 {
+                return Err(ImplausibleLoad::Speed { token: it.token });
+            }
+        }
+        let most = u64::from(MAX_RATE_TENTHS) * hosts.max(1) as u64;
+        let is_possible =
+            summary.routes.iter().all(|it| u64::from(it.requests_per_s_tenths) <= most);
+        if is_possible { Ok(()) } else { Err(ImplausibleLoad::Rate) }
+    }
+
+    /// Returns the most requests in progress that one host can have seen at an upstream.
+    fn max_in_progress(&self, token: Token) -> f64 {
+        let upstream = self.registry.by_token(token).and_then(|it| self.registry.get(it));
+        let slots = upstream.map_or(1, |it| it.announcement.slots.max(1));
+        f64::from(slots) * MAX_IN_PROGRESS_PER_SLOT
+    }
+
+    fn reject_load(&mut self, now: Millis, from: HostId, why: ImplausibleLoad) {
+        self.stats.load_rejected += 1;
+        let last = &mut self.load_sharing.last_rejection_event;
+        if last.is_none_or(|it| now.since(it) >= REJECTION_EVENT_INTERVAL) {
+            *last = Some(now);
+            self.emit(DirectEvent::LoadRejected { from, why });
+        }
+    }
+}
+
+/// Returns when something that was due is due again; not several times at once after a pause.
+fn next_due(now: Millis, due: Millis, interval: Millis) -> Millis {
+    let next = due + interval;
+    if next > now { next } else { now + interval }
 }
--- /dev/null
+++ b/crates/pomelorun-core/src/direct/load_collector.rs
@@ -0,0 +1,343 @@
+//! The collector of a zone: adds up the reports of its hosts.
+//!
+//! Answers two loads. In calm, when no upstream is near its limit, a summary says next to nothing:
+//! only values that have changed by more than a quantum are sent. In a shortage, when all change all
+//! the time, it sends the largest changes that fit into a bounded message.
+
+use pomelorun_wire::{HostId, ServiceAddr, ZoneId};
+
+use crate::{
+    direct::{
+        load_report::{
+            ByteBudget, IN_PROGRESS_UNIT, LoadReport, LoadSummary, MAX_ROUTE_BYTES, MAX_ROW_BYTES,
+            ROUTES_EVERY, RouteReport, UpstreamSum, fit_routes,
+        },
+        shared_load::{USUAL_SPEED_PERCENT, mean_service_time_us},
+        token::Token,
+        upstream_speed::{SpeedEstimate, SpeedSamples},
+    },
+    time::Millis,
+};
+
+/// Bytes per second that all zones' summaries may take at one receiver.
+const SUMMARY_BYTES_PER_S: u64 = 7_000;
+/// Part of a summary that values may take which have not changed.
+const REFRESH_SHARE: usize = 3;
+/// Time after which a value is sent again although it has not changed.
+const REFRESH_INTERVAL: Millis = Millis(3_000);
+/// The same for an upstream of which only the speed is sent.
+const SPEED_REFRESH_INTERVAL: Millis = Millis(30_000);
+/// Change of a speed that is sent, in percent.
+const SPEED_QUANTUM_PERCENT: u16 = 8;
+/// Change of the requests in progress per slot that is sent.
+const QUANTUM_PER_SLOT: f64 = 0.5;
+/// Requests in progress per slot from which each zone sends its part of the quantum, so that the
+/// sum over all zones is as exact.
+const LOADED_PER_SLOT: f64 = 0.75;
+/// Time after which the rate of an address no longer counts.
+const ROUTES_TTL: Millis = Millis(10_000);
+/// Time after which an upstream without samples is forgotten.
+const SPEED_TTL: Millis = Millis(120_000);
+
+/// Latest report of one host.
+#[derive(Debug)]
+struct HostReport {
+    host: HostId,
+    received_at: Millis,
+    /// Requests in progress by upstream.
+    in_progress: Vec<(Token, u16)>,
+    routes: Vec<RouteReport>,
+    routes_at: Millis,
+}
+
+/// Values that were sent last, of an upstream for which they are not the usual ones.
+#[derive(Debug, Clone, Copy)]
+struct SentSum {
+    sum: UpstreamSum,
+    at: Millis,
+}
+
+/// What a collector knows of an upstream beside the reports.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct UpstreamHint {
+    /// Number of requests that it runs at a time.
+    pub(crate) slots: u32,
+    /// Requests in progress over all zones.
+    pub(crate) in_progress: f64,
+}
+
+/// What a summary is made for.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct SummaryScope {
+    /// Zone of the collector.
+    pub(crate) zone: ZoneId,
+    /// Number of zones.
+    pub(crate) zones: usize,
+    /// Time between two summaries.
+    pub(crate) interval: Millis,
+    /// How long a report counts.
+    pub(crate) recent_for: Millis,
+}
+
+/// Reports of the hosts of a zone, and what was made of them.
+#[derive(Debug, Default)]
+pub(crate) struct LoadCollector {
+    /// Latest report of each host, sorted by host.
+    reports: Vec<HostReport>,
+    /// Speeds by upstream, with the time of the last sample, sorted by token.
+    speeds: Vec<(Token, SpeedEstimate, Millis)>,
+    /// Sorted by token.
+    sent: Vec<SentSum>,
+    /// Speeds in percent that the predecessor has told, which count until this host knows them,
+    /// sorted by token.
+    inherited: Vec<(Token, u16)>,
+    term_start: Millis,
+    incarnation: u64,
+    seq: u32,
+}
+
+impl LoadCollector {
+    /// Applies a host's report, which replaces its previous one, or a further part of it.
+    pub(crate) fn apply(&mut self, now: Millis, from: HostId, report: &LoadReport) {
+        let at = match self.reports.binary_search_by_key(&from, |it| it.host) {
+            Ok(at) => at,
+            Err(at) => {
+                let (in_progress, routes) = (Vec::new(), Vec::new());
+                let new = HostReport {
+                    host: from,
+                    received_at: now,
+                    in_progress,
+                    routes,
+                    routes_at: now,
+                };
+                self.reports.insert(at, new);
+                at
+            }
+        };
+        let it = &mut self.reports[at];
+        it.received_at = now;
+        if report.interval_ms > 0 {
+            it.in_progress.clear();
+        }
+        it.in_progress.extend(report.upstreams.iter().map(|it| (it.token, it.in_progress)));
+        if !report.routes.is_empty() {
+            it.routes.clone_from(&report.routes);
+            it.routes_at = now;
+        }
+        for it in report.upstreams.iter().filter(|it| it.speed_samples > 0) {
+            let samples =
+                SpeedSamples { count: it.speed_samples, slowness_milli: it.slowness_milli };
+            self.add_speed(now, it.token, samples);
+        }
+    }
+
+    fn add_speed(&mut self, now: Millis, token: Token, samples: SpeedSamples) {
+        let at = match self.speeds.binary_search_by_key(&token, |it| it.0) {
+            Ok(at) => at,
+            Err(at) => {
+                self.speeds.insert(at, (token, SpeedEstimate::default(), now));
+                at
+            }
+        };
+        self.speeds[at].1.add(now, samples);
+        self.speeds[at].2 = now;
+    }
+
+    /// Returns the number of hosts whose reports count.
+    pub(crate) fn recent_hosts(&self, now: Millis, recent_for: Millis) -> usize {
+        self.reports.iter().filter(|it| now.since(it.received_at) < recent_for).count()
+    }
+
+    /// Starts to send summaries, in a term above that of the predecessor.
+    ///
+    /// What the predecessor has told this host counts as sent.
+    pub(crate) fn start_term(&mut self, now: Millis, incarnation: u64, known: &[UpstreamSum]) {
+        self.incarnation = incarnation;
+        self.seq = 0;
+        self.sent = known.iter().map(|&sum| SentSum { sum, at: now }).collect();
+        self.inherited = known.iter().map(|it| (it.token, it.speed_percent)).collect();
+        self.term_start = now;
+    }
+
+    /// Returns the term.
+    pub(crate) fn incarnation(&self) -> u64 {
+        self.incarnation
+    }
+
+    /// Forgets what is too old to count.
+    pub(crate) fn expire(&mut self, now: Millis, recent_for: Millis) {
+        self.reports.retain(|it| now.since(it.received_at) < recent_for);
+        self.speeds.retain(|it| now.since(it.2) < SPEED_TTL);
+        if now.since(self.term_start) >= SPEED_TTL {
+            self.inherited.clear();
+        }
+    }
+
+    /// Returns the next summary: what has changed, and some of the rest.
+    pub(crate) fn summarize(
+        &mut self,
+        now: Millis,
+        scope: SummaryScope,
+        hint: impl Fn(Token) -> UpstreamHint,
+    ) -> LoadSummary {
+        self.expire(now, scope.recent_for);
+        self.seq = self.seq.wrapping_add(1);
+        let sums = self.sums(now);
+        let routes =
+            if self.seq.is_multiple_of(ROUTES_EVERY) { self.sum_routes(now) } else { Vec::new() };
+        let zones = scope.zones.max(1);
+        let per_summary = SUMMARY_BYTES_PER_S * scope.interval.0 / 1_000 / zones as u64;
+        let used = if routes.is_empty() { 0 } else { MAX_ROUTE_BYTES / zones };
+        let room = MAX_ROW_BYTES.min(per_summary as usize).saturating_sub(used);
+        let due = self.select(now, &sums, zones, room, hint);
+        for it in &due {
+            self.mark_sent(now, *it);
+        }
+        let routes = fit_routes(routes, ByteBudget(MAX_ROUTE_BYTES / zones));
+        LoadSummary { upstreams: due, routes, ..self.header(now, scope) }
+    }
+
+    /// Returns all values that were sent last, for a host that joins.
+    pub(crate) fn full_summary(&self, now: Millis, scope: SummaryScope) -> LoadSummary {
+        let upstreams = self.sent.iter().map(|it| it.sum).collect();
+        let routes = fit_routes(self.sum_routes(now), ByteBudget(MAX_ROUTE_BYTES));
+        LoadSummary { upstreams, routes, ..self.header(now, scope) }
+    }
+
+    fn header(&self, now: Millis, scope: SummaryScope) -> LoadSummary {
+        let oldest = self.reports.iter().map(|it| now.since(it.received_at).0).max();
+        LoadSummary {
+            zone: scope.zone,
+            incarnation: self.incarnation,
+            seq: self.seq,
+            hosts: u16::try_from(self.reports.len()).unwrap_or(u16::MAX),
+            age_ms: u32::try_from(oldest.unwrap_or(0)).unwrap_or(u32::MAX),
+            upstreams: Vec::new(),
+            routes: Vec::new(),
+        }
+    }
+
+    /// Returns the current values of all upstreams that have any, or had when they were sent last;
+    /// sorted by token.
+    fn sums(&self, now: Millis) -> Vec<UpstreamSum> {
+        let mut rows: Vec<(Token, u32)> = self
+            .reports
+            .iter()
+            .flat_map(|it| it.in_progress.iter().map(|it| (it.0, u32::from(it.1))))
+            .chain(self.speeds.iter().map(|it| (it.0, 0)))
+            .chain(self.sent.iter().map(|it| (it.sum.token, 0)))
+            .collect();
+        rows.sort_unstable_by_key(|it| it.0);
+        let sum = |rows: &[(Token, u32)]| UpstreamSum {
+            token: rows[0].0,
+            in_progress: rows.iter().map(|it| it.1).sum::<u32>().min(u32::from(u16::MAX)) as u16,
+            speed_percent: self.speed_percent(now, rows[0].0),
+        };
+        rows.chunk_by(|a, b| a.0 == b.0).map(sum).collect()
+    }
+
+    fn speed_percent(&self, now: Millis, token: Token) -> u16 {
+        let own = self.speeds.binary_search_by_key(&token, |it| it.0);
+        let own = own.map_or(1.0, |at| self.speeds[at].1.speed(now));
+        if own != 1.0 {
+            return (own * 100.0).round().clamp(1.0, f64::from(u16::MAX)) as u16;
+        }
+        let inherited = self.inherited.binary_search_by_key(&token, |it| it.0);
+        inherited.map_or(USUAL_SPEED_PERCENT, |at| self.inherited[at].1)
+    }
+
+    fn last_sent(&self, token: Token) -> Option<&SentSum> {
+        let at = self.sent.binary_search_by_key(&token, |it| it.sum.token).ok()?;
+        Some(&self.sent[at])
+    }
+
+    /// Returns the values to send: some that were not sent for long, and the largest changes.
+    fn select(
+        &self,
+        now: Millis,
+        sums: &[UpstreamSum],
+        zones: usize,
+        room: usize,
+        hint: impl Fn(Token) -> UpstreamHint,
+    ) -> Vec<UpstreamSum> {
+        let mut changed: Vec<(f64, UpstreamSum)> = Vec::new();
+        let mut stale: Vec<(Millis, UpstreamSum)> = Vec::new();
+        for &it in sums {
+            let sent = self.last_sent(it.token);
+            if let Some(weight) = change_weight(sent, &it, zones, hint(it.token)) {
+                changed.push((weight, it));
+            } else if let Some(sent) = sent.filter(|sent| sent.is_due(now)) {
+                stale.push((sent.at, it));
+            }
+        }
+        changed.sort_by(|a, b| b.0.total_cmp(&a.0));
+        stale.sort_by_key(|it| it.0);
+        let mut for_stale = ByteBudget(room / REFRESH_SHARE);
+        let mut due: Vec<UpstreamSum> = stale
+            .into_iter()
+            .map(|it| it.1)
+            .take_while(|it| it.take_room(&mut for_stale))
+            .collect();
+        let mut left = ByteBudget(room - (room / REFRESH_SHARE - for_stale.0));
+        due.extend(changed.into_iter().map(|it| it.1).take_while(|it| it.take_room(&mut left)));
+        due
+    }
+
+    fn mark_sent(&mut self, now: Millis, sum: UpstreamSum) {
+        let is_usual = sum.in_progress == 0 && sum.speed_percent == USUAL_SPEED_PERCENT;
+        match (self.sent.binary_search_by_key(&sum.token, |it| it.sum.token), is_usual) {
+            (Ok(at), true) => {
+                self.sent.remove(at);
+            }
+            (Ok(at), false) => self.sent[at] = SentSum { sum, at: now },
+            (Err(at), false) => self.sent.insert(at, SentSum { sum, at: now }),
+            (Err(_), true) => {}
+        }
+    }
+
+    fn sum_routes(&self, now: Millis) -> Vec<RouteReport> {
+        let recent = self.reports.iter().filter(|it| now.since(it.routes_at) < ROUTES_TTL);
+        let mut rows: Vec<RouteReport> = recent.flat_map(|it| it.routes.iter().copied()).collect();
+        rows.sort_by_key(|it| it.addr);
+        let sum = |rows: &[RouteReport]| {
+            let addr: ServiceAddr = rows[0].addr;
+            let rate = rows.iter().map(|it| u64::from(it.requests_per_s_tenths)).sum::<u64>();
+            RouteReport {
+                addr,
+                requests_per_s_tenths: u32::try_from(rate).unwrap_or(u32::MAX),
+                service_time_us: mean_service_time_us(rows.iter()),
+            }
+        };
+        rows.chunk_by(|a, b| a.addr == b.addr).map(sum).collect()
+    }
+}
+
+impl SentSum {
+    fn is_due(&self, now: Millis) -> bool {
+        let interval =
+            if self.sum.in_progress > 0 { REFRESH_INTERVAL } else { SPEED_REFRESH_INTERVAL };
+        now.since(self.at) >= interval
+    }
+}
+
+/// Returns how much more than usual a value has changed since it was sent, or `None` if it was by
+/// less than its quantum.
+fn change_weight(
+    sent: Option<&SentSum>,
+    sum: &UpstreamSum,
+    zones: usize,
+    hint: UpstreamHint,
+) -> Option<f64> {
+    let (in_progress, speed) =
+        sent.map_or((0, USUAL_SPEED_PERCENT), |it| (it.sum.in_progress, it.sum.speed_percent));
+    let slots = f64::from(hint.slots.max(1));
+    let seen = f64::from(sum.in_progress) * IN_PROGRESS_UNIT;
+    let is_loaded = hint.in_progress.max(seen) >= slots * LOADED_PER_SLOT;
+    let parts = if is_loaded { zones as f64 } else { 1.0 };
+    let quantum = slots * QUANTUM_PER_SLOT / parts;
+    let changed = f64::from(sum.in_progress.abs_diff(in_progress)) * IN_PROGRESS_UNIT / quantum;
+    let speed_changed =
+        f64::from(sum.speed_percent.abs_diff(speed)) / f64::from(SPEED_QUANTUM_PERCENT);
+    let weight = changed.max(speed_changed);
+    (weight >= 1.0).then_some(weight)
+}
--- a/crates/pomelorun-core/src/direct/load_report.rs
+++ b/crates/pomelorun-core/src/direct/load_report.rs
@@ -12,6 +12,12 @@
 
 /// Fixed-point unit of a number of requests in progress.
 pub const IN_PROGRESS_UNIT: f64 = 1.0 / 16.0;
+/// Most bytes that the rows of one message may take, so that it fits into a datagram of 1,200 bytes.
+pub(crate) const MAX_ROW_BYTES: usize = 1_100;
+/// Most bytes that the rows of routes may take of that.
+pub(crate) const MAX_ROUTE_BYTES: usize = 400;
+/// Number of messages of which one carries the routes.
+pub(crate) const ROUTES_EVERY: u32 = 4;
 
 /// What one host has seen of one upstream since its last report.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -70,18 +76,33 @@
     }
 }
 
-/// A host's report to the collector of its zone.
+/// A host's report to the collector of its zone; encoded as an array.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
+#[serde(from = "LoadReportRow", into = "LoadReportRow")]
 pub struct LoadReport {
-    /// Length of the interval that the report covers, in milliseconds.
+    /// Length of the interval that the report covers, in milliseconds; zero in a further part of the
+    /// report before.
     pub interval_ms: u32,
     /// Upstreams with requests in progress or answers, the most loaded first.
     pub upstreams: Vec<UpstreamReport>,
-    /// Addresses with requests, sorted.
+    /// Addresses with requests, sorted; left out of most reports, and then as before.
     pub routes: Vec<RouteReport>,
 }
 
+type LoadReportRow = (u32, Vec<UpstreamReport>, Vec<RouteReport>);
+
+impl From<LoadReportRow> for LoadReport {
+    fn from((interval_ms, upstreams, routes): LoadReportRow) -> Self {
+        LoadReport { interval_ms, upstreams, routes }
+    }
+}
+
+impl From<LoadReport> for LoadReportRow {
+    fn from(it: LoadReport) -> Self {
+        (it.interval_ms, it.upstreams, it.routes)
+    }
+}
+
 /// Load and speed of one upstream as the hosts of one zone see it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(from = "UpstreamSumRow", into = "UpstreamSumRow")]
@@ -108,13 +129,13 @@
     }
 }
 
-/// Sum of the reports of one zone.
+/// Sum of the reports of one zone; encoded as an array.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
+#[serde(from = "LoadSummaryRow", into = "LoadSummaryRow")]
 pub struct LoadSummary {
     /// Zone whose hosts have reported.
     pub zone: ZoneId,
-    /// Start of the collector's process, in milliseconds since the Unix epoch.
+    /// Term of the collector, higher than that of its predecessor.
     pub incarnation: u64,
     /// Number of the summary, rising by one; an older one is dropped.
     pub seq: u32,
@@ -124,6 +145,76 @@
     pub age_ms: u32,
     /// Changed upstreams; those that are not listed are as before.
     pub upstreams: Vec<UpstreamSum>,
-    /// All addresses with requests, sorted.
+    /// All addresses with requests, sorted; left out of most summaries, and then as before.
     pub routes: Vec<RouteReport>,
 }
+
+type LoadSummaryRow = (ZoneId, u64, u32, u16, u32, Vec<UpstreamSum>, Vec<RouteReport>);
+
+impl From<LoadSummaryRow> for LoadSummary {
+    fn from(row: LoadSummaryRow) -> Self {
+        let (zone, incarnation, seq, hosts, age_ms, upstreams, routes) = row;
+        LoadSummary { zone, incarnation, seq, hosts, age_ms, upstreams, routes }
+    }
+}
+
+impl From<LoadSummary> for LoadSummaryRow {
+    fn from(it: LoadSummary) -> Self {
+        let LoadSummary { zone, incarnation, seq, hosts, age_ms, upstreams, routes } = it;
+        (zone, incarnation, seq, hosts, age_ms, upstreams, routes)
+    }
+}
+
+/// Room left in a message, in bytes of its encoding.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct ByteBudget(pub(crate) usize);
+
+impl ByteBudget {
+    /// Takes the room of a row of integers, and returns `false` if there is none.
+    pub(crate) fn take_row(&mut self, row: &[u64]) -> bool {
+        let bytes = 1 + row.iter().map(|it| integer_bytes(*it)).sum::<usize>();
+        let fits = bytes <= self.0;
+        self.0 = self.0.saturating_sub(if fits { bytes } else { 0 });
+        fits
+    }
+}
+
+/// Returns the length of an integer in CBOR.
+fn integer_bytes(value: u64) -> usize {
+    match value {
+        0..=23 => 1,
+        24..=0xff => 2,
+        0x100..=0xffff => 3,
+        0x1_0000..=0xffff_ffff => 5,
+        _ => 9,
+    }
+}
+
+impl UpstreamReport {
+    /// Takes the room of this row.
+    pub(crate) fn take_room(&self, left: &mut ByteBudget) -> bool {
+        let slowness = u64::from(self.slowness_milli.unsigned_abs());
+        let (in_progress, samples) = (u64::from(self.in_progress), u64::from(self.speed_samples));
+        left.take_row(&[u64::from(self.token.0), in_progress, samples, slowness])
+    }
+}
+
+impl UpstreamSum {
+    /// Takes the room of this row.
+    pub(crate) fn take_room(&self, left: &mut ByteBudget) -> bool {
+        let (in_progress, speed) = (u64::from(self.in_progress), u64::from(self.speed_percent));
+        left.take_row(&[u64::from(self.token.0), in_progress, speed])
+    }
+}
+
+/// Keeps the routes with the highest rates that fit, sorted by address.
+pub(crate) fn fit_routes(mut routes: Vec<RouteReport>, mut left: ByteBudget) -> Vec<RouteReport> {
+    routes.sort_by_key(|it| std::cmp::Reverse(it.requests_per_s_tenths));
+    routes.retain(|it| {
+        let (ip, port) = (u64::from(it.addr.ip), u64::from(it.addr.port));
+        let (rate, time) = (u64::from(it.requests_per_s_tenths), u64::from(it.service_time_us));
+        left.take_row(&[ip, port, rate, time])
+    });
+    routes.sort_by_key(|it| it.addr);
+    routes
+}
--- a/crates/pomelorun-core/src/direct/shared_load.rs
+++ b/crates/pomelorun-core/src/direct/shared_load.rs
@@ -1,39 +1,337 @@
 //! Load of upstreams as all hosts see it, from the summaries of the zones.
+//!
+//! Answers the load of a shortage: a host sees only the requests that pass it, a small part of an
+//! upstream's, and can tell a full upstream from an idle one only by what all hosts see together.
+//! Each zone's sum replaces the one before, so that nothing is counted twice, and counts only while
+//! it is recent.
 
-use pomelorun_wire::ServiceAddr;
+use pomelorun_wire::{ServiceAddr, ZoneId};
 
-use crate::{direct::token::Token, time::Millis};
+use crate::{
+    direct::{
+        decaying_sum::DecayingSum,
+        load_report::{
+            ByteBudget, IN_PROGRESS_UNIT, LoadSummary, MAX_ROUTE_BYTES, MAX_ROW_BYTES, RouteReport,
+            UpstreamSum,
+        },
+        token::Token,
+    },
+    time::Millis,
+};
+
+/// Least time for which a zone's sum, or a host's report, counts.
+const MIN_RECENT: Millis = Millis(2_000);
+/// Intervals for which a zone's sum, or a host's report, counts.
+const RECENT_INTERVALS: u64 = 3;
+/// Time for which requests in progress count that are not confirmed.
+const IN_PROGRESS_TTL: Millis = Millis(10_000);
+/// Time for which a speed counts that is not confirmed.
+const SPEED_TTL: Millis = Millis(120_000);
+/// Time for which the rate of an address counts that is not confirmed.
+const ROUTES_TTL: Millis = Millis(10_000);
+/// Half-life of a flow that this host has placed, in milliseconds: about the time until a summary
+/// includes it.
+const PLACED_HALF_LIFE_MS: f64 = 400.0;
+/// Most flows that this host counts at one upstream beyond the summaries.
+const MAX_PLACED: f64 = 8.0;
+/// Number of placed flows below which they are forgotten.
+const MIN_PLACED: f64 = 0.05;
+/// Speed of an upstream of which nothing is known, in percent.
+pub(crate) const USUAL_SPEED_PERCENT: u16 = 100;
+
+/// Returns the time for which sums and reports count that are sent once per `interval`.
+pub(crate) fn recent_for(interval: Millis) -> Millis {
+    Millis(MIN_RECENT.0.max(interval.0 * RECENT_INTERVALS))
+}
+
+/// What became of a summary.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum SummaryEffect {
+    /// It is older than the one known.
+    Outdated,
+    /// It was applied.
+    Applied,
+}
+
+/// Last known values of one upstream.
+#[derive(Debug, Clone, Copy)]
+struct UpstreamEntry {
+    sum: UpstreamSum,
+    confirmed_at: Millis,
+}
+
+/// Sum of one zone.
+#[derive(Debug)]
+struct ZoneLoad {
+    zone: ZoneId,
+    incarnation: u64,
+    seq: u32,
+    received_at: Millis,
+    /// How long the sum counts after it was received.
+    recent_for: Millis,
+    hosts: u16,
+    age_ms: u32,
+    /// Sorted by token.
+    upstreams: Vec<UpstreamEntry>,
+    /// Sorted by address.
+    routes: Vec<RouteReport>,
+    routes_at: Millis,
+}
+
+impl ZoneLoad {
+    fn is_recent(&self, now: Millis) -> bool {
+        now.since(self.received_at) < self.recent_for
+    }
+
+    fn upstream(&self, token: Token) -> Option<&UpstreamEntry> {
+        let at = self.upstreams.binary_search_by_key(&token, |it| it.sum.token).ok()?;
+        Some(&self.upstreams[at])
+    }
+
+    fn in_progress(&self, now: Millis, token: Token) -> f64 {
+        let entry = self.upstream(token).filter(|it| now.since(it.confirmed_at) < IN_PROGRESS_TTL);
+        entry.map_or(0.0, |it| f64::from(it.sum.in_progress) * IN_PROGRESS_UNIT)
+    }
+
+    fn route(&self, addr: ServiceAddr) -> Option<&RouteReport> {
+        let at = self.routes.binary_search_by_key(&addr, |it| it.addr).ok()?;
+        Some(&self.routes[at])
+    }
+
+    fn apply(&mut self, now: Millis, summary: &LoadSummary, recent_for: Millis) {
+        (self.incarnation, self.seq) = (summary.incarnation, summary.seq);
+        (self.received_at, self.recent_for) = (now, recent_for);
+        (self.hosts, self.age_ms) = (summary.hosts, summary.age_ms);
+        for &sum in &summary.upstreams {
+            let entry = UpstreamEntry { sum, confirmed_at: now };
+            match self.upstreams.binary_search_by_key(&sum.token, |it| it.sum.token) {
+                Ok(at) => self.upstreams[at] = entry,
+                Err(at) => self.upstreams.insert(at, entry),
+            }
+        }
+        let is_kept = |it: &UpstreamEntry| {
+            let has_speed = it.sum.speed_percent != USUAL_SPEED_PERCENT;
+            (it.sum.in_progress > 0 && now.since(it.confirmed_at) < IN_PROGRESS_TTL)
+                || (has_speed && now.since(it.confirmed_at) < SPEED_TTL)
+        };
+        self.upstreams.retain(is_kept);
+        if !summary.routes.is_empty() {
+            self.routes.clone_from(&summary.routes);
+            self.routes.sort_by_key(|it| it.addr);
+            self.routes_at = now;
+        } else if now.since(self.routes_at) >= ROUTES_TTL {
+            self.routes.clear();
+        }
+    }
+}
 
 /// Load and speed of upstreams and rates of addresses, summed over the zones whose summaries are
 /// recent.
 #[derive(Debug, Default)]
-pub(crate) struct SharedLoad {}
+pub(crate) struct SharedLoad {
+    /// Zone of this host, once known.
+    own_zone: Option<ZoneId>,
+    /// Sorted by zone.
+    zones: Vec<ZoneLoad>,
+    /// Flows that this host has placed lately, sorted by token.
+    placed: Vec<(Token, DecayingSum)>,
+}
 
 impl SharedLoad {
     /// Returns the mean number of requests in progress at an upstream over all hosts, or `None` while
     /// no recent summary tells.
-    pub(crate) fn in_progress(&self, _now: Millis, _token: Token) -> Option<f64> {
-        None
+    ///
+    /// Flows that this host has placed since are included.
+    pub(crate) fn in_progress(&self, now: Millis, token: Token) -> Option<f64> {
+        self.own_recent(now)?;
+        let sum: f64 = self.recent(now).map(|it| it.in_progress(now, token)).sum();
+        let placed = self.placed.binary_search_by_key(&token, |it| it.0);
+        let placed = placed.map_or(0.0, |at| self.placed[at].1.value_at(now, PLACED_HALF_LIFE_MS));
+        Some(sum + placed.min(MAX_PLACED))
     }
 
     /// Returns the speed of an upstream relative to its service, 1 if nothing is known.
-    pub(crate) fn speed(&self, _token: Token) -> f64 {
-        1.0
+    pub(crate) fn speed(&self, token: Token) -> f64 {
+        let known = |it: &&UpstreamEntry| it.sum.speed_percent != USUAL_SPEED_PERCENT;
+        let speeds = self.zones.iter().filter_map(|it| it.upstream(token)).filter(known);
+        let (sum, zones) = speeds.fold((0.0, 0.0), |(sum, zones), it| {
+            (sum + f64::from(it.sum.speed_percent) / 100.0, zones + 1.0)
+        });
+        if zones > 0.0 { sum / zones } else { 1.0 }
     }
 
     /// Returns the requests per second to an address over all hosts, or `None` while no recent summary
     /// tells.
-    pub(crate) fn requests_per_s(&self, _now: Millis, _addr: ServiceAddr) -> Option<f64> {
-        None
+    pub(crate) fn requests_per_s(&self, now: Millis, addr: ServiceAddr) -> Option<f64> {
+        self.own_recent(now)?;
+        let rates = self.recent(now).filter_map(|it| it.route(addr));
+        Some(rates.map(|it| f64::from(it.requests_per_s_tenths) / 10.0).sum())
     }
 
     /// Returns the usual time to an answer at an upstream without a queue, in milliseconds.
-    pub(crate) fn service_time_ms(&self, _addr: ServiceAddr) -> Option<f64> {
-        None
+    pub(crate) fn service_time_ms(&self, addr: ServiceAddr) -> Option<f64> {
+        let routes = self.zones.iter().filter_map(|it| it.route(addr));
+        let us = mean_service_time_us(routes);
+        (us > 0).then(|| f64::from(us) / 1_000.0)
     }
 
     /// Returns the number of hosts whose reports are included, at least this one.
-    pub(crate) fn hosts(&self, _now: Millis) -> usize {
-        1
+    pub(crate) fn hosts(&self, now: Millis) -> usize {
+        self.recent(now).map(|it| usize::from(it.hosts)).sum::<usize>().max(1)
+    }
+
+    /// Returns how old the reports are that the sum of this host's zone includes, or `None` while
+    /// there is no recent one.
+    pub(crate) fn age(&self, now: Millis) -> Option<Millis> {
+        let own = self.own_recent(now)?;
+        Some(now.since(own.received_at) + Millis(u64::from(own.age_ms)))
+    }
+
+    /// Sets the zone of this host.
+    pub(crate) fn set_own_zone(&mut self, zone: ZoneId) {
+        self.own_zone = Some(zone);
+    }
+
+    /// Returns the highest term of a collector of this zone that is known.
+    pub(crate) fn incarnation(&self, zone: ZoneId) -> Option<u64> {
+        self.zones.iter().find(|it| it.zone == zone).map(|it| it.incarnation)
     }
+
+    /// Returns the last known values of a zone.
+    pub(crate) fn zone_upstreams(&self, zone: ZoneId) -> Vec<UpstreamSum> {
+        let zone = self.zones.iter().find(|it| it.zone == zone);
+        zone.map_or_else(Vec::new, |it| it.upstreams.iter().map(|it| it.sum).collect())
+    }
+
+    /// Returns the addresses whose rates are known, sorted.
+    pub(crate) fn addresses(&self) -> Vec<ServiceAddr> {
+        let routes = self.zones.iter().flat_map(|it| it.routes.iter().map(|it| it.addr));
+        let mut addrs: Vec<ServiceAddr> = routes.collect();
+        addrs.sort_unstable();
+        addrs.dedup();
+        addrs
+    }
+
+    /// Applies a summary that counts for `recent_for`.
+    pub(crate) fn apply(
+        &mut self,
+        now: Millis,
+        summary: &LoadSummary,
+        recent_for: Millis,
+    ) -> SummaryEffect {
+        let at = match self.zones.binary_search_by_key(&summary.zone, |it| it.zone) {
+            Ok(at) => {
+                let known = &self.zones[at];
+                // Once a sum no longer counts, that of a collector that has started again does.
+                let is_older = (summary.incarnation, summary.seq) < (known.incarnation, known.seq);
+                if is_older && known.is_recent(now) {
+                    return SummaryEffect::Outdated;
+                }
+                at
+            }
+            Err(at) => {
+                self.zones.insert(
+                    at,
+                    ZoneLoad {
+                        zone: summary.zone,
+                        incarnation: summary.incarnation,
+                        seq: summary.seq,
+                        received_at: now,
+                        recent_for,
+                        hosts: 0,
+                        age_ms: 0,
+                        upstreams: Vec::new(),
+                        routes: Vec::new(),
+                        routes_at: now,
+                    },
+                );
+                at
+            }
+        };
+        self.zones[at].apply(now, summary, recent_for);
+        SummaryEffect::Applied
+    }
+
+    /// Records that this host has placed a flow on an upstream.
+    pub(crate) fn record_placed(&mut self, now: Millis, token: Token) {
+        if self.own_recent(now).is_none() {
+            return;
+        }
+        let at = match self.placed.binary_search_by_key(&token, |it| it.0) {
+            Ok(at) => at,
+            Err(at) => {
+                self.placed.insert(at, (token, DecayingSum::default()));
+                at
+            }
+        };
+        self.placed[at].1.add(now, PLACED_HALF_LIFE_MS, 1.0);
+    }
+
+    /// Forgets placed flows that the summaries include by now.
+    pub(crate) fn forget_placed(&mut self, now: Millis) {
+        self.placed.retain(|it| it.1.value_at(now, PLACED_HALF_LIFE_MS) >= MIN_PLACED);
+    }
+
+    /// Keeps only the sums of these zones, which are sorted.
+    pub(crate) fn retain_zones(&mut self, zones: &[ZoneId]) {
+        self.zones.retain(|it| zones.binary_search(&it.zone).is_ok());
+    }
+
+    /// Returns all that is known of the other zones, in messages for a host that joins.
+    pub(crate) fn other_zones(&self, now: Millis) -> Vec<LoadSummary> {
+        let others = self.recent(now).filter(|it| Some(it.zone) != self.own_zone);
+        others.flat_map(|it| split_summary(&it.summary(now))).collect()
+    }
+
+    fn own_recent(&self, now: Millis) -> Option<&ZoneLoad> {
+        let own = self.own_zone?;
+        self.recent(now).find(|it| it.zone == own)
+    }
+
+    fn recent(&self, now: Millis) -> impl Iterator<Item = &ZoneLoad> {
+        self.zones.iter().filter(move |it| it.is_recent(now))
+    }
+}
+
+impl ZoneLoad {
+    fn summary(&self, now: Millis) -> LoadSummary {
+        let waited = u32::try_from(now.since(self.received_at).0).unwrap_or(u32::MAX);
+        LoadSummary {
+            zone: self.zone,
+            incarnation: self.incarnation,
+            seq: self.seq,
+            hosts: self.hosts,
+            age_ms: self.age_ms.saturating_add(waited),
+            upstreams: self.upstreams.iter().map(|it| it.sum).collect(),
+            routes: self.routes.clone(),
+        }
+    }
+}
+
+/// Splits a summary into messages that fit into a datagram each; the first one has the routes.
+pub(crate) fn split_summary(whole: &LoadSummary) -> Vec<LoadSummary> {
+    let mut parts = Vec::new();
+    let mut rest = whole.upstreams.as_slice();
+    loop {
+        let routes = if parts.is_empty() { whole.routes.clone() } else { Vec::new() };
+        let used = if routes.is_empty() { 0 } else { MAX_ROUTE_BYTES };
+        let mut left = ByteBudget(MAX_ROW_BYTES - used);
+        let fitting = rest.iter().take_while(|it| it.take_room(&mut left)).count();
+        let (upstreams, others) = rest.split_at(fitting);
+        parts.push(LoadSummary { upstreams: upstreams.to_vec(), routes, ..*whole });
+        rest = others;
+        if rest.is_empty() {
+            return parts;
+        }
+    }
+}
+
+/// Returns the mean time without a queue weighted by the rate, in microseconds; zero if unknown.
+pub(crate) fn mean_service_time_us<'a>(routes: impl Iterator<Item = &'a RouteReport>) -> u32 {
+    let known = routes.filter(|it| it.service_time_us > 0);
+    let (sum, weight) = known.fold((0.0, 0.0), |(sum, weight), it| {
+        let rate = f64::from(it.requests_per_s_tenths.max(1));
+        (sum + rate * f64::from(it.service_time_us), weight + rate)
+    });
+    if weight > 0.0 { (sum / weight) as u32 } else { 0 }
 }
--- a/crates/pomelorun-core/src/direct/view.rs
+++ b/crates/pomelorun-core/src/direct/view.rs
@@ -66,6 +66,12 @@
     pub lapsed_ms: Option<u64>,
     /// Requests through this host that wait for an answer.
     pub waiting: u32,
+    /// Requests in progress through all hosts, while a recent summary tells.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub shared_in_progress: Option<f64>,
+    /// Speed relative to its service, if the hosts know it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub speed: Option<f64>,
     /// Its rank for new flows, if it is eligible.
     pub choice: Option<Choice>,
     /// Why it is not eligible for new flows.
@@ -75,6 +81,30 @@
     pub score: f64,
 }
 
+/// The load as all hosts see it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct SharedLoadView {
+    /// Age of the oldest report of this host's zone that is included, in milliseconds.
+    pub age_ms: u64,
+    /// Number of hosts whose reports are included.
+    pub hosts: usize,
+    /// Rates of the addresses with requests, sorted by address.
+    pub routes: Vec<RouteLoadView>,
+}
+
+/// Load of one address as all hosts see it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct RouteLoadView {
+    /// The address that callers use.
+    pub address: SocketAddrV4,
+    /// Requests per second.
+    pub requests_per_s: f64,
+    /// Usual time to an answer without a queue, in milliseconds, if known.
+    pub service_time_ms: Option<f64>,
+}
+
 /// The state of a host.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -98,6 +128,9 @@
     /// Number of live hosts in this host's zone, including this one.
     #[serde(rename = "near_hosts")]
     pub zone_hosts: usize,
+    /// The load as all hosts see it, while a recent summary tells.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub shared_load: Option<SharedLoadView>,
     /// The withdrawn zones.
     pub zones_out: Vec<ZoneId>,
     /// The known upstreams, by position in the registry.
--- a/crates/pomelorun-core/tests/core/direct.rs
+++ b/crates/pomelorun-core/tests/core/direct.rs
@@ -10,6 +10,7 @@
 mod host;
 mod introspection;
 mod joining;
+mod load_sharing;
 mod locality;
 mod mechanism;
 mod opening_retries;
--- a/crates/pomelorun-core/tests/core/direct/golden.rs
+++ b/crates/pomelorun-core/tests/core/direct/golden.rs
@@ -92,6 +92,8 @@
         cold_left_ms: 2_500,
         lapsed_ms: Some(40),
         waiting: 3,
+        shared_in_progress: None,
+        speed: None,
         choice: Some(choice),
         ineligible: Some(IneligibleReason::ColdFull),
         score: 1.25,
@@ -162,6 +164,7 @@
         flows: 3,
         hosts: 4,
         zone_hosts: 2,
+        shared_load: None,
         zones_out: vec![ZoneId(7)],
         upstreams: vec![upstream(ReachabilityView::Answering, Choice::Good)],
     };
--- /dev/null
+++ b/crates/pomelorun-core/tests/core/direct/load_sharing.rs
@@ -0,0 +1,505 @@
+//! Sharing of load between hosts: sums over all hosts, failures of hosts and paths, and the bytes
+//! that it takes.
+
+use std::{collections::VecDeque, sync::Arc};
+
+use pomelorun_core::{
+    Millis,
+    direct::{
+        DirectEvent, DirectHost, DirectSettings, DirectoryState, DirectoryUpdate, Disabled,
+        FleetMsg, ImplausibleLoad, LoadMessage, LoadReport, LoadSummary, Mechanism, RequestClass,
+        RouteReport, Routing, Token, UpstreamReport, UpstreamSum, UpstreamView,
+    },
+};
+use pomelorun_wire::{FlowKey, HostId, ZoneId, encode};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::direct::fixtures::{SERVICE, announcement, data_segment, flow, key, route, settings};
+
+const TICK: Millis = Millis(50);
+/// Largest payload of a datagram between hosts.
+const MAX_DATAGRAM: usize = 1_200;
+
+type Lost = Box<dyn FnMut(HostId, HostId) -> bool>;
+
+/// Hosts that exchange messages about load without a network.
+struct Mesh {
+    now: Millis,
+    hosts: Vec<DirectHost>,
+    /// Zone and identifier of each host.
+    ids: Vec<(ZoneId, HostId)>,
+    /// `false` for hosts that are stopped.
+    up: Vec<bool>,
+    lost: Lost,
+    sent_bytes: usize,
+    max_bytes: usize,
+    summaries: Vec<(HostId, LoadSummary)>,
+}
+
+impl Mesh {
+    /// Creates hosts spread over the zones, which all know the upstreams.
+    fn new(hosts: usize, zones: usize, upstreams: u64) -> Mesh {
+        let ids: Vec<(ZoneId, HostId)> = (0..hosts)
+            .map(|at| (ZoneId((at % zones) as u32 + 1), HostId(0x0a00_0000 + at as u64)))
+            .collect();
+        let mut mesh = Mesh {
+            now: Millis(1_000),
+            hosts: ids.iter().map(|it| new_host(*it, zones, upstreams)).collect(),
+            up: vec![true; ids.len()],
+            ids,
+            lost: Box::new(|_, _| false),
+            sent_bytes: 0,
+            max_bytes: 0,
+            summaries: Vec::new(),
+        };
+        mesh.publish_hosts();
+        mesh
+    }
+
+    /// Tells all hosts which ones are up.
+    fn publish_hosts(&mut self) {
+        let up = self.ids.iter().zip(&self.up).filter(|it| *it.1).map(|it| *it.0);
+        let up: Vec<(ZoneId, HostId)> = up.collect();
+        for it in &mut self.hosts {
+            it.set_hosts_by_zone(up.clone());
+        }
+    }
+
+    fn run(&mut self, ms: u64) {
+        let end = self.now + Millis(ms);
+        while self.now < end {
+            self.step();
+        }
+    }
+
+    fn step(&mut self) {
+        self.now = self.now + TICK;
+        let mut queue = VecDeque::new();
+        for at in 0..self.hosts.len() {
+            if self.up[at] {
+                self.hosts[at].tick(self.now);
+            }
+            self.collect(at, &mut queue);
+        }
+        while let Some((from, to, msg)) = queue.pop_front() {
+            if let LoadMessage::Summary(it) = &msg {
+                self.summaries.push((self.ids[from].1, it.clone()));
+            }
+            let Some(at) = self.ids.iter().position(|it| it.1 == to) else { continue };
+            if !self.up[at] || (self.lost)(self.ids[from].1, to) {
+                continue;
+            }
+            let (from, it) = (self.ids[from].1, &mut self.hosts[at]);
+            match msg {
+                LoadMessage::Report(report) => it.apply_load_report(self.now, from, &report),
+                LoadMessage::Summary(sum) => it.apply_load_summary(self.now, from, &sum),
+            }
+            self.collect(at, &mut queue);
+        }
+        self.summaries.drain(..self.summaries.len().saturating_sub(64));
+    }
+
+    fn collect(&mut self, at: usize, queue: &mut VecDeque<(usize, HostId, LoadMessage)>) {
+        let mut last: Option<(LoadMessage, usize)> = None;
+        for (to, msg) in self.hosts[at].take_load_messages() {
+            let bytes = match &last {
+                Some((same, bytes)) if *same == msg => *bytes,
+                _ => encoded_len(&msg),
+            };
+            self.sent_bytes += bytes;
+            self.max_bytes = self.max_bytes.max(bytes);
+            last = Some((msg.clone(), bytes));
+            queue.push_back((at, to, msg));
+        }
+    }
+
+    /// Forwards a request of a new flow through a host to an upstream.
+    fn request(&mut self, host: usize, upstream: u64, flow: FlowKey) {
+        let segment = data_segment(flow, Token::of(key(upstream)), 1, 100, 10);
+        self.hosts[host].handle_packet(self.now, &segment);
+    }
+
+    /// Acknowledges the answer to the request of a flow.
+    fn answer(&mut self, host: usize, upstream: u64, flow: FlowKey) {
+        let segment = data_segment(flow, Token::of(key(upstream)), 11, 200, 0);
+        self.hosts[host].handle_packet(self.now, &segment);
+    }
+
+    fn view(&self, host: usize, upstream: u64) -> UpstreamView {
+        let name = format!("{upstream:016x}");
+        let view = self.hosts[host].view(self.now);
+        view.upstreams.into_iter().find(|it| it.upstream == name).unwrap()
+    }
+
+    fn in_progress(&self, host: usize, upstream: u64) -> Option<f64> {
+        self.view(host, upstream).shared_in_progress
+    }
+
+    /// Returns the position of the host that sends the summaries of a zone.
+    fn collector(&self, zone: ZoneId) -> usize {
+        let mut own = self.summaries.iter().rev().filter(|it| it.1.zone == zone);
+        let it = own.find(|it| self.ids.contains(&(zone, it.0))).unwrap().0;
+        self.ids.iter().position(|id| id.1 == it).unwrap()
+    }
+}
+
+fn encoded_len(msg: &LoadMessage) -> usize {
+    let msg = match msg.clone() {
+        LoadMessage::Report(it) => FleetMsg::Load(it),
+        LoadMessage::Summary(it) => FleetMsg::LoadSum(it),
+    };
+    encode(&msg).unwrap().len()
+}
+
+fn new_host((zone, host): (ZoneId, HostId), zones: usize, upstreams: u64) -> DirectHost {
+    let mut it = DirectHost::new(DirectSettings { host, ..settings(zone) });
+    it.set_directory_state(Millis(0), DirectoryState::Available);
+    let mut all = vec![routing(1, RequestClass::default())];
+    let zone_of = |id: u64| ZoneId((id as usize % zones) as u32 + 1);
+    all.extend((1..=upstreams).map(|id| DirectoryUpdate::Upstream(announcement(id, zone_of(id)))));
+    it.apply_listing(Millis(0), &all);
+    it
+}
+
+fn routing(revision: u64, class: RequestClass) -> DirectoryUpdate {
+    let mut route = route(SERVICE, "feed");
+    route.class = class;
+    DirectoryUpdate::Routing(Arc::new(Routing::new(revision, vec![route], vec![], Millis(60_000))))
+}
+
+fn assert_near(seen: Option<f64>, expected: f64, tolerance: f64) {
+    let seen = seen.expect("the load is shared");
+    assert!((seen - expected).abs() <= tolerance, "{seen} instead of {expected}");
+}
+
+/// Returns hosts in two zones through each of which two requests wait at upstream 1.
+fn loaded_mesh() -> Mesh {
+    let mut mesh = Mesh::new(6, 2, 4);
+    for host in 0..6 {
+        for number in 0..2 {
+            mesh.request(host, 1, flow(number));
+        }
+    }
+    mesh.run(5_000);
+    mesh
+}
+
+#[test]
+fn every_host_knows_the_requests_of_all_hosts() {
+    let mesh = loaded_mesh();
+    for host in 0..6 {
+        assert_near(mesh.in_progress(host, 1), 12.0, 0.3);
+        assert_near(mesh.in_progress(host, 2), 0.0, 0.0);
+        let shared = mesh.hosts[host].view(mesh.now).shared_load.unwrap();
+        assert_eq!(shared.hosts, 6);
+        assert!(shared.age_ms < 2_000, "{shared:?}");
+    }
+}
+
+#[test]
+fn answered_requests_no_longer_count() {
+    let mut mesh = loaded_mesh();
+    for host in 0..6 {
+        mesh.answer(host, 1, flow(0));
+    }
+    mesh.run(2_000);
+    assert_near(mesh.in_progress(3, 1), 6.0, 1.0);
+    mesh.run(4_000);
+    assert_near(mesh.in_progress(3, 1), 6.0, 0.1);
+    for host in 0..6 {
+        mesh.answer(host, 1, flow(1));
+    }
+    mesh.run(6_000);
+    assert_near(mesh.in_progress(3, 1), 0.0, 0.0);
+}
+
+#[test]
+fn requests_count_no_longer_than_their_timeout() {
+    let mut mesh = Mesh::new(4, 2, 4);
+    let class = RequestClass { timeout: Millis(2_000), ..RequestClass::default() };
+    for it in &mut mesh.hosts {
+        it.apply_update(mesh.now, &routing(2, class));
+    }
+    mesh.run(3_000);
+    mesh.request(0, 2, flow(7));
+    mesh.request(0, 2, flow(8));
+    mesh.run(1_900);
+    assert_near(mesh.in_progress(1, 2), 2.0, 0.1);
+    mesh.answer(0, 2, flow(8));
+    mesh.request(0, 2, flow(9));
+    mesh.run(1_800);
+    assert_near(mesh.in_progress(1, 2), 1.0, 0.5);
+    mesh.run(6_000);
+    assert_near(mesh.in_progress(1, 2), 0.0, 0.0);
+    assert_eq!(mesh.view(0, 2).waiting, 2);
+    mesh.answer(0, 2, flow(7));
+    mesh.answer(0, 2, flow(9));
+    mesh.request(0, 2, flow(10));
+    mesh.run(1_800);
+    assert_near(mesh.in_progress(1, 2), 1.0, 0.5);
+}
+
+#[test]
+fn rates_of_addresses_are_added_up() {
+    let mut mesh = Mesh::new(4, 2, 4);
+    for number in 0..200 {
+        for host in 0..4 {
+            mesh.request(host, 1, flow(number));
+            mesh.answer(host, 1, flow(number));
+        }
+        mesh.run(50);
+    }
+    let shared = mesh.hosts[0].view(mesh.now).shared_load.unwrap();
+    assert_eq!(shared.routes.len(), 1);
+    let rate = shared.routes[0].requests_per_s;
+    assert!((60.0..=100.0).contains(&rate), "{rate} instead of 80 requests per second");
+}
+
+#[test]
+fn nothing_is_sent_or_believed_with_the_mechanism_off() {
+    let mut mesh = loaded_mesh();
+    let disabled = Disabled::new(vec![Mechanism::SharedLoad]);
+    for (it, id) in mesh.hosts.iter_mut().zip(&mesh.ids) {
+        let cfg = settings(id.0);
+        it.update_settings(DirectSettings { disabled: disabled.clone(), ..cfg });
+    }
+    mesh.run(100);
+    mesh.sent_bytes = 0;
+    mesh.run(2_000);
+    assert_eq!(mesh.sent_bytes, 0);
+    assert_eq!(mesh.in_progress(0, 1), None);
+}
+
+#[test]
+fn silent_host_is_forgotten_within_two_seconds() {
+    let mut mesh = loaded_mesh();
+    let silent = (0..6).find(|&at| at != mesh.collector(ZoneId(1)) && at % 2 == 0).unwrap();
+    let id = mesh.ids[silent].1;
+    mesh.lost = Box::new(move |from, _| from == id);
+    mesh.run(2_600);
+    let other = (silent + 2) % 6;
+    assert_near(mesh.in_progress(other, 1), 10.0, 0.3);
+    assert_eq!(mesh.hosts[other].view(mesh.now).shared_load.unwrap().hosts, 5);
+}
+
+#[test]
+fn next_host_takes_over_from_a_dead_collector() {
+    let mut mesh = loaded_mesh();
+    let dead = mesh.collector(ZoneId(1));
+    mesh.up[dead] = false;
+    mesh.run(1_000);
+    mesh.publish_hosts();
+    for _ in 0..100 {
+        mesh.step();
+        for host in (0..6).filter(|it| *it != dead) {
+            let seen = mesh.in_progress(host, 1).unwrap_or(0.0);
+            assert!(seen <= 12.3, "{seen} requests, some counted twice");
+        }
+    }
+    for host in (0..6).filter(|it| *it != dead) {
+        assert_near(mesh.in_progress(host, 1), 10.0, 0.3);
+    }
+}
+
+#[test]
+fn restarted_collector_is_believed_again() {
+    let mut mesh = loaded_mesh();
+    let collector = mesh.collector(ZoneId(1));
+    mesh.hosts[collector] = new_host(mesh.ids[collector], 2, 4);
+    mesh.publish_hosts();
+    for _ in 0..100 {
+        mesh.step();
+        let seen = mesh.in_progress((collector + 2) % 6, 1).unwrap_or(0.0);
+        assert!(seen <= 12.3, "{seen} requests, some counted twice");
+    }
+    for host in 0..6 {
+        assert_near(mesh.in_progress(host, 1), 10.0, 0.3);
+    }
+}
+
+#[test]
+fn joining_host_gets_the_whole_picture_at_once() {
+    let mut mesh = Mesh::new(8, 2, 300);
+    let joining = (0..8).find(|&at| at != collector_of(&mut mesh, at)).unwrap();
+    mesh.up[joining] = false;
+    mesh.publish_hosts();
+    let zone = mesh.ids[joining].0;
+    let mates: Vec<usize> = (0..8).filter(|&at| at != joining).collect();
+    for id in 1..=300 {
+        for &host in &mates {
+            mesh.request(host, id, flow(id as u32));
+        }
+    }
+    mesh.run(20_000);
+    mesh.hosts[joining] = new_host(mesh.ids[joining], 2, 300);
+    mesh.up[joining] = true;
+    mesh.publish_hosts();
+    mesh.run(2_000);
+    assert_ne!(mesh.collector(zone), joining);
+    for id in 1..=300 {
+        assert_near(mesh.in_progress(joining, id), 7.0, 0.6);
+    }
+    assert!(mesh.max_bytes <= MAX_DATAGRAM, "{} bytes", mesh.max_bytes);
+}
+
+/// Returns the collector of the zone of a host.
+fn collector_of(mesh: &mut Mesh, host: usize) -> usize {
+    if mesh.summaries.is_empty() {
+        mesh.run(3_000);
+    }
+    mesh.collector(mesh.ids[host].0)
+}
+
+#[test]
+fn half_of_the_messages_may_be_lost() {
+    let mut mesh = loaded_mesh();
+    let mut rng = ChaCha8Rng::seed_from_u64(7);
+    mesh.lost = Box::new(move |_, _| rng.random_range(0..2) == 0);
+    let (mut known, mut near) = (0, 0);
+    for _ in 0..400 {
+        mesh.step();
+        let seen = mesh.in_progress(0, 1);
+        assert!(seen.unwrap_or(0.0) <= 12.3, "{seen:?} requests, some counted twice");
+        known += usize::from(seen.is_some());
+        near += usize::from(seen.is_some_and(|it| it >= 9.0));
+    }
+    assert!(known >= 340, "the load was known at {known} of 400 times");
+    assert!(near >= 240, "the load was about right at {near} of 400 times");
+}
+
+#[test]
+fn zone_that_is_cut_off_keeps_its_own_sum() {
+    let mut mesh = loaded_mesh();
+    mesh.lost = Box::new(|from, to| (from.0 ^ to.0) % 2 == 1);
+    mesh.run(2_600);
+    for host in 0..6 {
+        assert_near(mesh.in_progress(host, 1), 6.0, 0.3);
+        assert_eq!(mesh.hosts[host].view(mesh.now).shared_load.unwrap().hosts, 3);
+    }
+}
+
+#[test]
+fn report_that_cannot_be_true_is_not_believed() {
+    let mut mesh = loaded_mesh();
+    let collector = mesh.collector(ZoneId(1));
+    let from = mesh.ids[(collector + 2) % 6].1;
+    let row = UpstreamReport {
+        token: Token::of(key(1)),
+        in_progress: 60_000,
+        speed_samples: 0,
+        slowness_milli: 0,
+    };
+    let impossible = [
+        LoadReport { interval_ms: 500, upstreams: vec![row], routes: vec![] },
+        LoadReport { interval_ms: u32::MAX, upstreams: vec![], routes: vec![] },
+        LoadReport {
+            interval_ms: 500,
+            upstreams: vec![UpstreamReport { in_progress: 1, slowness_milli: 9_000, ..row }],
+            routes: vec![],
+        },
+        LoadReport {
+            interval_ms: 500,
+            upstreams: vec![],
+            routes: vec![RouteReport {
+                addr: SERVICE,
+                requests_per_s_tenths: u32::MAX,
+                service_time_us: 0,
+            }],
+        },
+    ];
+    mesh.hosts[collector].take_events();
+    for it in &impossible {
+        mesh.hosts[collector].apply_load_report(mesh.now, from, it);
+    }
+    assert_eq!(mesh.hosts[collector].stats().load_rejected, 4);
+    let is_rejection = |it: &DirectEvent| matches!(it, DirectEvent::LoadRejected { .. });
+    let events = mesh.hosts[collector].take_events();
+    let rejections: Vec<&DirectEvent> = events.iter().filter(|it| is_rejection(it)).collect();
+    let why = ImplausibleLoad::InProgress { token: row.token };
+    assert_eq!(rejections, [&DirectEvent::LoadRejected { from, why }]);
+    mesh.run(2_000);
+    assert_near(mesh.in_progress(0, 1), 12.0, 0.3);
+}
+
+#[test]
+fn summary_that_cannot_be_true_is_not_believed() {
+    let mut mesh = loaded_mesh();
+    let (zone, from) = mesh.ids[2];
+    let upstreams =
+        vec![UpstreamSum { token: Token::of(key(1)), in_progress: 60_000, speed_percent: 100 }];
+    let good = LoadSummary {
+        zone,
+        incarnation: u64::MAX,
+        seq: 1,
+        hosts: 3,
+        age_ms: 100,
+        upstreams: vec![],
+        routes: vec![],
+    };
+    let impossible = [
+        LoadSummary { upstreams, ..good.clone() },
+        LoadSummary { hosts: 5_000, ..good.clone() },
+        LoadSummary { age_ms: u32::MAX, ..good.clone() },
+    ];
+    for it in &impossible {
+        mesh.hosts[0].apply_load_summary(mesh.now, from, it);
+    }
+    assert_eq!(mesh.hosts[0].stats().load_rejected, 3);
+    // Nobody else speaks for a zone, and no stranger does.
+    mesh.hosts[0].apply_load_summary(mesh.now, HostId(99), &good);
+    mesh.run(1_000);
+    assert_near(mesh.in_progress(0, 1), 12.0, 0.3);
+}
+
+/// Returns the mean number of bytes that a host sends per second while `mean` requests are in
+/// progress at each upstream, of which one in `ends_one_in` ends at each tick.
+fn bytes_per_s(hosts: usize, zones: usize, upstreams: u64, mean: f64, ends_one_in: f64) -> f64 {
+    const WARM_UP_TICKS: usize = 80;
+    const TICKS: usize = 240;
+    let mut mesh = Mesh::new(hosts, zones, upstreams);
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut running: Vec<(usize, u64, FlowKey)> = Vec::new();
+    let mut number = 0;
+    for tick in 0..TICKS {
+        if tick == WARM_UP_TICKS {
+            mesh.sent_bytes = 0;
+        }
+        for (host, upstream, flow) in
+            running.extract_if(.., |_| rng.random_range(0.0..ends_one_in) < 1.0)
+        {
+            mesh.answer(host, upstream, flow);
+        }
+        let opened = mean * upstreams as f64 / if tick == 0 { 1.0 } else { ends_one_in };
+        for _ in 0..opened.round() as usize {
+            let (host, upstream) = (rng.random_range(0..hosts), rng.random_range(1..=upstreams));
+            number += 1;
+            running.push((host, upstream, flow(number)));
+            mesh.request(host, upstream, flow(number));
+        }
+        mesh.step();
+    }
+    assert!(mesh.max_bytes <= MAX_DATAGRAM, "{} bytes", mesh.max_bytes);
+    let seconds = (TICKS - WARM_UP_TICKS) as f64 * TICK.0 as f64 / 1_000.0;
+    let bytes = mesh.sent_bytes as f64 / hosts as f64 / seconds;
+    println!(
+        "{hosts} hosts, {zones} zones, {upstreams} upstreams, {mean} requests: {bytes:.0} B/s"
+    );
+    bytes
+}
+
+#[test]
+fn messages_take_few_bytes_in_calm() {
+    for (hosts, zones, upstreams) in [(65, 3, 150), (300, 5, 300)] {
+        let bytes = bytes_per_s(hosts, zones, upstreams, 0.6, 1.3);
+        assert!(bytes <= 2_000.0, "{bytes} bytes per second with {hosts} hosts");
+    }
+}
+
+#[test]
+fn messages_take_bounded_bytes_in_a_shortage() {
+    for (hosts, zones, upstreams) in [(65, 3, 150), (300, 5, 300)] {
+        let bytes = bytes_per_s(hosts, zones, upstreams, 8.0, 3.0);
+        assert!(bytes <= 10_000.0, "{bytes} bytes per second with {hosts} hosts");
+    }
+}
--- a/crates/pomelorun/src/direct/edge.rs
+++ b/crates/pomelorun/src/direct/edge.rs
@@ -14,7 +14,7 @@
         ProbeResult, ReplicatedUpdate, SegmentKind, Token, TokenOwner, UpstreamKey, Verdict,
     },
 };
-use pomelorun_wire::{FlowKey, HostId};
+use pomelorun_wire::{FlowKey, HostId, ZoneId};
 use smallvec::SmallVec;
 use thiserror::Error;
 use tokio::{
@@ -327,17 +327,18 @@
         self.flush_effects();
     }
 
-    /// Sets the live hosts, the other live hosts of this zone, and whether this host reads the
-    /// directory for them.
+    /// Sets the live hosts with their zones, the other live hosts of this zone, and whether this
+    /// host reads the directory for them.
     pub(crate) fn set_hosts(
         &mut self,
-        hosts: Vec<HostId>,
+        hosts_by_zone: Vec<(ZoneId, HostId)>,
         zone_peers: Vec<HostId>,
         is_reader: bool,
     ) {
-        self.live_hosts = hosts.len();
+        self.live_hosts = hosts_by_zone.len();
         self.is_reader = is_reader;
-        self.host.set_hosts(hosts);
+        self.host.set_hosts(hosts_by_zone.iter().map(|it| it.1).collect());
+        self.host.set_hosts_by_zone(hosts_by_zone);
         self.host.set_zone_peers(zone_peers);
     }
 
--- a/crates/pomelorun/src/direct/event_log.rs
+++ b/crates/pomelorun/src/direct/event_log.rs
@@ -127,6 +127,12 @@
                     told_by_another_host = *from_peer
                 });
             }
+            DirectEvent::LoadRejected { from, why } => {
+                warn!("message about load not believed", kv: {
+                    code = Code::LOAD_NOT_BELIEVED.to_string(), from = from.0,
+                    why = format!("{why:?}")
+                });
+            }
             DirectEvent::Lifecycle { upstream, change, cold_left } => {
                 let (code, state) = lifecycle_code(*change);
                 info!("upstream state changed", kv: {
--- a/crates/pomelorun/src/direct/fleet.rs
+++ b/crates/pomelorun/src/direct/fleet.rs
@@ -127,7 +127,7 @@
         if !self.fleet.take_changed(now()) {
             return;
         }
-        let live = self.fleet.live_hosts();
+        let live = self.fleet.live_hosts_by_zone();
         let readers = self.fleet.readers();
         info!("hosts changed", kv: {
             code = Code::HOSTS_CHANGED.to_string(), live = live.len(), reads = readers.is_reader
--- a/crates/pomelorun/tests/daemon/golden.rs
+++ b/crates/pomelorun/tests/daemon/golden.rs
@@ -171,6 +171,7 @@
         flows: 3,
         hosts: 4,
         zone_hosts: 2,
+        shared_load: None,
         zones_out: Vec::new(),
         upstreams: Vec::new(),
     };
