Show and describe the shared load

Cause: operators could not see what hosts know of each other's load, nor messages that were dropped. A summary to many hosts is encoded once. Overdue requests are in a module of their own.

--- a/crates/pomelorun-core/src/direct.rs
+++ b/crates/pomelorun-core/src/direct.rs
@@ -27,6 +27,7 @@
 mod outcomes;
 mod outlier;
 // Filled in by the parts that follow.
+mod overdue_requests;
 #[allow(dead_code)]
 mod overload;
 mod peer_update;
--- a/crates/pomelorun-core/src/direct/host/load_sharing.rs
+++ b/crates/pomelorun-core/src/direct/host/load_sharing.rs
@@ -4,9 +4,7 @@
 //! part of its requests that pass here. The collector of a zone is the live host that ranks first by
 //! rendezvous hashing, so that hosts agree on it without messages.
 
-use std::collections::VecDeque;
-
-use pomelorun_wire::{FlowKey, HostId, ZoneId};
+use pomelorun_wire::{HostId, ZoneId};
 
 use crate::{
     direct::{
@@ -16,6 +14,7 @@
         load_report::{IN_PROGRESS_UNIT, LoadReport, LoadSummary},
         load_sampler::LoadSampler,
         mechanism::Mechanism,
+        overdue_requests::OverdueRequests,
         registry::UpstreamIx,
         segment::Segment,
         shared_load::{SharedLoad, SummaryEffect, recent_for, split_summary},
@@ -46,11 +45,6 @@
 const MAX_AGE_MS: u32 = 60_000;
 /// Least time between two events about messages that were not believed.
 const REJECTION_EVENT_INTERVAL: Millis = Millis(1_000);
-/// Most requests whose time-out is watched; further ones count until their flow ends.
-const MAX_WATCHED: usize = 32_768;
-/// Longest time-out that is watched.
-const MAX_WATCHED_TIMEOUT: Millis = Millis(60_000);
-
 /// A message about load to another host.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum LoadMessage {
@@ -106,80 +100,6 @@
     }
 }
 
-/// Requests that count as in progress until their time-out, by time-out.
-///
-/// The flow table may keep a request that nobody will answer for minutes.
-#[derive(Debug, Default)]
-struct OverdueRequests {
-    /// When each request was forwarded, oldest first; sorted by time-out.
-    watched: Vec<(Millis, VecDeque<(Millis, UpstreamIx, FlowKey)>)>,
-    len: usize,
-    /// Number of overdue requests by upstream, sorted.
-    overdue: Vec<(UpstreamIx, u32)>,
-}
-
-impl OverdueRequests {
-    fn watch(&mut self, now: Millis, timeout: Millis, ix: UpstreamIx, flow: FlowKey) {
-        if timeout > MAX_WATCHED_TIMEOUT || self.len >= MAX_WATCHED {
-            return;
-        }
-        let at = match self.watched.binary_search_by_key(&timeout, |it| it.0) {
-            Ok(at) => at,
-            Err(at) => {
-                self.watched.insert(at, (timeout, VecDeque::new()));
-                at
-            }
-        };
-        self.watched[at].1.push_back((now, ix, flow));
-        self.len += 1;
-    }
-
-    /// Counts the requests whose time-out has expired and that `is_waiting` says are unanswered.
-    fn expire(
-        &mut self,
-        now: Millis,
-        mut is_waiting: impl FnMut(&FlowKey, UpstreamIx, Millis) -> bool,
-    ) {
-        for (timeout, requests) in &mut self.watched {
-            while let Some((sent, ix, flow)) =
-                requests.pop_front_if(|it| now.since(it.0) >= *timeout)
-            {
-                self.len -= 1;
-                if !is_waiting(&flow, ix, sent) {
-                    continue;
-                }
-                match self.overdue.binary_search_by_key(&ix, |it| it.0) {
-                    Ok(at) => self.overdue[at].1 += 1,
-                    Err(at) => self.overdue.insert(at, (ix, 1)),
-                }
-            }
-        }
-        self.watched.retain(|it| !it.1.is_empty());
-    }
-
-    /// Returns how many of an upstream's waiting requests are not overdue.
-    fn in_progress(&self, ix: UpstreamIx, waiting: u32) -> u32 {
-        let overdue = self.overdue.binary_search_by_key(&ix, |it| it.0);
-        waiting.saturating_sub(overdue.map_or(0, |at| self.overdue[at].1))
-    }
-
-    /// Forgets an overdue request that was answered after all.
-    fn record_late_answer(&mut self, ix: UpstreamIx) {
-        if let Ok(at) = self.overdue.binary_search_by_key(&ix, |it| it.0) {
-            self.overdue[at].1 = self.overdue[at].1.saturating_sub(1);
-        }
-    }
-
-    /// Forgets overdue requests that have ended since. One that ends in another way than by its
-    /// answer is forgotten once nothing else waits at the upstream.
-    fn settle(&mut self, waiting: impl Fn(UpstreamIx) -> u32) {
-        self.overdue.retain_mut(|it| {
-            it.1 = it.1.min(waiting(it.0));
-            it.1 > 0
-        });
-    }
-}
-
 impl DirectHost {
     /// Sets all live hosts with their zones, among which the collectors are chosen.
     pub fn set_hosts_by_zone(&mut self, mut hosts: Vec<(ZoneId, HostId)>) {
@@ -203,6 +123,11 @@
         self.shared_load.set_own_zone(self.cfg.zone);
     }
 
+    /// Returns the number of hosts whose load is known, zero without a recent summary of this zone.
+    pub fn load_hosts(&self, now: Millis) -> usize {
+        if self.shared_load.age(now).is_some() { self.shared_load.hosts(now) } else { 0 }
+    }
+
     /// Takes the messages about load to send, each with its recipient.
     pub fn take_load_messages(&mut self) -> Vec<(HostId, LoadMessage)> {
         std::mem::take(&mut self.load_sharing.out)
@@ -332,9 +257,10 @@
         let (flows, states) = (&mut self.flows, &self.upstream_states);
         let waiting = |ix: UpstreamIx| states.get(ix.0 as usize).map_or(0, |it| it.load.waiting);
         let LoadSharing { sampler, overdue, .. } = &mut self.load_sharing;
-        overdue.expire(now, |flow, ix, sent| {
-            let flow = flows.get_mut(flow).filter(|it| it.established && it.upstream() == ix);
-            flow.is_some_and(|it| it.unanswered_since == Some(sent))
+        overdue.expire(now, |it| {
+            let flow = flows.get_mut(&it.flow);
+            let flow = flow.filter(|flow| flow.established && flow.upstream() == it.ix);
+            flow.is_some_and(|flow| flow.unanswered_since == Some(it.sent_at))
         });
         overdue.settle(waiting);
         sampler.sample(now, |ix| overdue.in_progress(ix, waiting(ix)));
--- a/crates/pomelorun-core/tests/core/direct/golden.rs
+++ b/crates/pomelorun-core/tests/core/direct/golden.rs
@@ -10,9 +10,10 @@
     CoreSettings, Millis,
     direct::{
         Announcement, Choice, DirectRoute, DirectView, FailureReport, FleetMsg, FlowView,
-        IneligibleReason, KnownFrom, PeerUpdate, ReachabilityView, ReplicatedUpdate, RequestClass,
-        RouteTarget, Routing, RoutingChange, ServiceLimits, Token, TokenOwner, UpstreamKey,
-        UpstreamView,
+        IneligibleReason, KnownFrom, LoadReport, LoadSummary, PeerUpdate, ReachabilityView,
+        ReplicatedUpdate, RequestClass, RouteLoadView, RouteReport, RouteTarget, Routing,
+        RoutingChange, ServiceLimits, SharedLoadView, Token, TokenOwner, UpstreamKey,
+        UpstreamReport, UpstreamSum, UpstreamView,
     },
 };
 use pomelorun_wire::{PeerMsg, ServiceAddr, ZoneId, decode, encode};
@@ -123,6 +124,62 @@
     );
 }
 
+#[test]
+fn load_messages_keep_their_encoding() {
+    let route = RouteReport {
+        addr: ServiceAddr { ip: 0x0a14_0001, port: 443 },
+        requests_per_s_tenths: 1_234,
+        service_time_us: 40_000,
+    };
+    let row = UpstreamReport {
+        token: Token(0xa1b2_c3d4),
+        in_progress: 40,
+        speed_samples: 3,
+        slowness_milli: -250,
+    };
+    let report = LoadReport { interval_ms: 500, upstreams: vec![row], routes: vec![route] };
+    check(
+        &FleetMsg::Load(report),
+        "a1646c6f6164831901f481841aa1b2c3d418280338f981841a0a1400011901bb1904d2199c40",
+    );
+    let sum = UpstreamSum { token: Token(0xa1b2_c3d4), in_progress: 128, speed_percent: 140 };
+    let summary = LoadSummary {
+        zone: ZoneId(7),
+        incarnation: 1_700_000_000_000,
+        seq: 9,
+        hosts: 64,
+        age_ms: 600,
+        upstreams: vec![sum],
+        routes: vec![route],
+    };
+    check(
+        &FleetMsg::LoadSum(summary),
+        "a1686c6f61645f73756d87071b0000018bcfe5680009184019025881831aa1b2c3d41880188c81841a0a1400011901bb1904d2199c40",
+    );
+}
+
+#[test]
+fn shared_load_in_views_keeps_its_json() {
+    let routes = vec![RouteLoadView {
+        address: SocketAddrV4::new(Ipv4Addr::new(10, 20, 0, 1), 443),
+        requests_per_s: 120.5,
+        service_time_ms: Some(40.0),
+    }];
+    check_json(
+        &SharedLoadView { age_ms: 300, hosts: 64, routes },
+        r#"{"age_ms":300,"hosts":64,"routes":[{"address":"10.20.0.1:443","requests_per_s":120.5,"service_time_ms":40.0}]}"#,
+    );
+    let shared = UpstreamView {
+        shared_in_progress: Some(8.5),
+        speed: Some(1.5),
+        ..upstream(ReachabilityView::Answering, Choice::Good)
+    };
+    check_json(
+        &shared,
+        r#"{"upstream":"0102030405060708","token":"a1b2c3d4","service":"search","zone":7,"address":"10.1.2.3:8080","standing":"answering","answered_ago_ms":120,"ejected":true,"cold_left_ms":2500,"lapsed_ms":40,"waiting":3,"shared_in_progress":8.5,"speed":1.5,"choice":"good","barred":"cold_full","score":1.25}"#,
+    );
+}
+
 #[test]
 fn peer_update_without_ejections_is_decoded() {
     let news = PeerUpdate { unreachable: vec![(1, 2, 3)], ejected: Vec::new() };
--- a/crates/pomelorun-core/tests/core/direct/load_sharing.rs
+++ b/crates/pomelorun-core/tests/core/direct/load_sharing.rs
@@ -481,11 +481,7 @@
     }
     assert!(mesh.max_bytes <= MAX_DATAGRAM, "{} bytes", mesh.max_bytes);
     let seconds = (TICKS - WARM_UP_TICKS) as f64 * TICK.0 as f64 / 1_000.0;
-    let bytes = mesh.sent_bytes as f64 / hosts as f64 / seconds;
-    println!(
-        "{hosts} hosts, {zones} zones, {upstreams} upstreams, {mean} requests: {bytes:.0} B/s"
-    );
-    bytes
+    mesh.sent_bytes as f64 / hosts as f64 / seconds
 }
 
 #[test]
--- a/crates/pomelorun-wire/src/code.rs
+++ b/crates/pomelorun-wire/src/code.rs
@@ -129,5 +129,6 @@
     STOPPED = 432, "stopped", "the daemon has stopped", "none";
     RELOADED = 433, "reloaded", "the settings file was reloaded", "restart the daemon if the log line asks for it";
     FLOW_RESET_OVERLOADED = 434, "flow_reset_overloaded", "an opening packet was refused: no upstream of the service has room for another request of its priority", "add upstreams, or reduce the demand of the less urgent routes";
-    LOAD_NOT_BELIEVED = 435, "load_not_believed", "another host sent a message about load that cannot be true or cannot be read; it was ignored", "look at the host that the line names: its version and its clock";
+    LOAD_NOT_BELIEVED = 435, "load_not_believed", "another host sent a message about load that cannot be true; it was ignored", "look at the host that the line names";
+    PEER_MESSAGE_UNREADABLE = 436, "peer_message_unreadable", "a datagram of another host cannot be decoded; it was ignored", "none during an upgrade; otherwise look at the host that the line names";
 }
--- a/crates/pomelorun/src/direct/edge.rs
+++ b/crates/pomelorun/src/direct/edge.rs
@@ -14,7 +14,7 @@
         ProbeResult, ReplicatedUpdate, SegmentKind, Token, TokenOwner, UpstreamKey, Verdict,
     },
 };
-use pomelorun_wire::{FlowKey, HostId, ZoneId};
+use pomelorun_wire::{CodecError, FlowKey, HostId, ZoneId};
 use smallvec::SmallVec;
 use thiserror::Error;
 use tokio::{
@@ -58,6 +58,10 @@
     socket: Rc<UdpSocket>,
     out: SendQueue,
     malformed: u64,
+    /// Messages of other hosts that could not be decoded.
+    unreadable_messages: u64,
+    /// Bytes of messages about load that were sent.
+    load_bytes: u64,
     receive_syscalls: u64,
     leaving: bool,
     /// Number of live hosts, including this one.
@@ -135,6 +139,11 @@
 pub(crate) struct EdgeStats {
     pub(crate) core: DirectStats,
     pub(crate) malformed: u64,
+    pub(crate) unreadable_messages: u64,
+    /// Bytes of messages about load that were sent.
+    pub(crate) load_bytes: u64,
+    /// Number of hosts whose load is known.
+    pub(crate) load_hosts: usize,
     pub(crate) unsent: u64,
     /// System calls that received or sent packets.
     pub(crate) syscalls: u64,
@@ -176,6 +185,9 @@
         EdgeStats {
             core: self.host.stats(),
             malformed: self.malformed,
+            unreadable_messages: self.unreadable_messages,
+            load_bytes: self.load_bytes,
+            load_hosts: self.host.load_hosts(now()),
             unsent: self.out.dropped(),
             syscalls: self.receive_syscalls + self.out.syscalls(),
             flows: self.host.flow_count(),
@@ -311,6 +323,17 @@
         self.host.take_load_messages()
     }
 
+    /// Counts a message about load that was sent, in bytes.
+    pub(crate) fn count_load_bytes(&mut self, bytes: usize) {
+        self.load_bytes += bytes as u64;
+    }
+
+    /// Counts and logs a message of another host that cannot be decoded.
+    pub(crate) fn record_unreadable(&mut self, from: HostId, error: &CodecError) {
+        self.unreadable_messages += 1;
+        self.event_log.log_unreadable_message(from, error);
+    }
+
     /// Takes the token queries to send, each with its receiver.
     pub(crate) fn take_token_queries(&mut self) -> Vec<(HostId, Vec<Token>)> {
         self.host.take_token_queries()
@@ -530,6 +553,8 @@
             socket: Rc::clone(&socket),
             out: SendQueue::new(),
             malformed: 0,
+            unreadable_messages: 0,
+            load_bytes: 0,
             receive_syscalls: 0,
             leaving: false,
             live_hosts: 0,
--- a/crates/pomelorun/src/direct/event_log.rs
+++ b/crates/pomelorun/src/direct/event_log.rs
@@ -5,9 +5,11 @@
 
 use pomelorun_core::{
     Millis,
-    direct::{DirectEvent, DropReason, LifecycleChange, OpenCause, ResetReason, UpstreamKey},
+    direct::{
+        DirectEvent, DropReason, LifecycleChange, OpenCause, ResetReason, UpstreamKey, address_of,
+    },
 };
-use pomelorun_wire::{Code, FlowKey};
+use pomelorun_wire::{Code, CodecError, FlowKey, HostId};
 use spdlog::prelude::*;
 
 use crate::direct::platform::MalformedPacket;
@@ -17,6 +19,9 @@
 const MAX_OPENED_PER_S: u32 = 20;
 /// Maximum lines per second for malformed packets, which anyone can send at any rate.
 const MAX_MALFORMED_PER_S: u32 = 5;
+/// Maximum lines per second for messages of other hosts that cannot be decoded, which a host of
+/// another version may send all the time.
+const MAX_UNREADABLE_PER_S: u32 = 1;
 /// Window of the rate limits, one second because they are given per second.
 const RATE_LIMIT_WINDOW: Millis = Millis(1_000);
 
@@ -25,6 +30,7 @@
 pub(crate) struct EventLog {
     opened: LineLimiter,
     malformed: LineLimiter,
+    unreadable: LineLimiter,
     window_start: Millis,
 }
 
@@ -62,6 +68,16 @@
         }
     }
 
+    /// Logs a message of another host that cannot be decoded, subject to the rate limit.
+    pub(crate) fn log_unreadable_message(&mut self, from: HostId, error: &CodecError) {
+        if self.unreadable.admit(MAX_UNREADABLE_PER_S) {
+            warn!("message of another host cannot be read", kv: {
+                code = Code::PEER_MESSAGE_UNREADABLE.to_string(),
+                from = address_of(from).to_string(), why = error.to_string()
+            });
+        }
+    }
+
     /// Logs an event; lines for flows that open at the first attempt are rate-limited.
     pub(crate) fn log_event(&mut self, event: &DirectEvent) {
         match event {
@@ -129,7 +145,7 @@
             }
             DirectEvent::LoadRejected { from, why } => {
                 warn!("message about load not believed", kv: {
-                    code = Code::LOAD_NOT_BELIEVED.to_string(), from = from.0,
+                    code = Code::LOAD_NOT_BELIEVED.to_string(), from = address_of(*from).to_string(),
                     why = format!("{why:?}")
                 });
             }
@@ -161,9 +177,11 @@
             self.window_start = now;
             let opened = self.opened.start_window();
             let malformed = self.malformed.start_window();
-            if opened + malformed > 0 {
+            let unreadable = self.unreadable.start_window();
+            if opened + malformed + unreadable > 0 {
                 info!("log lines suppressed", kv: {
-                    code = Code::LOG_LINES_SUPPRESSED.to_string(), opened, malformed
+                    code = Code::LOG_LINES_SUPPRESSED.to_string(), opened, malformed,
+                    unreadable
                 });
             }
         }
--- a/crates/pomelorun/src/direct/fleet.rs
+++ b/crates/pomelorun/src/direct/fleet.rs
@@ -79,8 +79,7 @@
         self.send(queries.into_iter().map(|(to, it)| (to, FleetMsg::TokenQuery(it))).collect());
         let reports = self.edge.borrow_mut().take_reports();
         self.send(reports.into_iter().map(|(to, it)| (to, FleetMsg::Reports(it))).collect());
-        let load = self.edge.borrow_mut().take_load_messages();
-        self.send(load.into_iter().map(|(to, it)| (to, load_message(it))).collect());
+        self.send_load();
         let out = self.fleet.tick(now);
         self.send(out);
         self.publish_membership();
@@ -90,7 +89,7 @@
         let msg = match decode::<FleetMsg>(bytes) {
             Ok(it) => it,
             Err(e) => {
-                debug!("peer message dropped", kv: { error = e.to_string() });
+                self.edge.borrow_mut().record_unreadable(from, &e);
                 return;
             }
         };
@@ -140,21 +139,45 @@
         });
     }
 
+    /// Sends the messages about load. A summary to many hosts is encoded once.
+    fn send_load(&mut self) {
+        let out = self.edge.borrow_mut().take_load_messages();
+        let mut bytes = 0;
+        for same in out.chunk_by(|a, b| a.1 == b.1) {
+            let Some(body) = encode_message(&load_message(same[0].1.clone())) else { continue };
+            for (to, _) in same {
+                self.send_datagram(*to, &body);
+            }
+            bytes += body.len() * same.len();
+        }
+        self.edge.borrow_mut().count_load_bytes(bytes);
+    }
+
     fn send(&mut self, out: OutboundMessages) {
         for (to, msg) in out {
-            let to = SocketAddr::from((address_of(to), self.port));
-            match encode(&msg) {
-                Ok(body) => {
-                    // Not retransmitted: as after a loss on the network, a later message
-                    // takes its place.
-                    if let Err(e) = self.socket.try_send_to(&body, to) {
-                        debug!("peer message not sent", kv: { error = e.to_string() });
-                    }
-                }
-                Err(e) => error!("cannot encode peer message", kv: { error = e.to_string() }),
+            if let Some(body) = encode_message(&msg) {
+                self.send_datagram(to, &body);
             }
         }
     }
+
+    fn send_datagram(&self, to: HostId, body: &[u8]) {
+        let to = SocketAddr::from((address_of(to), self.port));
+        // Not retransmitted: as after a loss on the network, a later message takes its place.
+        if let Err(e) = self.socket.try_send_to(body, to) {
+            debug!("peer message not sent", kv: { error = e.to_string() });
+        }
+    }
+}
+
+fn encode_message(msg: &FleetMsg) -> Option<Vec<u8>> {
+    match encode(msg) {
+        Ok(it) => Some(it),
+        Err(e) => {
+            error!("cannot encode peer message", kv: { error = e.to_string() });
+            None
+        }
+    }
 }
 
 /// Returns the message between hosts that carries a message about load.
--- a/crates/pomelorun/src/direct/metrics.rs
+++ b/crates/pomelorun/src/direct/metrics.rs
@@ -20,7 +20,7 @@
 
 /// Name, help text and value of each counter. `docs/operators/metrics.md` says what to do when one
 /// rises.
-const COUNTERS: [(&str, &str, ReadCount); 20] = [
+const COUNTERS: [(&str, &str, ReadCount); 23] = [
     ("pomelorun_packets_forwarded", "Packets forwarded to upstreams", |it| it.core.forwarded),
     ("pomelorun_flows_opened", "Flows opened, not counting retransmitted opening packets", |it| {
         it.core.opened
@@ -79,6 +79,13 @@
         "Times the directory was found to be restored from an older copy",
         |it| it.core.directory_restorations,
     ),
+    ("pomelorun_load_rejected", "Messages about load that cannot be true", |it| {
+        it.core.load_rejected
+    }),
+    ("pomelorun_load_bytes", "Messages about load sent to other hosts, bytes", |it| it.load_bytes),
+    ("pomelorun_peer_unreadable", "Datagrams of other hosts that cannot be decoded", |it| {
+        it.unreadable_messages
+    }),
     ("pomelorun_probes", "Probes sent to upstreams", |it| it.core.probes),
     (
         "pomelorun_log_lines_dropped",
@@ -87,11 +94,14 @@
     ),
 ];
 
-const GAUGES: [(&str, &str, ReadCount); 5] = [
+const GAUGES: [(&str, &str, ReadCount); 6] = [
     ("pomelorun_flows", "Flows in the flow table", |it| it.flows as u64),
     ("pomelorun_revision", "Active revision of the configuration", |it| it.revision),
     ("pomelorun_directory_era", "Era of the directory that was listed last", |it| it.directory_era),
     ("pomelorun_hosts_live", "Live hosts, including this one", |it| it.live_hosts as u64),
+    ("pomelorun_load_hosts", "Hosts whose load of upstreams is known here", |it| {
+        it.load_hosts as u64
+    }),
     ("pomelorun_directory_away", "1 while the directory is unavailable, otherwise 0", |it| {
         u64::from(it.directory_unavailable)
     }),
--- a/crates/pomelorunctl/src/direct.rs
+++ b/crates/pomelorunctl/src/direct.rs
@@ -249,9 +249,14 @@
         (None, None) => "gets none".to_owned(),
     };
     let ejected = if it.ejected { ", ejected" } else { "" };
+    let shared = it.shared_in_progress.map(|it| format!(" of {it:.1} in progress at all hosts"));
     format!(
-        "  {}  {word}{ejected}, load {:.2}, {} waiting, last sign of life {} ms ago",
-        it.upstream, it.score, it.waiting, it.answered_ago_ms
+        "  {}  {word}{ejected}, load {:.2}, {} waiting{}, last sign of life {} ms ago",
+        it.upstream,
+        it.score,
+        it.waiting,
+        shared.unwrap_or_default(),
+        it.answered_ago_ms
     )
 }
 
