--- a/crates/pomelorun-core/src/direct.rs
+++ b/crates/pomelorun-core/src/direct.rs
@@ -18,13 +18,16 @@
 mod latency;
 mod liveness;
 mod load;
+mod load_collector;
 mod load_report;
+mod load_sampler;
 mod mechanism;
 mod observed_flows;
 mod opening_retry;
 mod outcomes;
 mod outlier;
 // Filled in by the parts that follow.
+mod overdue_requests;
 #[allow(dead_code)]
 mod overload;
 mod peer_update;
@@ -32,7 +35,6 @@
 mod registry;
 mod routing;
 mod segment;
-#[allow(dead_code)]
 mod shared_load;
 mod token;
 mod unknown_tokens;
@@ -48,7 +50,10 @@
         BootstrapHosts, DirectoryPosition, DirectorySync, HasFollowers, Readers, ResponseEra,
         SyncOutcome, SyncStep,
     },
-    event::{DirectEvent, DropReason, LifecycleChange, OpenCause, OpenReason, ResetReason},
+    event::{
+        DirectEvent, DropReason, ImplausibleLoad, LifecycleChange, OpenCause, OpenReason,
+        ResetReason,
+    },
     fleet::{Fleet, FleetMsg, OutboundMessages, address_of, host_at},
     host::{
         DirectHost, DirectSettings, DirectStats, DirectoryState, DirectoryUpdate, LoadMessage,
@@ -75,5 +80,8 @@
     token::Token,
     unknown_tokens::TokenOwner,
     update_log::UpdateLog,
-    view::{DirectView, FlowView, IneligibleReason, KnownFrom, ReachabilityView, UpstreamView},
+    view::{
+        DirectView, FlowView, IneligibleReason, KnownFrom, ReachabilityView, RouteLoadView,
+        SharedLoadView, UpstreamView,
+    },
 };
