--- a/crates/pomelorun-core/src/direct.rs
+++ b/crates/pomelorun-core/src/direct.rs
@@ -37,7 +37,6 @@
 mod token;
 mod unknown_tokens;
 mod update_log;
-#[allow(dead_code)]
 mod upstream_speed;
 mod view;
 
@@ -75,5 +74,6 @@
     token::Token,
     unknown_tokens::TokenOwner,
     update_log::UpdateLog,
+    upstream_speed::{AnswerSample, ServiceTimes, SpeedEstimate, SpeedSamples},
     view::{DirectView, FlowView, IneligibleReason, KnownFrom, ReachabilityView, UpstreamView},
 };
--- a/crates/pomelorun-core/src/direct/host.rs
+++ b/crates/pomelorun-core/src/direct/host.rs
@@ -281,7 +281,6 @@
     /// Resets to send.
     resets: Vec<ResetPacket>,
     peer_update: PeerUpdate,
-    #[allow(dead_code)]
     shared_load: SharedLoad,
     service_times: ServiceTimes,
     overload: OverloadControl,
--- a/crates/pomelorun-core/src/direct/host/failure_detection.rs
+++ b/crates/pomelorun-core/src/direct/host/failure_detection.rs
@@ -1,7 +1,7 @@
 //! Failure detection: finds upstreams that do not respond, from callers' packets and from probes,
 //! and resets their flows.
 
-use pomelorun_wire::FlowKey;
+use pomelorun_wire::{FlowKey, ServiceAddr};
 use smallvec::SmallVec;
 
 use crate::{
@@ -112,16 +112,8 @@
                     it.answered += 1;
                     it.in_time += u64::from(in_time);
                 }
-                let load = &mut self.upstream_states[ix.0 as usize].load;
-                load.waiting = load.waiting.saturating_sub(1);
-                let may_have_queued = load.waiting > 0;
-                let sample = AnswerSample {
-                    route: seg.flow.service,
-                    took: waited,
-                    round_trip: Millis(0),
-                    may_have_queued,
-                };
-                self.record_answer_time(now, ix, &sample);
+                let route = route.map(|it| it.addr);
+                self.record_answer(now, ix, route, sent_at);
             }
             self.record_response(now, ix);
         }
@@ -133,7 +125,7 @@
             None => {
                 flow.unanswered_since = Some(now);
                 flow.unanswered_seq = seg.seq;
-                self.upstream_states[ix.0 as usize].load.waiting += 1;
+                self.add_waiting(now, ix);
                 self.record_request(now, ix, seg);
                 self.count_request(now, ix, seg);
             }
@@ -144,6 +136,34 @@
         }
     }
 
+    /// Subtracts an answered request from the load of its upstream and records how long it took.
+    fn record_answer(
+        &mut self,
+        now: Millis,
+        ix: UpstreamIx,
+        route: Option<ServiceAddr>,
+        sent_at: Millis,
+    ) {
+        let Some(it) = self.registry.get(ix) else { return };
+        let (zone, slots) = (it.announcement.zone, it.announcement.slots);
+        let shared = self.shared_in_progress(now, it);
+        let load = &mut self.upstream_states[ix.0 as usize].load;
+        let has_queued = load.remove_waiting(now, sent_at, slots);
+        let Some(route) = route else { return };
+        let sample = AnswerSample {
+            route,
+            took: now.since(sent_at),
+            round_trip: self.opening_times.mean(zone).unwrap_or(Millis(0)),
+            may_have_queued: has_queued || shared.is_some_and(|it| it >= f64::from(slots.max(1))),
+        };
+        self.record_answer_time(now, ix, &sample);
+    }
+
+    fn add_waiting(&mut self, now: Millis, ix: UpstreamIx) {
+        let slots = self.registry.get(ix).map_or(1, |it| it.announcement.slots);
+        self.upstream_states[ix.0 as usize].load.add_waiting(now, slots);
+    }
+
     /// Adds a flow to the flow table as established: at its first packet after the opening one, or
     /// when the flow was opened through another host.
     pub(super) fn record_established(&mut self, now: Millis, ix: UpstreamIx, seg: &Segment) {
@@ -172,9 +192,8 @@
             self.record_request(now, ix, seg);
             self.count_request(now, ix, seg);
         }
-        if inserted {
-            let load = &mut self.upstream_states[ix.0 as usize].load;
-            load.waiting += u32::from(has_data);
+        if inserted && has_data {
+            self.add_waiting(now, ix);
         }
     }
 
--- a/crates/pomelorun-core/src/direct/host/flow_placement.rs
+++ b/crates/pomelorun-core/src/direct/host/flow_placement.rs
@@ -202,6 +202,7 @@
     /// Returns an upstream as a candidate with its load, and with the rank [`Choice::Good`].
     pub(super) fn candidate(&self, now: Millis, ix: UpstreamIx, it: &Upstream) -> Candidate {
         let state = &self.upstream_states[ix.0 as usize];
+        let knows_speed = self.is_enabled(Mechanism::UpstreamSpeed);
         let if_enabled =
             |mechanism, value: f64| if self.is_enabled(mechanism) { value } else { 0.0 };
         Candidate {
@@ -214,11 +215,19 @@
             recent_opens: if_enabled(Mechanism::RecentOpens, state.load.recent_opens(now)),
             load_share: 1.0,
             slots: it.announcement.slots,
+            speed: if knows_speed { self.shared_load.speed(it.token) } else { 1.0 },
+            shared_in_progress: self.shared_in_progress(now, it),
             penalty: if_enabled(Mechanism::OutlierEjection, state.outlier.penalty(now)),
             tie_break: 0,
         }
     }
 
+    /// Returns the number of requests in progress at an upstream through all hosts, if it is known.
+    pub(super) fn shared_in_progress(&self, now: Millis, it: &Upstream) -> Option<f64> {
+        let is_shared = self.is_enabled(Mechanism::SharedLoad);
+        is_shared.then(|| self.shared_load.in_progress(now, it.token)).flatten()
+    }
+
     /// Returns the rank of an upstream for new flows, or why it is not eligible.
     pub(super) fn classify(
         &self,
--- a/crates/pomelorun-core/src/direct/load.rs
+++ b/crates/pomelorun-core/src/direct/load.rs
@@ -15,9 +15,29 @@
     pub waiting: u32,
     /// When the upstream was last a candidate for a new flow.
     pub(crate) last_candidate: Option<Millis>,
+    /// When more requests last waited than the upstream runs concurrently.
+    queued_at: Option<Millis>,
 }
 
 impl Load {
+    /// Adds a request that waits for a response at an upstream that runs `slots` concurrently.
+    pub(crate) fn add_waiting(&mut self, now: Millis, slots: u32) {
+        self.waiting += 1;
+        if self.waiting > slots.max(1) {
+            self.queued_at = Some(now);
+        }
+    }
+
+    /// Subtracts an answered request that was sent at `sent_at`. Returns `true` if requests through
+    /// this host may have delayed it.
+    pub(crate) fn remove_waiting(&mut self, now: Millis, sent_at: Millis, slots: u32) -> bool {
+        if self.waiting > slots.max(1) {
+            self.queued_at = Some(now);
+        }
+        self.waiting = self.waiting.saturating_sub(1);
+        self.queued_at.is_some_and(|it| it >= sent_at)
+    }
+
     /// Records an opened flow.
     pub fn record_open(&mut self, now: Millis) {
         self.opens.add(now, OPENS_HALF_LIFE_MS, 1.0);
--- a/crates/pomelorun-core/src/direct/opening_retry.rs
+++ b/crates/pomelorun-core/src/direct/opening_retry.rs
@@ -99,6 +99,13 @@
         self.zones.iter().any(|it| it.1.timeout().is_some())
     }
 
+    /// Returns the mean time of an opening in `zone`, or `None` if too few were observed.
+    pub(crate) fn mean(&self, zone: ZoneId) -> Option<Millis> {
+        let at = self.zones.binary_search_by_key(&zone, |it| it.0).ok()?;
+        let times = &self.zones[at].1;
+        (times.samples >= MIN_SAMPLES).then_some(Millis(times.mean_ms.round() as u64))
+    }
+
     /// Returns the time after which the answer of an upstream in `zone` is overdue.
     ///
     /// A zone that has not answered yet may be cut off. The slowest of the others then stands in for
--- a/crates/pomelorun-core/src/direct/placement.rs
+++ b/crates/pomelorun-core/src/direct/placement.rs
@@ -3,10 +3,16 @@
 //! Many callers keep long flows open on few upstreams, each of which has a short queue. A new flow
 //! therefore goes to the upstream with the least load per slot, and avoids upstreams that leave
 //! callers without a response.
+//!
+//! Answers also the load of many hosts that share upstreams of unequal speed, or of which some queue:
+//! each host alone sees almost no load, so that comparing its own counts gives all upstreams equal
+//! shares. Once a speed differs or a queue is seen, candidates of similar load get flows in
+//! proportion to their capacity and the room that is left, by weighted rendezvous hashing. Because
+//! shares change gradually, hosts with the same picture do not all choose the same upstream.
 
 use serde::{Deserialize, Serialize};
 
-use crate::direct::registry::UpstreamIx;
+use crate::{direct::registry::UpstreamIx, selection::rendezvous_score};
 
 /// Score penalty for an upstream in another zone, in waiting requests per slot: a round trip to
 /// another zone takes a few milliseconds more, and the path can be cut.
@@ -20,6 +26,25 @@
 /// Weight of a recently opened flow, which is likely to carry a request soon.
 const OPENED_WEIGHT: f64 = 0.5;
 
+/// Requests per slot, counted through this host, below which loads count as equal in a choice by
+/// weight.
+const LOAD_STEP: f64 = 0.25;
+/// Speed below which requests wait longer than a slow answer is worth, so that an upstream gets no
+/// flows while others are idle.
+const MIN_USEFUL_SPEED: f64 = 0.4;
+/// Requests in progress per slot through all hosts at which an upstream has no room left: upstreams
+/// hold about five per slot before they refuse requests.
+const FULL_LOAD: f64 = 5.0;
+/// Minimum share of its weight that an upstream without room keeps. The shared picture is about a
+/// second old, and its room may be free by now.
+const MIN_ROOM: f64 = 0.05;
+/// Difference between the queues of the zones, in requests per slot beyond the zone penalty, at which
+/// all flows may leave the zone. The share grows gradually up to it, so that hosts do not all leave at
+/// once.
+const FULL_SPILL: f64 = 2.0;
+/// Salt of the hash that decides which flows may leave the zone.
+const SPILL_SALT: u64 = 0x5350_494c;
+
 /// Largest share of the candidates, as a fraction, for which penalties are applied. The others must
 /// be able to take the load, and failures at most of the upstreams have a common cause elsewhere.
 const MAX_PENALIZED_SHARE: (usize, usize) = (1, 3);
@@ -61,6 +86,10 @@
     pub load_share: f64,
     /// Number of requests that the upstream runs concurrently.
     pub slots: u32,
+    /// Speed relative to the other upstreams of the service.
+    pub speed: f64,
+    /// Number of requests in progress through all hosts, if a recent summary tells.
+    pub shared_in_progress: Option<f64>,
     /// Score penalty for failed requests, in waiting requests per slot.
     pub penalty: f64,
     /// Decides between candidates of equal score. Differs from flow to flow, so that equal
@@ -74,14 +103,46 @@
         f64::from(self.slots.max(1))
     }
 
-    /// Returns the load per slot plus the penalties; lower is better.
-    pub fn score(&self) -> f64 {
-        let zone_penalty = if self.same_zone { 0.0 } else { REMOTE_ZONE_PENALTY };
+    /// Returns the number of slots of an average upstream that do the same work.
+    fn capacity(&self) -> f64 {
+        self.slot_count() * self.speed
+    }
+
+    /// Returns the requests per slot that this host knows of.
+    fn load(&self) -> f64 {
         let opened = self.recent_opens * OPENED_WEIGHT * self.load_share;
-        (self.waiting * WAITING_WEIGHT + opened) / self.slot_count()
-            + zone_penalty
+        (self.waiting * WAITING_WEIGHT + opened) / self.capacity()
+    }
+
+    /// Returns the penalties for the zone, for slow answers and for failed requests.
+    fn penalties(&self, load: f64, zone_penalty: f64) -> f64 {
+        let slow = (1.0 / self.speed - 1.0 / MIN_USEFUL_SPEED).max(0.0) / self.slot_count();
+        load + if self.same_zone { 0.0 } else { zone_penalty }
             + if self.in_unanswering_zone { UNANSWERING_ZONE_PENALTY } else { 0.0 }
             + self.penalty
+            + slow
+    }
+
+    /// Returns the load per slot plus the penalties; lower is better.
+    pub fn score(&self) -> f64 {
+        self.penalties(self.load(), REMOTE_ZONE_PENALTY)
+    }
+
+    /// Returns the requests per slot that wait for another one, over all hosts.
+    fn queue(&self) -> f64 {
+        self.shared_in_progress
+            .map_or(0.0, |it| (it - self.slot_count()).max(0.0) / self.capacity())
+    }
+
+    /// Returns the share of similar candidates' flows that it gets.
+    fn weight(&self) -> f64 {
+        self.capacity() * (1.0 - self.queue() / (FULL_LOAD - 1.0)).max(MIN_ROOM)
+    }
+
+    /// Returns the order of candidates by weighted rendezvous hashing, lowest first.
+    fn weighted_rank(&self) -> f64 {
+        let uniform = self.tie_break as f64 / (u64::MAX as f64 + 1.0);
+        -(-uniform.min(1.0 - f64::EPSILON)).ln_1p() / self.weight()
     }
 }
 
@@ -92,12 +153,40 @@
     let penalized = candidates.iter().filter(|it| it.penalty > 0.0).count();
     let apply_penalties =
         penalized * MAX_PENALIZED_SHARE.1 <= candidates.len() * MAX_PENALIZED_SHARE.0;
-    let score = |it: &Candidate| it.score() - if apply_penalties { 0.0 } else { it.penalty };
+    let ignored = |it: &Candidate| if apply_penalties { 0.0 } else { it.penalty };
+    let best = candidates.iter().map(|it| it.choice).min()?;
+    let ranked = || candidates.iter().filter(|it| it.choice == best);
+    if ranked().all(|it| it.speed == 1.0 && it.queue() == 0.0) {
+        let score = |it: &Candidate| it.score() - ignored(it);
+        let order = |a: &&Candidate, b: &&Candidate| {
+            score(a).total_cmp(&score(b)).then(a.tie_break.cmp(&b.tie_break))
+        };
+        return ranked().min_by(order).copied();
+    }
+    let zone_penalty = if may_leave_zone(ranked()) { 0.0 } else { REMOTE_ZONE_PENALTY };
+    let score = |it: &Candidate| {
+        let load = (it.load() / LOAD_STEP).floor() * LOAD_STEP;
+        it.penalties(load, zone_penalty) - ignored(it)
+    };
     let order = |a: &&Candidate, b: &&Candidate| {
-        a.choice
-            .cmp(&b.choice)
-            .then(score(a).total_cmp(&score(b)))
+        score(a)
+            .total_cmp(&score(b))
+            .then(a.weighted_rank().total_cmp(&b.weighted_rank()))
             .then(a.tie_break.cmp(&b.tie_break))
     };
-    candidates.iter().min_by(order).copied()
+    ranked().min_by(order).copied()
+}
+
+/// Returns `true` if a flow is one of those that the zone's queues let leave it.
+fn may_leave_zone<'a>(candidates: impl Iterator<Item = &'a Candidate> + Clone) -> bool {
+    let mean_queue = |same_zone: bool| {
+        let of_zone = candidates.clone().filter(|it| it.same_zone == same_zone);
+        let (sum, capacity) = of_zone
+            .fold((0.0, 0.0), |it, at| (it.0 + at.queue() * at.capacity(), it.1 + at.capacity()));
+        (capacity > 0.0).then(|| sum / capacity)
+    };
+    let (Some(own), Some(remote)) = (mean_queue(true), mean_queue(false)) else { return false };
+    let spill = (own - remote - REMOTE_ZONE_PENALTY) / FULL_SPILL;
+    let hash = candidates.clone().fold(SPILL_SALT, |it, at| it ^ at.tie_break);
+    (rendezvous_score(hash, SPILL_SALT) as f64) < spill * u64::MAX as f64
 }
--- a/crates/pomelorun-core/src/direct/upstream_speed.rs
+++ b/crates/pomelorun-core/src/direct/upstream_speed.rs
@@ -1,58 +1,190 @@
 //! Relative speed of upstreams, from the times of answers that no queue has delayed.
+//!
+//! Answers the load of a service whose upstreams have different speeds that nobody announces, and of
+//! upstreams that turn slow: with equal shares of the flows the slow ones queue while the fast ones
+//! idle. Each host compares answers with the usual time on their route, because routes differ in
+//! work, and the collector of a zone pools the comparisons, because one host sees few answers of one
+//! upstream. Logarithms and bounds keep single long requests from deciding.
 
 use pomelorun_wire::ServiceAddr;
 
-use crate::time::Millis;
+use crate::{direct::routing::Routing, time::Millis};
 
 /// An answer and what it shows about its upstream.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub(crate) struct AnswerSample {
+pub struct AnswerSample {
     /// Address that the caller uses.
-    pub(crate) route: ServiceAddr,
+    pub route: ServiceAddr,
     /// Time from the request to the acknowledgement of the answer's first byte.
-    pub(crate) took: Millis,
+    pub took: Millis,
     /// Usual time for a packet's way to the upstream and back.
-    pub(crate) round_trip: Millis,
+    pub round_trip: Millis,
     /// `true` if the request may have waited for another one at the upstream.
-    pub(crate) may_have_queued: bool,
+    pub may_have_queued: bool,
 }
 
 /// What this host has seen of the speed of one upstream since its last report.
 #[derive(Debug, Clone, Copy, Default)]
-pub(crate) struct SpeedSamples {
+pub struct SpeedSamples {
     /// Number of answers.
-    pub(crate) count: u16,
+    pub count: u16,
     /// Sum of the logarithms of their relative times, in thousandths.
-    pub(crate) slowness_milli: i32,
+    pub slowness_milli: i32,
 }
 
-/// Usual time to an answer for each address, without queueing.
+/// Answers on a route that must have been seen before one is compared with them.
+const MIN_ROUTE_ANSWERS: u32 = 20;
+/// Answers that the usual time of a route is averaged over.
+const USUAL_TIME_ANSWERS: u32 = 128;
+/// Maximum distance of one answer from the usual time in its mean, as a logarithm.
+const MAX_USUAL_DEVIATION: f64 = 1.0;
+/// Logarithm of the relative time below which an answer is a rejection or from a cache. An upstream
+/// with a full queue answers at once and must not count as fast.
+const MIN_SLOWNESS: f64 = -1.8;
+/// Maximum logarithm of the relative time of one answer.
+const MAX_SLOWNESS: f64 = 2.5;
+/// Smallest share of the time to an answer that is not the packets' way, which is only estimated.
+const MIN_SERVICE_SHARE: f64 = 0.25;
+/// Shortest time of a request at an upstream that the clock resolves, in milliseconds.
+const MIN_SERVICE_MS: f64 = 0.5;
+
+/// Usual time of one route, as the mean of logarithms of milliseconds.
+#[derive(Debug, Clone, Copy, Default)]
+struct UsualTime {
+    answers: u32,
+    ln_ms: f64,
+}
+
+/// Usual time to an answer for each address, without queueing and without the packets' way, at an
+/// average upstream.
 #[derive(Debug, Default)]
-pub(crate) struct ServiceTimes {}
+pub struct ServiceTimes(Vec<(ServiceAddr, UsualTime)>);
 
 impl ServiceTimes {
+    /// Removes the addresses without a route in the active revision.
+    pub(crate) fn retain(&mut self, routing: &Routing) {
+        self.0.retain(|it| routing.route(it.0).is_some());
+    }
+
     /// Records an answer and returns the logarithm of its relative time in thousandths, or `None` if
     /// it shows nothing about the upstream.
-    pub(crate) fn record(&mut self, _now: Millis, _sample: &AnswerSample) -> Option<i32> {
-        None
+    pub fn record(&mut self, _now: Millis, sample: &AnswerSample) -> Option<i32> {
+        if sample.may_have_queued {
+            return None;
+        }
+        let (took_ms, way_ms) = (sample.took.0 as f64, sample.round_trip.0 as f64);
+        let service_ms = (took_ms - way_ms).max(took_ms * MIN_SERVICE_SHARE).max(MIN_SERVICE_MS);
+        let at = match self.0.binary_search_by_key(&sample.route, |it| it.0) {
+            Ok(at) => at,
+            Err(at) => {
+                self.0.insert(at, (sample.route, UsualTime::default()));
+                at
+            }
+        };
+        let usual = &mut self.0[at].1;
+        let is_known = usual.answers >= MIN_ROUTE_ANSWERS;
+        let slowness = service_ms.ln() - usual.ln_ms;
+        usual.answers = usual.answers.saturating_add(1);
+        let bound = if is_known { MAX_USUAL_DEVIATION } else { f64::INFINITY };
+        usual.ln_ms +=
+            slowness.clamp(-bound, bound) / f64::from(usual.answers.min(USUAL_TIME_ANSWERS));
+        let shows_speed = is_known && slowness >= MIN_SLOWNESS;
+        shows_speed.then(|| (slowness.min(MAX_SLOWNESS) * 1_000.0) as i32)
     }
 
     /// Returns the usual time to an answer for an address, in milliseconds.
-    pub(crate) fn get(&self, _route: ServiceAddr) -> Option<f64> {
-        None
+    pub fn get(&self, route: ServiceAddr) -> Option<f64> {
+        let at = self.0.binary_search_by_key(&route, |it| it.0).ok()?;
+        let usual = &self.0[at].1;
+        (usual.answers >= MIN_ROUTE_ANSWERS).then(|| usual.ln_ms.exp())
+    }
+}
+
+/// Half-life of an answer in the lasting mean of its upstream, in milliseconds.
+const LASTING_HALF_LIFE_MS: f64 = 12_000.0;
+/// Half-life of an answer in the recent mean of its upstream, in milliseconds: within a few seconds
+/// an upstream that has turned slow must lose its new flows.
+const RECENT_HALF_LIFE_MS: f64 = 2_000.0;
+/// Half-life while no answer shows the speed, in milliseconds. All of a service's answers may be
+/// queued for a long time, and its speeds matter most then; but an upstream that gets no flows
+/// because it was slow must be tried again.
+const UNSEEN_HALF_LIFE_MS: f64 = 30_000.0;
+/// Time without an answer after which the upstream counts as unseen.
+const MAX_SEEN_GAP: Millis = Millis(1_000);
+/// Number of answers at the usual time that the mean of an upstream starts from.
+const PRIOR_ANSWERS: f64 = 8.0;
+/// Distance of the recent mean from the lasting one, times the root of the number of its answers,
+/// from which on the speed has changed: five deviations of usual answers.
+const CHANGE_DISTANCE: f64 = 3.0;
+/// Mean slowness up to which an upstream counts as an average one: four deviations.
+const DEAD_BAND: f64 = 0.2;
+/// Step of a speed.
+const SPEED_STEP: f64 = 0.05;
+/// Minimum and maximum speed.
+const SPEED_BOUNDS: (f64, f64) = (0.1, 4.0);
+
+/// Mean slowness with forgetting.
+#[derive(Debug, Clone, Copy, Default)]
+struct SlownessMean {
+    answers: f64,
+    sum: f64,
+}
+
+impl SlownessMean {
+    fn decayed(self, seen_gap: Millis, half_life_ms: f64) -> SlownessMean {
+        let seen = seen_gap.0.min(MAX_SEEN_GAP.0) as f64 / half_life_ms;
+        let unseen = seen_gap.since(MAX_SEEN_GAP).0 as f64 / UNSEEN_HALF_LIFE_MS;
+        let kept = (-(seen + unseen)).exp2();
+        SlownessMean { answers: self.answers * kept, sum: self.sum * kept }
+    }
+
+    fn add(&mut self, it: SpeedSamples) {
+        self.answers += f64::from(it.count);
+        self.sum += f64::from(it.slowness_milli) / 1_000.0;
+    }
+
+    fn value(self, prior: f64) -> f64 {
+        self.sum / (self.answers + prior).max(f64::MIN_POSITIVE)
     }
 }
 
 /// Speed of one upstream, kept by the collector of a zone.
 #[derive(Debug, Clone, Copy, Default)]
-pub(crate) struct SpeedEstimate {}
+pub struct SpeedEstimate {
+    lasting: SlownessMean,
+    recent: SlownessMean,
+    updated_at: Millis,
+}
 
 impl SpeedEstimate {
     /// Adds the samples of a report.
-    pub(crate) fn add(&mut self, _now: Millis, _samples: SpeedSamples) {}
+    pub fn add(&mut self, now: Millis, samples: SpeedSamples) {
+        let bounds = (MIN_SLOWNESS * 1_000.0, MAX_SLOWNESS * 1_000.0);
+        let mean_milli = f64::from(samples.slowness_milli) / f64::from(samples.count.max(1));
+        if samples.count == 0 || !(bounds.0..=bounds.1).contains(&mean_milli) {
+            return;
+        }
+        let gap = now.since(self.updated_at);
+        self.lasting = self.lasting.decayed(gap, LASTING_HALF_LIFE_MS);
+        self.recent = self.recent.decayed(gap, RECENT_HALF_LIFE_MS);
+        self.updated_at = now;
+        self.lasting.add(samples);
+        self.recent.add(samples);
+        let distance = (self.recent.value(0.0) - self.lasting.value(0.0)).abs();
+        if distance * self.recent.answers.sqrt() > CHANGE_DISTANCE {
+            self.lasting = self.recent;
+        }
+    }
 
-    /// Returns the speed relative to the service, 1 if too little is known.
-    pub(crate) fn speed(&self, _now: Millis) -> f64 {
-        1.0
+    /// Returns the speed relative to the service, 1 if too little is known or the difference may be
+    /// chance.
+    pub fn speed(&self, now: Millis) -> f64 {
+        let gap = now.since(self.updated_at);
+        let slowness = self.lasting.decayed(gap, LASTING_HALF_LIFE_MS).value(PRIOR_ANSWERS);
+        if slowness.abs() <= DEAD_BAND {
+            return 1.0;
+        }
+        let speed = ((-slowness).exp() / SPEED_STEP).round() * SPEED_STEP;
+        speed.clamp(SPEED_BOUNDS.0, SPEED_BOUNDS.1)
     }
 }
