--- a/crates/pomelorun-core/src/direct/placement.rs
+++ b/crates/pomelorun-core/src/direct/placement.rs
@@ -164,17 +164,15 @@
         return ranked().min_by(order).copied();
     }
     let zone_penalty = if may_leave_zone(ranked()) { 0.0 } else { REMOTE_ZONE_PENALTY };
-    let score = |it: &Candidate| {
+    let key = |it: &Candidate| {
         let load = (it.load() / LOAD_STEP).floor() * LOAD_STEP;
-        it.penalties(load, zone_penalty) - ignored(it)
+        (it.penalties(load, zone_penalty) - ignored(it), it.weighted_rank())
     };
-    let order = |a: &&Candidate, b: &&Candidate| {
-        score(a)
-            .total_cmp(&score(b))
-            .then(a.weighted_rank().total_cmp(&b.weighted_rank()))
-            .then(a.tie_break.cmp(&b.tie_break))
-    };
-    ranked().min_by(order).copied()
+    let keyed = ranked().map(|it| (key(it), it));
+    let best = keyed.min_by(|(a, first), (b, second)| {
+        a.0.total_cmp(&b.0).then(a.1.total_cmp(&b.1)).then(first.tie_break.cmp(&second.tie_break))
+    });
+    best.map(|it| *it.1)
 }
 
 /// Returns `true` if a flow is one of those that the zone's queues let leave it.
--- a/crates/pomelorun-core/src/direct/upstream_speed.rs
+++ b/crates/pomelorun-core/src/direct/upstream_speed.rs
@@ -35,7 +35,7 @@
 /// Answers on a route that must have been seen before one is compared with them.
 const MIN_ROUTE_ANSWERS: u32 = 20;
 /// Answers that the usual time of a route is averaged over.
-const USUAL_TIME_ANSWERS: u32 = 128;
+const USUAL_TIME_ANSWERS: u32 = 64;
 /// Maximum distance of one answer from the usual time in its mean, as a logarithm.
 const MAX_USUAL_DEVIATION: f64 = 1.0;
 /// Logarithm of the relative time below which an answer is a rejection or from a cache. An upstream
@@ -108,7 +108,7 @@
 /// Half-life while no answer shows the speed, in milliseconds. All of a service's answers may be
 /// queued for a long time, and its speeds matter most then; but an upstream that gets no flows
 /// because it was slow must be tried again.
-const UNSEEN_HALF_LIFE_MS: f64 = 30_000.0;
+const UNSEEN_HALF_LIFE_MS: f64 = 20_000.0;
 /// Time without an answer after which the upstream counts as unseen.
 const MAX_SEEN_GAP: Millis = Millis(1_000);
 /// Number of answers at the usual time that the mean of an upstream starts from.
--- /dev/null
+++ b/crates/pomelorun-core/tests/core/direct/upstream_speed.rs
@@ -0,0 +1,188 @@
+//! Estimates of the speed of upstreams: equal ones stay equal, differences show in time.
+
+use pomelorun_core::{
+    Millis,
+    direct::{AnswerSample, ServiceTimes, SpeedEstimate, SpeedSamples},
+};
+use pomelorun_wire::ServiceAddr;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// Median work of two routes to one service, in milliseconds.
+const WORK_MS: [f64; 2] = [19.0, 25.0];
+const ROUND_TRIP: Millis = Millis(2);
+const REPORT_MS: u64 = 500;
+/// Hosts of a zone.
+const HOSTS: usize = 22;
+/// Answers per second of one upstream that the hosts of a zone see.
+const ANSWERS_PER_S: f64 = 4.5;
+
+/// Logarithm of a request's work relative to the median: spread 0.5, 3% take seven times as long.
+pub(crate) fn ln_work(rng: &mut ChaCha8Rng) -> f64 {
+    let sum: f64 = (0..12).map(|_| rng.random_range(0.0..1.0)).sum();
+    let tail = if rng.random_range(0..100) < 3 { 7f64.ln() } else { 0.0 };
+    (sum - 6.0) * 0.5 + tail
+}
+
+fn route(at: usize) -> ServiceAddr {
+    ServiceAddr { ip: 1, port: at as u16 }
+}
+
+fn sample(at: usize, took_ms: f64) -> AnswerSample {
+    let took = Millis(took_ms.round() as u64) + ROUND_TRIP;
+    AnswerSample { route: route(at), took, round_trip: ROUND_TRIP, may_have_queued: false }
+}
+
+/// Hosts of a zone with one collector.
+struct Zone {
+    rng: ChaCha8Rng,
+    now: Millis,
+    times: Vec<ServiceTimes>,
+    estimates: Vec<SpeedEstimate>,
+}
+
+impl Zone {
+    fn new(seed: u64, upstreams: usize) -> Zone {
+        Zone {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            now: Millis(0),
+            times: (0..HOSTS).map(|_| ServiceTimes::default()).collect(),
+            estimates: vec![SpeedEstimate::default(); upstreams],
+        }
+    }
+
+    /// Lets the upstreams answer for one report interval at these speeds.
+    fn report(&mut self, speeds: &[f64]) {
+        self.now = self.now + Millis(REPORT_MS);
+        for (at, speed) in speeds.iter().enumerate() {
+            let mut samples = SpeedSamples::default();
+            let mean = ANSWERS_PER_S * REPORT_MS as f64 / 1_000.0;
+            for _ in 0..HOSTS {
+                if self.rng.random_range(0.0..1.0) >= mean / HOSTS as f64 {
+                    continue;
+                }
+                let way = self.rng.random_range(0..2);
+                let took_ms = WORK_MS[way] * ln_work(&mut self.rng).exp() / speed;
+                let host = self.rng.random_range(0..HOSTS);
+                if let Some(it) = self.times[host].record(self.now, &sample(way, took_ms)) {
+                    samples.count += 1;
+                    samples.slowness_milli += it;
+                }
+            }
+            self.estimates[at].add(self.now, samples);
+        }
+    }
+
+    fn run(&mut self, seconds: u64, speeds: &[f64]) {
+        (0..seconds * 1_000 / REPORT_MS).for_each(|_| self.report(speeds));
+    }
+
+    fn speed(&self, at: usize) -> f64 {
+        self.estimates[at].speed(self.now)
+    }
+
+    /// Returns the time until the speed of the first upstream is in `range`, in milliseconds.
+    fn time_until(&mut self, speeds: &[f64], range: std::ops::RangeInclusive<f64>) -> u64 {
+        let start = self.now;
+        while !range.contains(&self.speed(0)) && self.now.since(start) < Millis(120_000) {
+            self.report(speeds);
+        }
+        self.now.since(start).0
+    }
+}
+
+#[test]
+fn equal_upstreams_keep_speed_one() {
+    let (mut left, mut total) = (0, 0);
+    for seed in 0..4 {
+        let mut zone = Zone::new(seed, 120);
+        for _ in 0..180 {
+            zone.report(&[1.0; 120]);
+            left += (0..120).filter(|&at| zone.speed(at) != 1.0).count();
+            total += 120;
+        }
+    }
+    println!("{left} of {total} estimates of equal upstreams are not 1");
+    assert!(left * 100 <= total, "{left} of {total}");
+}
+
+#[test]
+fn unequal_speeds_are_found_within_a_quarter() {
+    let speeds: Vec<f64> = (0..120).map(|at| [0.6, 1.0, 1.6][at % 3]).collect();
+    for seed in 0..4 {
+        let mut zone = Zone::new(seed, 120);
+        zone.run(60, &speeds);
+        let mean = |class: usize| {
+            let of_class = (0..120).filter(|at| at % 3 == class);
+            of_class.map(|at| zone.speed(at)).sum::<f64>() / 40.0
+        };
+        let found = [mean(0), mean(1), mean(2)];
+        println!("seed {seed}: mean estimates {found:.2?}");
+        for (found, speed) in found.iter().zip([0.6, 1.0, 1.6]) {
+            assert!((found / found_scale(&zone) / speed - 1.0).abs() < 0.25, "{found} for {speed}");
+        }
+    }
+}
+
+/// Returns the factor by which all estimates differ from the configured speeds.
+fn found_scale(zone: &Zone) -> f64 {
+    let sum: f64 = (0..120).map(|at| (zone.speed(at) / [0.6, 1.0, 1.6][at % 3]).ln()).sum();
+    (sum / 120.0).exp()
+}
+
+#[test]
+fn upstream_that_turns_slow_or_fast_again_is_found_within_seconds() {
+    let mut times: [Vec<u64>; 3] = Default::default();
+    for seed in 0..20 {
+        let mut zone = Zone::new(seed, 40);
+        let mut speeds = [1.0; 40];
+        zone.run(60, &speeds);
+        speeds[0] = 0.125;
+        times[0].push(zone.time_until(&speeds, 0.0..=0.5));
+        let halved = times[0][seed as usize];
+        times[1].push(halved + zone.time_until(&speeds, 0.0..=0.4));
+        zone.run(20, &speeds);
+        assert!(zone.speed(0) <= 0.25, "seed {seed}: {}", zone.speed(0));
+        speeds[0] = 1.0;
+        times[2].push(zone.time_until(&speeds, 0.8..=1.2));
+    }
+    times.iter_mut().for_each(|it| it.sort_unstable());
+    println!("half, none, regained: median {:?}, max {:?}", times.clone().map(|it| it[10]), times.clone().map(|it| it[19]));
+    assert!(times[0][19] <= 6_000 && times[1][19] <= 8_000 && times[2][19] <= 15_000);
+}
+
+#[test]
+fn upstreams_that_slow_down_alike_keep_equal_speeds() {
+    let mut zone = Zone::new(1, 40);
+    zone.run(30, &[1.0; 40]);
+    zone.run(60, &[0.4; 40]);
+    let unequal = (0..40).filter(|&at| zone.speed(at) != 1.0).count();
+    assert!(unequal <= 2, "{unequal} of 40");
+}
+
+#[test]
+fn rejections_queued_answers_and_unknown_routes_show_nothing() {
+    let mut times = ServiceTimes::default();
+    let known = |times: &mut ServiceTimes| {
+        (0..30).map(|_| times.record(Millis(0), &sample(0, 20.0))).collect::<Vec<_>>()
+    };
+    let found = known(&mut times);
+    assert!(found[..20].iter().all(Option::is_none) && found[20..].iter().all(Option::is_some));
+    let usual = times.get(route(0)).unwrap();
+    assert!((usual - 20.0).abs() < 0.1, "{usual}");
+    let queued = AnswerSample { may_have_queued: true, ..sample(0, 90.0) };
+    assert_eq!(times.record(Millis(0), &queued), None);
+    assert_eq!(times.record(Millis(0), &sample(0, 0.0)), None);
+    assert_eq!(times.get(route(1)), None);
+    assert_eq!(times.record(Millis(0), &sample(0, 9_000.0)), Some(2_500));
+}
+
+#[test]
+fn slow_upstream_without_flows_is_tried_again() {
+    let mut zone = Zone::new(1, 1);
+    zone.estimates[0].add(Millis(0), SpeedSamples { count: 60, slowness_milli: 120_000 });
+    assert!(zone.speed(0) < 0.25);
+    let tried_at = (0..).find(|&it| zone.estimates[0].speed(Millis(it * 1_000)) > 0.4).unwrap();
+    println!("tried again after {tried_at} s");
+    assert!((30..=180).contains(&tried_at), "{tried_at}");
+}
