--- a/crates/pomelorun-core/src/direct.rs
+++ b/crates/pomelorun-core/src/direct.rs
@@ -39,7 +39,6 @@
 mod token;
 mod unknown_tokens;
 mod update_log;
-#[allow(dead_code)]
 mod upstream_speed;
 mod view;
 
@@ -80,6 +79,7 @@
     token::Token,
     unknown_tokens::TokenOwner,
     update_log::UpdateLog,
+    upstream_speed::{AnswerSample, ServiceTimes, SpeedEstimate, SpeedSamples},
     view::{
         DirectView, FlowView, IneligibleReason, KnownFrom, ReachabilityView, RouteLoadView,
         SharedLoadView, UpstreamView,
