Serve urgent requests in time while room is short

Cause: where routes of different priority lead to one service, demand above its capacity gave the urgent requests no more than their luck: open flows can't be moved, and retries as new flows filled the queues again. Change: a share of the upstreams, from an eighth up to half by the urgent demand, is kept for the most urgent routes; less urgent openings beyond the room are rejected at once, at a rate that follows the room; urgent ones go to the kept upstreams as soon as the load rises. Routes carry priority, kind and time-out between hosts and from the store. Without a recent picture of the load, or with one priority, nothing changes. Not run: the users' measurements.

--- a/crates/pomelorun-core/src/direct.rs
+++ b/crates/pomelorun-core/src/direct.rs
@@ -24,14 +24,13 @@
 mod opening_retry;
 mod outcomes;
 mod outlier;
-// Filled in by the parts that follow.
-#[allow(dead_code)]
 mod overload;
 mod peer_update;
 mod placement;
 mod registry;
 mod routing;
 mod segment;
+// Filled in by the parts that follow.
 #[allow(dead_code)]
 mod shared_load;
 mod token;
@@ -67,6 +66,9 @@
     observed_flows::{Flow, ObservedFlows},
     outcomes::ServiceOutcomes,
     outlier::FailureReport,
+    overload::{
+        Admission, Opening, ServiceLoad, ServiceOverload, ShortageReport, UpstreamRoom, Urgency,
+    },
     peer_update::PeerUpdate,
     placement::{Candidate, Choice, choose},
     registry::{Announcement, Registry, Upstream, UpstreamIx, UpstreamKey},
--- a/crates/pomelorun-core/src/direct/event.rs
+++ b/crates/pomelorun-core/src/direct/event.rs
@@ -3,7 +3,7 @@
 use pomelorun_wire::{FlowKey, ZoneId};
 
 use crate::{
-    direct::{placement::Choice, registry::UpstreamKey, token::Token},
+    direct::{overload::ShortageReport, placement::Choice, registry::UpstreamKey, token::Token},
     time::Millis,
 };
 
@@ -175,6 +175,13 @@
         /// How much longer the upstream stays cold.
         cold_left: Millis,
     },
+    /// The room of a service's upstreams became short, or is short no more.
+    Shortage {
+        /// Name of the service.
+        service: String,
+        /// The numbers that decided.
+        report: ShortageReport,
+    },
     /// A revision became active.
     Revision {
         /// The revision.
--- a/crates/pomelorun-core/src/direct/host.rs
+++ b/crates/pomelorun-core/src/direct/host.rs
@@ -199,6 +199,10 @@
     pub no_route: u64,
     /// Opening packets rejected or dropped because no upstream was eligible or reachable.
     pub no_upstream: u64,
+    /// Opening packets rejected because no upstream had room for requests of their priority.
+    pub rejected_overload: u64,
+    /// Of these, those to the most urgent routes of their service.
+    pub rejected_overload_urgent: u64,
     /// Packets whose token names no known upstream.
     pub unknown_token: u64,
     /// Times an upstream was marked unreachable.
@@ -281,7 +285,6 @@
     /// Resets to send.
     resets: Vec<ResetPacket>,
     peer_update: PeerUpdate,
-    #[allow(dead_code)]
     shared_load: SharedLoad,
     service_times: ServiceTimes,
     overload: OverloadControl,
--- a/crates/pomelorun-core/src/direct/host/flow_placement.rs
+++ b/crates/pomelorun-core/src/direct/host/flow_placement.rs
@@ -34,10 +34,12 @@
             return self.reject_without_route(now, seg);
         };
         let mut candidates = self.candidates(now, service, &seg.flow, &attempts.upstreams);
-        if self.admit_flow(now, route, &candidates) == Admission::Reject {
+        let admission = self.admit_flow(now, route, service, seg, &attempts);
+        if admission == Admission::Reject {
             return self.reject_overload(now, seg);
         }
         self.admit_joining(now, &mut candidates);
+        self.restrict_candidates(service, admission, &mut candidates);
         let Some(best) = choose(&candidates) else {
             return self.reject_without_upstream(now, service, seg);
         };
--- a/crates/pomelorun-core/src/direct/host/opening_retries.rs
+++ b/crates/pomelorun-core/src/direct/host/opening_retries.rs
@@ -136,6 +136,11 @@
         }
         let routing = Arc::clone(&self.routing);
         let service = routing.route(seg.flow.service)?.service_of(&seg.flow)?;
+        // A second transmission would only add load.
+        if self.is_short_of_room(service) {
+            self.stats.retries_withheld += 1;
+            return None;
+        }
         let flow = self.flows.get_mut(&seg.flow)?;
         let attempts = flow.attempts.clone();
         let candidates = self.candidates(now, service, &seg.flow, &attempts.upstreams);
--- a/crates/pomelorun-core/src/direct/routing.rs
+++ b/crates/pomelorun-core/src/direct/routing.rs
@@ -46,6 +46,14 @@
 }
 
 impl DirectRoute {
+    /// Returns the part of the route's new flows that goes to a service, from 0 to 1.
+    pub(crate) fn share_of(&self, service: &str) -> f64 {
+        let total: u64 = self.targets.iter().map(|it| u64::from(it.weight)).sum();
+        let to_service = self.targets.iter().filter(|it| it.service == service);
+        let weight: u64 = to_service.map(|it| u64::from(it.weight)).sum();
+        if total == 0 { 0.0 } else { weight as f64 / total as f64 }
+    }
+
     /// Returns the service of a new flow.
     ///
     /// The result is the same on every host and for every transmission of the opening packet.
@@ -143,11 +151,19 @@
     set: Vec<RouteRow>,
     /// Addresses whose routes were removed.
     unset: Vec<(u32, u16)>,
+    /// Classes of the new and changed routes that say something about their requests; hosts of older
+    /// versions do not send it, and ignore it.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    classes: Vec<ClassRow>,
 }
 
 /// Address, port, positions of services with their weights, and response-time goal in milliseconds.
 type RouteRow = (u32, u16, Vec<(u32, u32)>, u32);
 
+/// Position of a route among the new and changed ones, priority, whether a request may run more than
+/// once, and time-out in milliseconds.
+type ClassRow = (u32, u8, bool, u32);
+
 impl RoutingChange {
     /// Returns the difference from `old` to `new`.
     pub fn between(old: &Routing, new: &Routing) -> RoutingChange {
@@ -159,6 +175,7 @@
             services: Vec::new(),
             set: Vec::new(),
             unset: Vec::new(),
+            classes: Vec::new(),
         };
         for it in new.routes.iter().filter(|it| old.route(it.addr) != Some(it)) {
             change.push(it);
@@ -175,8 +192,8 @@
             return None;
         }
         let mut routes: Vec<DirectRoute> = if replaces { Vec::new() } else { old.routes.clone() };
-        for it in &self.set {
-            let route = self.route(it)?;
+        for (at, it) in self.set.iter().enumerate() {
+            let route = DirectRoute { class: self.class(at), ..self.route(it)? };
             match routes.binary_search_by_key(&route.addr, |it| it.addr) {
                 Ok(at) => routes[at] = route,
                 Err(at) => routes.insert(at, route),
@@ -196,10 +213,27 @@
             });
             targets.push((at as u32, it.weight));
         }
+        if route.class != RequestClass::default() {
+            let RequestClass { priority, idempotent, timeout } = route.class;
+            let timeout = u32::try_from(timeout.0).unwrap_or(u32::MAX);
+            self.classes.push((self.set.len() as u32, priority, idempotent, timeout));
+        }
         let within = u32::try_from(route.answer_within.0).unwrap_or(u32::MAX);
         self.set.push((route.addr.ip, route.addr.port, targets, within));
     }
 
+    /// Returns the class of the new or changed route at a position.
+    fn class(&self, at: usize) -> RequestClass {
+        let found = self.classes.binary_search_by_key(&at, |it| it.0 as usize);
+        found.map_or_else(
+            |_| RequestClass::default(),
+            |found| {
+                let (_, priority, idempotent, timeout) = self.classes[found];
+                RequestClass { priority, idempotent, timeout: Millis(u64::from(timeout)) }
+            },
+        )
+    }
+
     fn route(&self, row: &RouteRow) -> Option<DirectRoute> {
         let mut targets = Vec::with_capacity(row.2.len());
         for &(at, weight) in &row.2 {
--- a/crates/pomelorun-core/tests/core/direct.rs
+++ b/crates/pomelorun-core/tests/core/direct.rs
@@ -14,6 +14,7 @@
 mod mechanism;
 mod opening_retries;
 mod outliers;
+mod overload;
 mod probing;
 mod registry;
 mod routing;
--- a/crates/pomelorun-wire/src/code.rs
+++ b/crates/pomelorun-wire/src/code.rs
@@ -129,4 +129,6 @@
     STOPPED = 432, "stopped", "the daemon has stopped", "none";
     RELOADED = 433, "reloaded", "the settings file was reloaded", "restart the daemon if the log line asks for it";
     FLOW_RESET_OVERLOADED = 434, "flow_reset_overloaded", "an opening packet was refused: no upstream of the service has room for another request of its priority", "add upstreams, or reduce the demand of the less urgent routes";
+    ROOM_SHORT = 437, "room_short", "the upstreams of a service have too little room; less urgent flows are admitted at a limited rate", "add upstreams, or reduce the demand of the less urgent routes";
+    ROOM_REGAINED = 438, "room_regained", "the upstreams of a service have room again, or no recent picture of their load exists", "none";
 }
--- a/crates/pomelorun/src/direct/event_log.rs
+++ b/crates/pomelorun/src/direct/event_log.rs
@@ -17,6 +17,9 @@
 const MAX_OPENED_PER_S: u32 = 20;
 /// Maximum lines per second for malformed packets, which anyone can send at any rate.
 const MAX_MALFORMED_PER_S: u32 = 5;
+/// Maximum lines per second for openings that are rejected for lack of room, of which there are
+/// thousands a second while it lasts.
+const MAX_REJECTED_PER_S: u32 = 5;
 /// Window of the rate limits, one second because they are given per second.
 const RATE_LIMIT_WINDOW: Millis = Millis(1_000);
 
@@ -25,6 +28,7 @@
 pub(crate) struct EventLog {
     opened: LineLimiter,
     malformed: LineLimiter,
+    rejected: LineLimiter,
     window_start: Millis,
 }
 
@@ -80,6 +84,8 @@
                     revision = *revision
                 });
             }
+            DirectEvent::Reset { reason: ResetReason::Overload, .. }
+                if !self.rejected.admit(MAX_REJECTED_PER_S) => {}
             DirectEvent::Reset { flow, upstream, reason, since_last_response } => {
                 log_reset(flow, upstream.as_ref(), *reason, *since_last_response);
             }
@@ -134,6 +140,15 @@
                     born = upstream.started_at, cold_ms = cold_left.0
                 });
             }
+            DirectEvent::Shortage { service, report } => {
+                let code = if report.is_short { Code::ROOM_SHORT } else { Code::ROOM_REGAINED };
+                warn!("room of upstreams changed", kv: {
+                    code = code.to_string(), service = service.as_str(), short = report.is_short,
+                    free_percent = (report.free_share * 100.0).round(),
+                    upstreams = report.upstreams, reserved = report.reserved,
+                    hosts = report.hosts, rejected = report.rejected
+                });
+            }
             DirectEvent::Revision { revision, routes } => {
                 info!("revision activated", kv: {
                     code = Code::REVISION_ACTIVATED.to_string(), revision = *revision,
@@ -155,9 +170,10 @@
             self.window_start = now;
             let opened = self.opened.start_window();
             let malformed = self.malformed.start_window();
-            if opened + malformed > 0 {
+            let rejected = self.rejected.start_window();
+            if opened + malformed + rejected > 0 {
                 info!("log lines suppressed", kv: {
-                    code = Code::LOG_LINES_SUPPRESSED.to_string(), opened, malformed
+                    code = Code::LOG_LINES_SUPPRESSED.to_string(), opened, malformed, rejected
                 });
             }
         }
--- a/crates/pomelorun/src/direct/metrics.rs
+++ b/crates/pomelorun/src/direct/metrics.rs
@@ -20,7 +20,7 @@
 
 /// Name, help text and value of each counter. `docs/operators/metrics.md` says what to do when one
 /// rises.
-const COUNTERS: [(&str, &str, ReadCount); 20] = [
+const COUNTERS: [(&str, &str, ReadCount); 22] = [
     ("pomelorun_packets_forwarded", "Packets forwarded to upstreams", |it| it.core.forwarded),
     ("pomelorun_flows_opened", "Flows opened, not counting retransmitted opening packets", |it| {
         it.core.opened
@@ -45,6 +45,16 @@
     ("pomelorun_packets_no_upstream", "Opening packets without an available upstream", |it| {
         it.core.no_upstream
     }),
+    (
+        "pomelorun_flows_rejected_overload",
+        "Opening packets rejected because no upstream had room for their priority",
+        |it| it.core.rejected_overload,
+    ),
+    (
+        "pomelorun_flows_rejected_overload_urgent",
+        "Of these, those to the most urgent routes of their service",
+        |it| it.core.rejected_overload_urgent,
+    ),
     ("pomelorun_packets_unknown_token", "Packets whose token names no known upstream", |it| {
         it.core.unknown_token
     }),
