--- a/crates/pomelorun-core/src/direct.rs
+++ b/crates/pomelorun-core/src/direct.rs
@@ -26,9 +26,7 @@
 mod opening_retry;
 mod outcomes;
 mod outlier;
-// Filled in by the parts that follow.
 mod overdue_requests;
-#[allow(dead_code)]
 mod overload;
 mod peer_update;
 mod placement;
@@ -71,6 +69,9 @@
     observed_flows::{Flow, ObservedFlows},
     outcomes::ServiceOutcomes,
     outlier::FailureReport,
+    overload::{
+        Admission, Opening, ServiceLoad, ServiceOverload, ShortageReport, UpstreamRoom, Urgency,
+    },
     peer_update::PeerUpdate,
     placement::{Candidate, Choice, choose},
     registry::{Announcement, Registry, Upstream, UpstreamIx, UpstreamKey},
--- a/crates/pomelorun-core/tests/core/direct.rs
+++ b/crates/pomelorun-core/tests/core/direct.rs
@@ -16,6 +16,7 @@
 mod opening_retries;
 mod outliers;
 mod placement;
+mod overload;
 mod probing;
 mod registry;
 mod routing;
--- a/crates/pomelorun-wire/src/code.rs
+++ b/crates/pomelorun-wire/src/code.rs
@@ -131,4 +131,6 @@
     FLOW_RESET_OVERLOADED = 434, "flow_reset_overloaded", "an opening packet was refused: no upstream of the service has room for another request of its priority", "add upstreams, or reduce the demand of the less urgent routes";
     LOAD_NOT_BELIEVED = 435, "load_not_believed", "another host sent a message about load that cannot be true; it was ignored", "look at the host that the line names";
     PEER_MESSAGE_UNREADABLE = 436, "peer_message_unreadable", "a datagram of another host cannot be decoded; it was ignored", "none during an upgrade; otherwise look at the host that the line names";
+    ROOM_SHORT = 437, "room_short", "the upstreams of a service have too little room; less urgent flows are admitted at a limited rate", "add upstreams, or reduce the demand of the less urgent routes";
+    ROOM_REGAINED = 438, "room_regained", "the upstreams of a service have room again, or no recent picture of their load exists", "none";
 }
