Do not reject summaries that a joining host cannot judge

Cause: a host that knows few others yet took a summary of its whole zone for impossible, and a report about an upstream that it does not know yet was held against a bound for one slot. Change: the number of hosts has a fixed bound, and unknown upstreams have none.

--- a/crates/pomelorun-core/src/direct/host/load_sharing.rs
+++ b/crates/pomelorun-core/src/direct/host/load_sharing.rs
@@ -37,6 +37,8 @@
 const COLLECTOR_SALT: u64 = 0x6c6f_6164;
 /// Most requests in progress per slot of an upstream that one host can have seen.
 const MAX_IN_PROGRESS_PER_SLOT: f64 = 64.0;
+/// Most hosts of a zone; not those that this host knows, which may be few while it joins.
+const MAX_ZONE_HOSTS: usize = 4_096;
 /// Highest rate of one address, in tenths of a request per second.
 const MAX_RATE_TENTHS: u32 = 100_000_000;
 /// Largest mean logarithm of a relative time, in thousandths: a thousand times the usual time.
@@ -362,10 +364,8 @@
     }
 
     fn check_summary(&self, summary: &LoadSummary) -> Result<(), ImplausibleLoad> {
-        let zone_hosts = self.load_sharing.hosts_in(summary.zone).len();
         let hosts = usize::from(summary.hosts);
-        // A host may have joined that this one does not know yet.
-        if hosts > zone_hosts * 2 + 8 {
+        if hosts > MAX_ZONE_HOSTS {
             return Err(ImplausibleLoad::Hosts);
         }
         if summary.age_ms > MAX_AGE_MS {
@@ -386,11 +386,13 @@
         if is_possible { Ok(()) } else { Err(ImplausibleLoad::Rate) }
     }
 
-    /// Returns the most requests in progress that one host can have seen at an upstream.
+    /// Returns the most requests in progress that one host can have seen at an upstream; infinity if
+    /// this host does not know the upstream yet.
     fn max_in_progress(&self, token: Token) -> f64 {
         let upstream = self.registry.by_token(token).and_then(|it| self.registry.get(it));
-        let slots = upstream.map_or(1, |it| it.announcement.slots.max(1));
-        f64::from(slots) * MAX_IN_PROGRESS_PER_SLOT
+        upstream.map_or(f64::INFINITY, |it| {
+            f64::from(it.announcement.slots.max(1)) * MAX_IN_PROGRESS_PER_SLOT
+        })
     }
 
     fn reject_load(&mut self, now: Millis, from: HostId, why: ImplausibleLoad) {
--- a/crates/pomelorun-core/tests/core/direct/load_sharing.rs
+++ b/crates/pomelorun-core/tests/core/direct/load_sharing.rs
@@ -379,6 +379,33 @@
     }
 }
 
+#[test]
+fn speeds_are_kept_by_the_next_collector() {
+    let mut mesh = loaded_mesh();
+    let from = mesh.collector(ZoneId(1));
+    let token = Token::of(key(2));
+    let summary = LoadSummary {
+        zone: ZoneId(1),
+        incarnation: u64::MAX / 2,
+        seq: 1,
+        hosts: 3,
+        age_ms: 0,
+        upstreams: vec![UpstreamSum { token, in_progress: 0, speed_percent: 150 }],
+        routes: vec![],
+    };
+    for it in &mut mesh.hosts {
+        it.apply_load_summary(mesh.now, mesh.ids[from].1, &summary);
+    }
+    mesh.run(40_000);
+    mesh.up[from] = false;
+    mesh.publish_hosts();
+    mesh.run(40_000);
+    assert_ne!(mesh.collector(ZoneId(1)), from);
+    for host in (0..6).filter(|it| *it != from) {
+        assert_eq!(mesh.view(host, 2).speed, Some(1.5));
+    }
+}
+
 #[test]
 fn report_that_cannot_be_true_is_not_believed() {
     let mut mesh = loaded_mesh();
