State how long a lost upstream takes to be found

Nothing stated the time from the loss of an upstream to the reset of its last flow. The simulation gets upstreams that refuse connections and ones whose accept queue is full, and counts flows across a cut.

--- a/crates/pomelorun-core/tests/core/direct.rs
+++ b/crates/pomelorun-core/tests/core/direct.rs
@@ -1,6 +1,7 @@
 //! Direct server return: tokens, registry, upstream selection, outlier detection, directory
 //! synchronization and the fleet.
 
+mod detection_times;
 mod directory_restore;
 mod directory_sync;
 mod failure_scenarios;
--- a/crates/pomelorun-core/tests/core/direct/simulation.rs
+++ b/crates/pomelorun-core/tests/core/direct/simulation.rs
@@ -59,14 +59,28 @@
     Slow(u64),
     /// Neither responds nor refuses connections.
     Unresponsive,
+    /// Has crashed: its address refuses connections, and requests get no response.
+    Refusing,
     /// Accepts connections and serves open flows, but does not answer opening packets.
     Full,
+    /// Serves open flows, but its accept queue is full: answers neither opening packets nor probes.
+    Saturated,
     /// Responds to this percentage of the requests with an error.
     ErrorPercent(u32),
     /// Does not respond to this percentage of the requests.
     NoResponsePercent(u32),
 }
 
+impl Health {
+    fn is_dead(self) -> bool {
+        matches!(self, Health::Unresponsive | Health::Refusing)
+    }
+
+    fn accepts_connections(self) -> bool {
+        !self.is_dead() && self != Health::Saturated
+    }
+}
+
 /// Scope in which hosts evaluate the responses of an upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum OutlierScope {
@@ -380,6 +394,16 @@
         self.callers.iter().filter(open).count()
     }
 
+    /// Returns the number of open flows whose upstream their caller's zone cannot reach.
+    pub(crate) fn cut_flows(&self) -> usize {
+        let cut = |it: &&Caller| {
+            let upstream = self.upstreams.get(&it.upstream);
+            it.phase != Phase::Opening
+                && upstream.is_some_and(|up| !self.can_reach(it.zone, up.zone))
+        };
+        self.callers.iter().filter(cut).count()
+    }
+
     pub(crate) fn run_until(&mut self, end: u64) {
         while let Some(Reverse((at, _, _))) = self.events.peek()
             && *at < end
@@ -543,9 +567,10 @@
         let Some(it) = self.upstreams.get_mut(&id) else { return };
         let slowdown = match it.health {
             Health::Slow(x) => x,
-            Health::Unresponsive => return,
-            Health::Full if segment.kind == SegmentKind::Open => return,
+            Health::Unresponsive | Health::Refusing => return,
+            Health::Full | Health::Saturated if segment.kind == SegmentKind::Open => return,
             Health::Full
+            | Health::Saturated
             | Health::Healthy
             | Health::ErrorPercent(_)
             | Health::NoResponsePercent(_) => 1,
@@ -601,7 +626,7 @@
         let unresponsive = match self.upstreams.get_mut(&upstream) {
             Some(it) => {
                 it.in_flight = it.in_flight.saturating_sub(1);
-                it.health == Health::Unresponsive
+                it.health.is_dead()
             }
             None => true,
         };
@@ -671,10 +696,12 @@
             let id = it.upstream.id;
             assert_eq!(it.addr, addr(id));
             let Some(upstream) = self.upstreams.get(&id) else { continue };
-            let responds =
-                upstream.health != Health::Unresponsive && self.can_reach(from, upstream.zone);
+            let reachable = self.can_reach(from, upstream.zone);
+            let responds = upstream.health.accepts_connections() && reachable;
+            let refuses = upstream.health == Health::Refusing && reachable;
             let round_trip = 2 * self.delay(from, upstream.zone);
             let (delay, result) = match (it.kind, responds) {
+                (ProbeKind::Connect, false) if refuses => (round_trip, 0),
                 (ProbeKind::Connect | ProbeKind::Identify, true) => (round_trip, 1),
                 // The probe is inconclusive if the reference upstream, for example beyond a
                 // partition, does not respond either.
@@ -734,9 +761,8 @@
     fn reference_responds(&self, from: ZoneId, reference_addr: Option<SocketAddrV4>) -> bool {
         let Some(reference_addr) = reference_addr else { return true };
         let result = self.upstreams.iter().find(|it| addr(*it.0) == reference_addr);
-        result.is_some_and(|it| {
-            it.1.health != Health::Unresponsive && self.can_reach(from, it.1.zone)
-        })
+        result
+            .is_some_and(|it| it.1.health.accepts_connections() && self.can_reach(from, it.1.zone))
     }
 
     fn reset(&mut self, host: usize, it: ResetPacket) {
@@ -746,7 +772,7 @@
         let open = self.callers[caller].phase != Phase::Opening;
         let upstream = self.upstreams.get(&self.callers[caller].upstream);
         if open && let Some(upstream) = upstream {
-            let alive = upstream.health != Health::Unresponsive;
+            let alive = !upstream.health.is_dead();
             self.counts.resets += 1;
             self.counts.false_resets +=
                 u64::from(alive && self.can_reach(self.hosts[host].0, upstream.zone));
