--- a/crates/pomelorun-core/src/direct.rs
+++ b/crates/pomelorun-core/src/direct.rs
@@ -7,6 +7,7 @@
 //! no I/O and reads no clock.
 
 mod admission;
+mod answer_times;
 mod cold;
 mod decaying_sum;
 mod directory_merge;
@@ -27,6 +28,7 @@
 // Filled in by the parts that follow.
 #[allow(dead_code)]
 mod overload;
+mod peer_evidence;
 mod peer_update;
 mod placement;
 mod registry;
@@ -56,8 +58,8 @@
     },
     latency::{BUCKET_BOUNDS_MS, LatencyHistogram},
     liveness::{
-        ConnectAttempt, Liveness, ProbeEffect, ProbeKind, ProbeResult, Reachability,
-        UnansweredPacket, conclude_attempts,
+        ConnectAttempt, KeepReason, Liveness, ProbeEffect, ProbeKind, ProbeResult, Reachability,
+        UnansweredPacket, conclude_attempts, conclude_connect,
     },
     load::Load,
     load_report::{
@@ -67,6 +69,7 @@
     observed_flows::{Flow, ObservedFlows},
     outcomes::ServiceOutcomes,
     outlier::FailureReport,
+    peer_evidence::{LivenessMessage, LivenessQuery, LivenessReply},
     peer_update::PeerUpdate,
     placement::{Candidate, Choice, choose},
     registry::{Announcement, Registry, Upstream, UpstreamIx, UpstreamKey},
--- a/crates/pomelorun-core/src/direct/event.rs
+++ b/crates/pomelorun-core/src/direct/event.rs
@@ -3,7 +3,7 @@
 use pomelorun_wire::{FlowKey, ZoneId};
 
 use crate::{
-    direct::{placement::Choice, registry::UpstreamKey, token::Token},
+    direct::{liveness::KeepReason, placement::Choice, registry::UpstreamKey, token::Token},
     time::Millis,
 };
 
@@ -137,6 +137,15 @@
         /// `true` if another host of the zone detected it.
         from_peer: bool,
     },
+    /// An upstream's probe timed out, but load alone may explain that, so the upstream was kept.
+    Kept {
+        /// The upstream.
+        upstream: UpstreamKey,
+        /// Why it was kept.
+        reason: KeepReason,
+        /// Longest time that one of its flows had waited for a response.
+        waited: Millis,
+    },
     /// An upstream's probe failed, but the upstream was kept: most upstreams of this host's zone
     /// fail to respond, so the fault is probably local.
     LocalFault {
--- a/crates/pomelorun-core/src/direct/fleet.rs
+++ b/crates/pomelorun-core/src/direct/fleet.rs
@@ -16,6 +16,7 @@
         directory_sync::{BootstrapHosts, Readers},
         load_report::{LoadReport, LoadSummary},
         outlier::FailureReport,
+        peer_evidence::{LivenessQuery, LivenessReply},
         peer_update::PeerUpdate,
         token::Token,
         unknown_tokens::TokenOwner,
@@ -57,6 +58,10 @@
     Load(LoadReport),
     /// Sum of the load reports of a zone.
     LoadSum(LoadSummary),
+    /// Query for the last responses of upstreams, for hosts of the same zone.
+    LivenessQuery(LivenessQuery),
+    /// Reply to a query for last responses.
+    LivenessReply(LivenessReply),
 }
 
 /// Messages to send, with their recipients.
--- a/crates/pomelorun-core/src/direct/host.rs
+++ b/crates/pomelorun-core/src/direct/host.rs
@@ -8,6 +8,7 @@
 mod opening_retries;
 mod outlier_detection;
 mod overload_control;
+mod peer_evidence;
 mod rejection;
 mod token_queries;
 
@@ -19,12 +20,14 @@
 pub use crate::direct::host::{load_sharing::LoadMessage, opening_retries::OpeningRetry};
 use crate::{
     direct::{
+        answer_times::AnswerTimes,
         cold::{ColdBudget, ColdLimit},
+        decaying_sum::DecayingSum,
         directory_merge::DirectoryEra,
         event::{DirectEvent, LifecycleChange, ResetReason},
         flow_lifetimes::FlowLifetimes,
         latency::LatencyHistogram,
-        liveness::{Liveness, MIN_RETRANSMIT_GAP, ProbeKind, Reachability},
+        liveness::{Liveness, MIN_RETRANSMIT_GAP, ProbeKind, ProbeResult, Reachability},
         load::Load,
         mechanism::{Disabled, Mechanism},
         observed_flows::{Attempts, Flow, ObservedFlows},
@@ -32,6 +35,7 @@
         outcomes::{OutcomesByRoute, ServiceOutcomes},
         outlier::{AnswersByRoute, FailureReport, OutlierState, PendingReport, REPORT_INTERVAL},
         overload::OverloadControl,
+        peer_evidence::{LivenessMessage, OpenQueries},
         peer_update::PeerUpdate,
         registry::{Announcement, Registry, UpstreamIx, UpstreamKey},
         routing::{Routing, RoutingChange},
@@ -207,6 +211,10 @@
     pub recovered: u64,
     /// Times an upstream was kept after a failed probe because the fault was probably local.
     pub local_faults: u64,
+    /// Times an upstream was kept after a silent probe because load alone may explain it.
+    pub kept: u64,
+    /// Of these, times another host of the zone has had a response.
+    pub kept_by_peers: u64,
     /// Probes sent.
     pub probes: u64,
     /// Times an upstream was ejected for failing requests.
@@ -239,7 +247,7 @@
     registry: Registry,
     /// Indexed by position in the registry.
     upstream_states: Vec<UpstreamState>,
-    /// Upstreams that are suspect or unreachable, sorted.
+    /// Upstreams that are suspect, unreachable or in a silent zone, sorted.
     unhealthy: Vec<UpstreamIx>,
     /// Upstreams with failures that were not reported yet, sorted.
     unreported_failures: Vec<UpstreamIx>,
@@ -281,6 +289,13 @@
     /// Resets to send.
     resets: Vec<ResetPacket>,
     peer_update: PeerUpdate,
+    answer_times: AnswerTimes,
+    /// Messages about the liveness of upstreams to send.
+    liveness_messages: Vec<(HostId, LivenessMessage)>,
+    liveness_queries: OpenQueries,
+    recent_liveness_queries: DecayingSum,
+    /// Position among the other hosts of the zone of the one that is asked next.
+    next_asked_host: usize,
     #[allow(dead_code)]
     shared_load: SharedLoad,
     service_times: ServiceTimes,
@@ -323,6 +338,11 @@
             zone_responses: Vec::new(),
             resets: Vec::new(),
             peer_update: PeerUpdate::default(),
+            answer_times: AnswerTimes::default(),
+            liveness_messages: Vec::new(),
+            liveness_queries: OpenQueries::default(),
+            recent_liveness_queries: DecayingSum::default(),
+            next_asked_host: 0,
             shared_load: SharedLoad::default(),
             service_times: ServiceTimes::default(),
             overload: OverloadControl::default(),
@@ -449,11 +469,18 @@
             liveness.expire_unanswered(now);
             if liveness.take_due_probe(now) {
                 self.send_probe(now, ix, ProbeKind::Identify);
+            } else if liveness.take_due_repeat(now) {
+                self.send_probe(now, ix, ProbeKind::Connect);
+            } else if liveness.is_judgement_due(now)
+                && let Some(it) = self.registry.get(ix)
+            {
+                self.apply_probe_result(now, it.announcement.key, ProbeResult::NoResponse);
             }
-            if self.reachability(ix) != Reachability::Answering {
+            if self.upstream_states[ix.0 as usize].liveness.is_watched() {
                 self.mark_unhealthy(ix);
             }
         }
+        self.ask_peers(now);
         self.assess_timed_out_requests(now);
         self.share_load(now);
         if now.since(self.last_report) >= REPORT_INTERVAL {
@@ -488,7 +515,7 @@
         }
     }
 
-    /// Adds a suspect or unreachable upstream to those that each tick checks.
+    /// Adds an upstream to those that each tick checks.
     fn mark_unhealthy(&mut self, ix: UpstreamIx) {
         if let Err(at) = self.unhealthy.binary_search(&ix) {
             self.unhealthy.insert(at, ix);
--- a/crates/pomelorun-core/src/direct/host/directory.rs
+++ b/crates/pomelorun-core/src/direct/host/directory.rs
@@ -260,6 +260,7 @@
         }
         self.routing = Arc::clone(routing);
         self.outcomes.retain(routing);
+        self.answer_times.retain(routing);
         self.answers_by_route.retain(routing);
         let routes = routing.routes().len();
         self.emit(DirectEvent::Revision { revision: routing.revision, routes });
--- a/crates/pomelorun-core/src/direct/host/failure_detection.rs
+++ b/crates/pomelorun-core/src/direct/host/failure_detection.rs
@@ -8,7 +8,10 @@
     direct::{
         event::{DirectEvent, LifecycleChange, ResetReason},
         host::{DirectHost, Probe, ResetPacket, release_load},
-        liveness::{MIN_RETRANSMIT_GAP, ProbeEffect, ProbeKind, ProbeResult, Reachability},
+        liveness::{
+            KeepReason, Liveness, MIN_RETRANSMIT_GAP, ProbeEffect, ProbeKind, ProbeResult,
+            Reachability, UnansweredPacket,
+        },
         mechanism::Mechanism,
         observed_flows::{Attempts, Flow},
         outlier::EjectDecision,
@@ -29,13 +32,17 @@
     /// Applies the result of a probe.
     pub fn apply_probe_result(&mut self, now: Millis, key: UpstreamKey, result: ProbeResult) {
         let Some(ix) = self.registry.by_key(key) else { return };
+        let times = &self.answer_times;
+        let usual_wait = |it: &FlowKey| times.timeout(it.service);
+        let rule = self.evidence_rule(ix, &usual_wait);
         let liveness = &mut self.upstream_states[ix.0 as usize].liveness;
         let waited = liveness.silent_for(now);
         let since = match liveness.reachability() {
             Reachability::Unreachable { since } => since,
             Reachability::Answering | Reachability::Suspect => now,
         };
-        match liveness.record_probe(now, result) {
+        let effect = liveness.record_probe(now, result, rule);
+        match effect {
             ProbeEffect::Unchanged => {}
             ProbeEffect::Recovered => self.record_recovery(now, key, since),
             ProbeEffect::Unreachable
@@ -43,6 +50,13 @@
             {
                 self.stats.local_faults += 1;
                 self.emit(DirectEvent::LocalFault { upstream: key, waited });
+                self.upstream_states[ix.0 as usize].liveness.set_verdict_aside(now);
+            }
+            ProbeEffect::Kept(reason) => {
+                self.stats.kept += 1;
+                self.stats.kept_by_peers += u64::from(reason == KeepReason::AnsweredPeer);
+                self.mark_unhealthy(ix);
+                self.emit(DirectEvent::Kept { upstream: key, reason, waited });
             }
             ProbeEffect::Unreachable => {
                 let waited_ms = u32::try_from(waited.0).unwrap_or(u32::MAX);
@@ -106,6 +120,7 @@
             if let Some(sent_at) = flow.unanswered_since.take() {
                 let waited = now.since(sent_at);
                 self.stats.response_latency.record(waited.0);
+                self.answer_times.record(&self.routing, seg.flow.service, waited);
                 let route = self.routing.route(seg.flow.service);
                 let in_time = route.is_some_and(|it| waited <= it.answer_within);
                 if let Some(it) = self.outcomes.counters(&self.routing, seg.flow.service) {
@@ -123,7 +138,7 @@
                 };
                 self.record_answer_time(now, ix, &sample);
             }
-            self.record_response(now, ix);
+            self.record_response(now, ix, Liveness::record_response);
         }
         let Some(flow) = self.flows.get_mut(&seg.flow) else { return };
         if seg.len == 0 {
@@ -154,7 +169,7 @@
             if let Some(it) = self.outcomes.counters(&self.routing, seg.flow.service) {
                 it.opened += 1;
             }
-            self.record_response(now, ix);
+            self.record_response(now, ix, Liveness::record_accepted);
         }
         let has_data = seg.len > 0;
         let inserted = self.flows.insert(Flow {
@@ -178,7 +193,13 @@
         }
     }
 
-    pub(super) fn record_response(&mut self, now: Millis, ix: UpstreamIx) {
+    /// Records a response of an upstream in its liveness by `record`, and that of its zone.
+    fn record_response(
+        &mut self,
+        now: Millis,
+        ix: UpstreamIx,
+        record: fn(&mut Liveness, Millis) -> bool,
+    ) {
         let Some(it) = self.registry.get(ix) else { return };
         let (key, zone) = (it.announcement.key, it.announcement.zone);
         match self.zone_responses.binary_search_by_key(&zone, |it| it.0) {
@@ -187,7 +208,7 @@
         }
         let liveness = &mut self.upstream_states[ix.0 as usize].liveness;
         let reachability = liveness.reachability();
-        if liveness.record_response(now)
+        if record(liveness, now)
             && let Reachability::Unreachable { since } = reachability
         {
             self.record_recovery(now, key, since);
@@ -223,7 +244,9 @@
         sent: Millis,
     ) {
         let Some(state) = self.upstream_states.get_mut(ix.0 as usize) else { return };
-        let kind = state.liveness.record_unanswered(now, flow, sent);
+        let established = self.flows.get_mut(&flow).is_some_and(|it| it.established);
+        let packet = UnansweredPacket { flow, established, sent };
+        let kind = state.liveness.record_unanswered(now, packet);
         if state.liveness.reachability() != Reachability::Answering {
             self.mark_unhealthy(ix);
         }
@@ -304,7 +327,7 @@
             if it.ended || state.load.waiting == 0 && !recently_active {
                 continue;
             }
-            let suspect = state.liveness.reachability() == Reachability::Suspect;
+            let suspect = state.liveness.has_unanswered();
             all.add(suspect);
             if it.announcement.zone == self.cfg.zone {
                 zone.add(suspect);
@@ -334,7 +357,8 @@
             .collect();
         let candidates = self.reference_candidates(now);
         for ix in zone_upstreams {
-            if self.upstream_states[ix.0 as usize].liveness.record_zone_silence(silent_since) {
+            if self.upstream_states[ix.0 as usize].liveness.record_zone_silence(now, silent_since) {
+                self.mark_unhealthy(ix);
                 self.send_probe_with_reference(ix, ProbeKind::Connect, candidates);
             }
         }
--- a/crates/pomelorun-core/src/direct/liveness.rs
+++ b/crates/pomelorun-core/src/direct/liveness.rs
@@ -8,6 +8,14 @@
 //! upstream is considered unreachable only if the probe fails too. This holds for this host and its
 //! zone alone: the path may be cut while the upstream is alive.
 //!
+//! Answers the load of several times as many flows and requests as upstreams have room for. An
+//! upstream whose accept queue is full leaves opening packets and probes without a response while it
+//! serves its open flows, late. A silent probe therefore resets flows only together with a request of
+//! an open flow that has waited longer than a full queue takes, and only if neither this host has seen
+//! a response since the probe was sent nor another host of the zone one shortly before. Until then
+//! the upstream stays suspect, and the probe is repeated. A response to a request does not end this,
+//! because it does not show that the upstream has room for new flows.
+//!
 //! The first probe only connects, because a busy upstream accepts a connection as fast as an idle
 //! one. A connection does not show which process accepted it. An upstream that accepts connections
 //! but leaves callers without a response, or that was unreachable, is therefore asked for its
@@ -34,11 +42,37 @@
 /// Maximum delay between two probes of an unreachable upstream.
 const PROBE_BACKOFF_MAX: Millis = Millis(4_000);
 
+/// Minimum time for which a request must have waited for a silent probe to count: a retransmission
+/// interval of callers and most of a probe.
+const MIN_REQUEST_AGE: Millis = Millis(300);
+/// Maximum time for which a request must have waited, however late upstreams answer.
+const MAX_REQUEST_AGE: Millis = Millis(1_000);
+/// Time before a probe was sent within which another host's response counts: a probe's time-out.
+/// Requests that were answered earlier may have been the last ones before the upstream failed.
+const PEER_RESPONSE_WINDOW: Millis = Millis(150);
+/// Time in flight after which a probe is likely to stay without a response, so that other hosts are
+/// asked.
+const ASK_PEERS_AFTER: Millis = Millis(40);
+/// Time for which the replies of other hosts are awaited at least.
+const PEER_REPLY_TIME: Millis = Millis(40);
+/// Time-out of a probe that connects.
+const PROBE_TIMEOUT: Millis = Millis(150);
+/// Time that a probe takes only on a host that was stalled.
+const STALLED_PROBE: Millis = Millis(250);
+/// Time after which the result of a probe is no longer awaited.
+const PROBE_LOST: Millis = Millis(2_000);
+/// Maximum delay before a silent probe is repeated.
+const REPEAT_BACKOFF_MAX: Millis = Millis(2_000);
+/// Delay before a silent probe is repeated, doubled after each further one.
+const REPEAT_BACKOFF_MIN: Millis = Millis(150);
+
 /// A packet without a response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct UnansweredPacket {
     /// Flow of the packet.
     pub flow: FlowKey,
+    /// `true` if the flow is open, `false` if the packet opens it.
+    pub established: bool,
     /// When the packet was first forwarded.
     pub sent: Millis,
 }
@@ -57,8 +91,10 @@
 pub enum ProbeResult {
     /// The upstream responded, or at least a process at its address did.
     Answered,
-    /// No response in time, or the connection failed.
+    /// No response in time.
     NoResponse,
+    /// The address responded, but no process listens there.
+    Refused,
     /// Another upstream responded at the address, so the probed one has ended.
     OtherUpstream,
     /// The probe shows nothing about the upstream.
@@ -102,6 +138,23 @@
     }
 }
 
+/// Returns what a probe that connects shows, from its attempts and from the time that it took.
+///
+/// A refusal is told from silence, which a full upstream can cause. The attempts of a host that was
+/// stalled show nothing: their responses may have waited at the host itself.
+pub fn conclude_connect(
+    attempts: [ConnectAttempt; 2],
+    reference: Option<ConnectAttempt>,
+    took: Millis,
+) -> ProbeResult {
+    let refused = attempts.contains(&ConnectAttempt::Refused);
+    match conclude_attempts(attempts, reference) {
+        ProbeResult::NoResponse if refused => ProbeResult::Refused,
+        ProbeResult::NoResponse if took >= STALLED_PROBE => ProbeResult::Inconclusive,
+        it => it,
+    }
+}
+
 /// Reachability of an upstream from this host.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Reachability {
@@ -122,8 +175,20 @@
     last_response: Millis,
     unanswered: SmallVec<[UnansweredPacket; MAX_UNANSWERED]>,
     unreachable: Option<ProbeBackoff>,
-    /// `true` while a probe is in flight.
-    probing: bool,
+    /// The probe in flight.
+    probe: Option<ProbeInFlight>,
+    /// Probes that timed out without a verdict since the upstream last accepted a flow or a probe.
+    silent_probes: u32,
+    /// When to judge the probe again that has timed out, if requests have waited too little yet.
+    judge_at: Option<Millis>,
+    /// When to send the next probe although no packet calls for it.
+    repeat_at: Option<Millis>,
+    /// When the upstream last accepted a flow.
+    accepted_at: Millis,
+    /// `true` if too few hosts of the zone have replied by the end of the last silent probe.
+    peers_late: bool,
+    /// Time of the last response that another host of the zone has told of.
+    peer_response: Millis,
     /// Since when the whole zone has not responded, if a probe was sent for that reason. A failed
     /// probe then suffices to mark the upstream unreachable.
     zone_silent_since: Option<Millis>,
@@ -131,6 +196,40 @@
     probe_succeeded_at: Option<Millis>,
 }
 
+/// A probe whose result is awaited.
+#[derive(Debug, Clone, Copy)]
+struct ProbeInFlight {
+    sent: Millis,
+    /// When other hosts of the zone were asked about the upstream.
+    asked: Option<Millis>,
+}
+
+/// What the evidence for a verdict is measured by.
+#[derive(Clone, Copy)]
+pub(crate) struct EvidenceRule<'a> {
+    /// Time that a full queue may take to answer a request of a flow, as far as observed.
+    pub(crate) usual_wait: &'a dyn Fn(&FlowKey) -> Option<Millis>,
+    /// `true` if the zone has other hosts.
+    pub(crate) has_peers: bool,
+    /// `true` if at least half of the hosts asked last have replied.
+    pub(crate) peers_replied: bool,
+}
+
+/// Why an upstream was kept although its probe timed out.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum KeepReason {
+    /// Only opening packets are unanswered, which a full upstream may drop.
+    OpeningsOnly,
+    /// A full queue may take longer than the requests have waited.
+    TooEarly,
+    /// A response was seen after the probe was sent.
+    AnsweredSince,
+    /// Other hosts of the zone have not told yet whether the upstream responds to them.
+    PeersPending,
+    /// The upstream has responded to another host of the zone.
+    AnsweredPeer,
+}
+
 /// Effect of a probe's result on the reachability of the upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ProbeEffect {
@@ -142,6 +241,8 @@
     Unreachable,
     /// The upstream has ended.
     Ended,
+    /// The probe timed out, but the upstream is kept.
+    Kept(KeepReason),
 }
 
 /// Exponential backoff between the probes of an unreachable upstream.
@@ -158,44 +259,56 @@
     pub fn reachability(&self) -> Reachability {
         match self.unreachable {
             Some(it) => Reachability::Unreachable { since: it.unreachable_since },
-            None if self.unanswered.is_empty() => Reachability::Answering,
+            None if self.unanswered.is_empty() && self.silent_probes == 0 => {
+                Reachability::Answering
+            }
             None => Reachability::Suspect,
         }
     }
 
+    /// Returns `true` if packets of callers are unanswered.
+    pub(crate) fn has_unanswered(&self) -> bool {
+        !self.unanswered.is_empty()
+    }
+
+    /// Returns `true` while the upstream may need a probe without a packet that calls for it, or a
+    /// question to other hosts.
+    pub(crate) fn is_watched(&self) -> bool {
+        self.reachability() != Reachability::Answering || self.zone_silent_since.is_some()
+    }
+
     /// Returns the time of the last response.
     pub fn last_response(&self) -> Millis {
         self.last_response
     }
 
-    /// Records a response to a caller and returns `true` if the upstream was unreachable.
+    /// Records a response to a request and returns `true` if the upstream was unreachable.
+    ///
+    /// It does not show that the upstream has room for new flows.
     pub fn record_response(&mut self, now: Millis) -> bool {
         self.probe_succeeded_at = None;
         self.mark_responding(now)
     }
 
-    /// Records that a packet first forwarded at `sent` has no answer although it is due, and returns
-    /// the kind of probe to send, if any.
-    pub fn record_unanswered(
-        &mut self,
-        now: Millis,
-        flow: FlowKey,
-        sent: Millis,
-    ) -> Option<ProbeKind> {
+    /// Records that the upstream accepted a flow and returns `true` if it was unreachable.
+    pub fn record_accepted(&mut self, now: Millis) -> bool {
+        self.accepted_at = now;
+        self.silent_probes = 0;
+        self.repeat_at = None;
+        self.record_response(now)
+    }
+
+    /// Records that a packet has no answer although it is due, and returns the kind of probe to send,
+    /// if any.
+    pub fn record_unanswered(&mut self, now: Millis, it: UnansweredPacket) -> Option<ProbeKind> {
         // `sent` can equal `last_response`, because one packet can carry a request and acknowledge
         // the previous response. The request is unanswered in that case.
-        if self.unreachable.is_some() || sent < self.last_response {
+        if self.unreachable.is_some() || it.sent < self.last_response {
             return None;
         }
         self.expire_unanswered(now);
-        match self.unanswered.iter().position(|it| it.flow == flow) {
-            Some(at) => self.unanswered[at].sent = self.unanswered[at].sent.min(sent),
-            None if self.unanswered.len() < MAX_UNANSWERED => {
-                self.unanswered.push(UnansweredPacket { flow, sent });
-            }
-            None => {}
-        }
-        if std::mem::replace(&mut self.probing, true) {
+        self.add_unanswered(it);
+        if !self.start_probe(now) {
             return None;
         }
         Some(if self.probe_succeeded_at.is_some() {
@@ -205,44 +318,243 @@
         })
     }
 
+    /// Adds a packet. Requests of open flows, which are the better evidence, take the place of opening
+    /// packets.
+    fn add_unanswered(&mut self, it: UnansweredPacket) {
+        if let Some(at) = self.unanswered.iter().position(|other| other.flow == it.flow) {
+            let sent = self.unanswered[at].sent.min(it.sent);
+            self.unanswered[at] = UnansweredPacket { sent, ..it };
+        } else if self.unanswered.len() < MAX_UNANSWERED {
+            self.unanswered.push(it);
+        } else if let Some(other) = self.unanswered.iter_mut().find(|other| !other.established)
+            && it.established
+        {
+            *other = it;
+        }
+    }
+
+    /// Notes that a probe is sent now. Returns `false` if one is in flight.
+    fn start_probe(&mut self, now: Millis) -> bool {
+        if self.probe.is_some_and(|it| now.since(it.sent) < PROBE_LOST) {
+            return false;
+        }
+        self.probe = Some(ProbeInFlight { sent: now, asked: None });
+        self.repeat_at = None;
+        true
+    }
+
     /// Records that no upstream of the zone has responded since `silent_since`, and returns `true`
     /// if the upstream is to be probed.
-    pub(crate) fn record_zone_silence(&mut self, silent_since: Millis) -> bool {
+    pub(crate) fn record_zone_silence(&mut self, now: Millis, silent_since: Millis) -> bool {
         if self.unreachable.is_some() || self.last_response > silent_since {
             return false;
         }
         self.zone_silent_since = Some(silent_since);
-        !std::mem::replace(&mut self.probing, true)
+        self.start_probe(now)
     }
 
-    /// Records the result of a probe and returns its effect.
-    pub fn record_probe(&mut self, now: Millis, result: ProbeResult) -> ProbeEffect {
-        self.probing = false;
-        let zone_silent = self.zone_silent_since.take().is_some();
+    /// Records the result of a probe and returns its effect. Without a `rule`, each silent probe of a
+    /// suspect upstream is a verdict.
+    pub(crate) fn record_probe(
+        &mut self,
+        now: Millis,
+        result: ProbeResult,
+        rule: Option<EvidenceRule<'_>>,
+    ) -> ProbeEffect {
+        let probe = self.probe.take();
+        self.judge_at = None;
+        let is_suspect = self.zone_silent_since.is_some() || !self.unanswered.is_empty();
         match result {
             ProbeResult::Answered => {
                 self.probe_succeeded_at = Some(now);
+                self.silent_probes = 0;
+                self.repeat_at = None;
                 if self.mark_responding(now) {
                     ProbeEffect::Recovered
                 } else {
                     ProbeEffect::Unchanged
                 }
             }
-            ProbeResult::NoResponse if self.unreachable.is_some() => ProbeEffect::Unchanged,
-            ProbeResult::NoResponse if zone_silent || !self.unanswered.is_empty() => {
+            ProbeResult::OtherUpstream => ProbeEffect::Ended,
+            ProbeResult::NoResponse | ProbeResult::Refused if self.unreachable.is_some() => {
+                ProbeEffect::Unchanged
+            }
+            ProbeResult::NoResponse
+                if is_suspect || self.silent_probes > 0 || rule.is_some() && probe.is_some() =>
+            {
+                match rule.and_then(|it| self.reason_to_keep(now, probe, &it)) {
+                    Some(reason) => self.keep(now, reason, probe, rule),
+                    None => ProbeEffect::Unreachable,
+                }
+            }
+            ProbeResult::Refused if is_suspect || self.silent_probes > 0 => {
                 ProbeEffect::Unreachable
             }
-            ProbeResult::OtherUpstream => ProbeEffect::Ended,
-            ProbeResult::NoResponse | ProbeResult::Inconclusive => ProbeEffect::Unchanged,
+            ProbeResult::NoResponse | ProbeResult::Refused | ProbeResult::Inconclusive => {
+                self.zone_silent_since = None;
+                if self.silent_probes > 0 {
+                    self.repeat_at = Some(now + self.repeat_delay());
+                }
+                ProbeEffect::Unchanged
+            }
         }
     }
 
+    /// Returns why a silent probe is not sufficient evidence, or `None` if it is.
+    fn reason_to_keep(
+        &self,
+        now: Millis,
+        probe: Option<ProbeInFlight>,
+        rule: &EvidenceRule<'_>,
+    ) -> Option<KeepReason> {
+        let sent = probe.map_or(now, |it| it.sent);
+        if probe.is_some() && self.last_response > sent {
+            return Some(KeepReason::AnsweredSince);
+        }
+        if self.zone_silent_since.is_none() {
+            let mut requests = self.unanswered.iter().filter(|it| it.established).peekable();
+            if requests.peek().is_none() {
+                return Some(KeepReason::OpeningsOnly);
+            }
+            if !requests.any(|it| now.since(it.sent) >= required_age(it, rule)) {
+                return Some(KeepReason::TooEarly);
+            }
+        }
+        if self.peer_response > sent - PEER_RESPONSE_WINDOW {
+            return Some(KeepReason::AnsweredPeer);
+        }
+        let asked = probe.and_then(|it| it.asked);
+        let asked_in_time = asked.is_some_and(|it| now.since(it) >= PEER_REPLY_TIME);
+        // Hosts that have not replied by the second probe may be gone.
+        let heard = !rule.has_peers || asked_in_time && (rule.peers_replied || self.peers_late);
+        (!heard).then_some(KeepReason::PeersPending)
+    }
+
+    /// Keeps the upstream and schedules the next probe.
+    fn keep(
+        &mut self,
+        now: Millis,
+        reason: KeepReason,
+        probe: Option<ProbeInFlight>,
+        rule: Option<EvidenceRule<'_>>,
+    ) -> ProbeEffect {
+        if reason == KeepReason::AnsweredSince {
+            self.zone_silent_since = None;
+            let accepted = probe.is_some_and(|it| self.accepted_at > it.sent);
+            self.silent_probes = self.silent_probes.saturating_add(u32::from(!accepted));
+            let waits = !self.unanswered.is_empty();
+            let delay = if waits { Millis(0) } else { self.repeat_delay() };
+            self.repeat_at = (waits || !accepted).then_some(now + delay);
+            return ProbeEffect::Kept(reason);
+        }
+        if let Some(at) = self.postponed_verdict(now, reason, probe, rule) {
+            self.probe = probe;
+            self.judge_at = Some(at);
+            return ProbeEffect::Unchanged;
+        }
+        let were_late = std::mem::replace(&mut self.peers_late, reason == KeepReason::PeersPending);
+        self.silent_probes = self.silent_probes.saturating_add(1);
+        let backoff = now + self.repeat_delay();
+        self.repeat_at = Some(match (reason, self.ripe_at(rule)) {
+            // The next probe ends when the requests have waited long enough.
+            (KeepReason::TooEarly, Some(at)) => (at - PROBE_TIMEOUT).min(backoff),
+            (KeepReason::PeersPending, _) if !were_late => now,
+            (KeepReason::AnsweredPeer, _) if self.silent_probes == 1 => now,
+            _ => backoff,
+        });
+        ProbeEffect::Kept(reason)
+    }
+
+    /// Returns when the probe is to be judged, if that is sooner than the end of another one.
+    fn postponed_verdict(
+        &self,
+        now: Millis,
+        reason: KeepReason,
+        probe: Option<ProbeInFlight>,
+        rule: Option<EvidenceRule<'_>>,
+    ) -> Option<Millis> {
+        match reason {
+            KeepReason::TooEarly => self.ripe_at(rule).filter(|it| *it <= now + PROBE_TIMEOUT),
+            KeepReason::PeersPending => {
+                let it = probe.filter(|it| now.since(it.sent) < PROBE_TIMEOUT + PROBE_TIMEOUT)?;
+                let asked_lately = it.asked.is_none_or(|it| now.since(it) < PEER_REPLY_TIME);
+                asked_lately.then_some(now + PEER_REPLY_TIME)
+            }
+            _ => None,
+        }
+    }
+
+    /// Returns when the first request will have waited long enough.
+    fn ripe_at(&self, rule: Option<EvidenceRule<'_>>) -> Option<Millis> {
+        let rule = rule?;
+        let requests = self.unanswered.iter().filter(|it| it.established);
+        requests.map(|it| it.sent + required_age(it, &rule)).min()
+    }
+
+    fn repeat_delay(&self) -> Millis {
+        let doublings = self.silent_probes.saturating_sub(1).min(8);
+        Millis((REPEAT_BACKOFF_MIN.0 << doublings).min(REPEAT_BACKOFF_MAX.0))
+    }
+
+    /// Returns `true` if a silent probe is to be repeated, and notes that it is sent.
+    pub(crate) fn take_due_repeat(&mut self, now: Millis) -> bool {
+        let due = self.unreachable.is_none() && self.repeat_at.is_some_and(|it| it <= now);
+        due && self.start_probe(now)
+    }
+
+    /// Returns `true` if the probe that has timed out is to be judged again.
+    pub(crate) fn is_judgement_due(&self, now: Millis) -> bool {
+        self.judge_at.is_some_and(|it| it <= now)
+    }
+
+    /// Returns `true` if other hosts of the zone are to be asked now whether the upstream responds to
+    /// them: its probe is late, and will be a verdict if they know of no response.
+    pub(crate) fn needs_peers(&self, now: Millis) -> bool {
+        let late = self
+            .probe
+            .is_some_and(|it| it.asked.is_none() && now.since(it.sent) >= ASK_PEERS_AFTER);
+        late && self.unreachable.is_none()
+            && self.probe.is_some_and(|it| self.last_response <= it.sent)
+            && (self.zone_silent_since.is_some() || self.unanswered.iter().any(|it| it.established))
+    }
+
+    /// Returns when other hosts were asked about the probe in flight.
+    pub(crate) fn peers_asked_at(&self) -> Option<Millis> {
+        self.probe.and_then(|it| it.asked)
+    }
+
+    /// Sets a verdict aside because the fault is probably local.
+    pub(crate) fn set_verdict_aside(&mut self, now: Millis) {
+        self.zone_silent_since = None;
+        if self.silent_probes > 0 {
+            self.repeat_at = Some(now + self.repeat_delay());
+        }
+    }
+
+    /// Notes that other hosts were asked.
+    pub(crate) fn record_asked(&mut self, now: Millis) {
+        if let Some(it) = &mut self.probe {
+            it.asked = Some(now);
+        }
+    }
+
+    /// Records the time of a response to another host of the zone.
+    pub(crate) fn record_peer_response(&mut self, at: Millis) {
+        self.peer_response = self.peer_response.max(at);
+    }
+
     /// Records a response of either kind and returns `true` if the upstream was unreachable.
     fn mark_responding(&mut self, now: Millis) -> bool {
         self.last_response = now;
         self.unanswered.clear();
-        self.probing = false;
+        self.peers_late = false;
         self.zone_silent_since = None;
+        if self.silent_probes > 0 && self.repeat_at.is_none() {
+            self.repeat_at = Some(now + self.repeat_delay());
+        }
+        if self.judge_at.take().is_some() {
+            self.probe = None;
+        }
         self.unreachable.take().is_some()
     }
 
@@ -255,7 +567,13 @@
     /// Marks the upstream unreachable.
     pub fn mark_unreachable(&mut self, now: Millis) {
         self.unanswered.clear();
-        self.probing = false;
+        self.silent_probes = 0;
+        self.peers_late = false;
+        self.repeat_at = None;
+        self.zone_silent_since = None;
+        if self.judge_at.take().is_some() {
+            self.probe = None;
+        }
         self.unreachable = Some(ProbeBackoff {
             unreachable_since: now,
             last_probe: now,
@@ -290,3 +608,8 @@
         self.unanswered.retain(|it| now.since(it.sent) < UNANSWERED_MAX_AGE);
     }
 }
+
+/// Returns how long a request must have waited to show more than a full queue does.
+fn required_age(it: &UnansweredPacket, rule: &EvidenceRule<'_>) -> Millis {
+    (rule.usual_wait)(&it.flow).unwrap_or_default().clamp(MIN_REQUEST_AGE, MAX_REQUEST_AGE)
+}
--- a/crates/pomelorun-core/src/direct/mechanism.rs
+++ b/crates/pomelorun-core/src/direct/mechanism.rs
@@ -46,6 +46,9 @@
     Suspicion,
     /// Probing suspect upstreams and resetting the flows of those that do not respond.
     FailureDetection,
+    /// Keeping an upstream whose silence load alone can explain, and asking the hosts of the zone before
+    /// it is given up.
+    VerdictEvidence,
     /// Sharing with the hosts of the zone which upstreams are unreachable.
     SharedFailures,
     /// Keeping upstreams when most of them are silent at once.
--- a/crates/pomelorun-core/src/direct/opening_retry.rs
+++ b/crates/pomelorun-core/src/direct/opening_retry.rs
@@ -24,7 +24,7 @@
 /// Minimum time above the mean after which an answer is overdue, in milliseconds: hosts and callers
 /// are scheduled with delays that a few samples do not show.
 const MIN_MARGIN_MS: f64 = 20.0;
-/// Openings that must have been observed before an answer can be overdue.
+/// Responses that must have been observed before one can be overdue.
 const MIN_SAMPLES: u32 = 8;
 
 /// Time after which an answer is overdue for a host that has not observed any: half of the callers'
@@ -42,18 +42,17 @@
 /// Maximum number of unanswered openings that are tracked; further ones are not retried.
 const MAX_PENDING: usize = 1_024;
 
-/// Time from an opening packet to the caller's next packet, as for the retransmission timeout of
-/// RFC 6298.
+/// Time from a packet to its response, as for the retransmission timeout of RFC 6298.
 #[derive(Debug, Clone, Copy, Default)]
-struct OpeningTimes {
+pub(crate) struct ResponseTimes {
     samples: u32,
     mean_ms: f64,
     deviation_ms: f64,
 }
 
-impl OpeningTimes {
-    /// Records the time that an opening took.
-    fn record(&mut self, took: Millis) {
+impl ResponseTimes {
+    /// Records the time that a response took.
+    pub(crate) fn record(&mut self, took: Millis) {
         let took_ms = took.0 as f64;
         if self.samples == 0 {
             self.mean_ms = took_ms;
@@ -67,7 +66,7 @@
     }
 
     /// Returns the time after which an answer is overdue, or `None` if too few were observed.
-    fn timeout(&self) -> Option<Millis> {
+    pub(crate) fn timeout(&self) -> Option<Millis> {
         let margin_ms = (OVERDUE_DEVIATIONS * self.deviation_ms).max(MIN_MARGIN_MS);
         (self.samples >= MIN_SAMPLES).then_some(Millis((self.mean_ms + margin_ms) as u64))
     }
@@ -77,7 +76,7 @@
 #[derive(Debug, Clone, Default)]
 pub(crate) struct ZoneOpeningTimes {
     /// Sorted by zone.
-    zones: Vec<(ZoneId, OpeningTimes)>,
+    zones: Vec<(ZoneId, ResponseTimes)>,
 }
 
 impl ZoneOpeningTimes {
@@ -86,7 +85,7 @@
         let at = match self.zones.binary_search_by_key(&zone, |it| it.0) {
             Ok(at) => at,
             Err(at) => {
-                self.zones.insert(at, (zone, OpeningTimes::default()));
+                self.zones.insert(at, (zone, ResponseTimes::default()));
                 at
             }
         };
--- a/crates/pomelorun-core/tests/core/direct.rs
+++ b/crates/pomelorun-core/tests/core/direct.rs
@@ -7,6 +7,7 @@
 mod failure_scenarios;
 mod fixtures;
 mod fleet;
+mod full_upstreams;
 mod golden;
 mod host;
 mod introspection;
--- a/crates/pomelorun-core/tests/core/direct/detection_times.rs
+++ b/crates/pomelorun-core/tests/core/direct/detection_times.rs
@@ -55,7 +55,6 @@
 
 /// Checks the median and the longest time.
 fn assert_found_within(name: &str, times: &[u64], median: u64, longest: u64) {
-    println!("{name}: {times:?}");
     assert!(times[times.len() / 2] <= median, "{name}: {times:?}");
     assert!(times[times.len() - 1] <= longest, "{name}: {times:?}");
 }
--- /dev/null
+++ b/crates/pomelorun-core/tests/core/direct/full_upstreams.rs
@@ -0,0 +1,334 @@
+//! An upstream without room for another flow is not taken for a dead one: its open flows go on.
+
+use std::collections::VecDeque;
+
+use pomelorun_core::{
+    Millis,
+    direct::{
+        DirectHost, Disabled, FleetMsg, LivenessMessage, LivenessQuery, LivenessReply, Mechanism,
+        ProbeResult, Reachability, Token,
+    },
+};
+use pomelorun_wire::{HostId, encode};
+
+use crate::direct::{
+    fixtures::{
+        LOCAL_HOST, LOCAL_ZONE, announcement, data_segment, flow, host, key, open_flow,
+        open_segment, settings,
+    },
+    simulation::{Health, OutlierScope, Simulation, SimulationConfig},
+};
+
+/// Callers that open a flow for every eight requests, so that openings go to all upstreams while requests
+/// run on open flows.
+const MIXED_FLOWS: SimulationConfig = SimulationConfig {
+    zones: 3,
+    hosts_per_zone: 3,
+    upstreams_per_zone: 5,
+    callers_per_zone: 40,
+    max_think_ms: 300,
+    max_work_ms: 30,
+    loss_one_in: 0,
+    outlier_scope: OutlierScope::PerZone,
+    flow_requests: 8,
+    max_pause_ms: 100,
+};
+const SEEDS: u64 = 10;
+/// Fewer, because an overloaded simulation is slow.
+const OVERLOAD_SEEDS: u64 = 3;
+const FAULT_START_MS: u64 = 5_000;
+const FAULT_DURATION_MS: u64 = 5_000;
+const PROBE_TIMEOUT: u64 = 150;
+
+/// Returns a host with three upstreams that knows how long openings take, and its flows at upstream 1.
+fn host_with_flows() -> (DirectHost, Vec<Token>) {
+    let mut host = host(&[
+        announcement(1, LOCAL_ZONE),
+        announcement(2, LOCAL_ZONE),
+        announcement(3, LOCAL_ZONE),
+    ]);
+    let mut tokens = Vec::new();
+    for number in 0..30 {
+        let (id, token) = open_flow(&mut host, Millis(500), flow(number));
+        if id == 1 {
+            tokens.push(token);
+        }
+    }
+    assert!(tokens.len() >= 4);
+    host.take_events().clear();
+    (host, tokens)
+}
+
+/// Opens flows until one is overdue at upstream 1, and returns when its probe was sent.
+fn suspect_by_opening(host: &mut DirectHost, from: u64) -> u64 {
+    for number in 0..60 {
+        let now = from + u64::from(number);
+        host.handle_packet(Millis(now), &open_segment(flow(5_000 + from as u32 + number), 0));
+    }
+    while let Some(due) = host.next_opening_retry() {
+        host.retry_openings(due);
+        if host.take_probes().iter().any(|it| it.upstream == key(1)) {
+            return due.0;
+        }
+    }
+    panic!("no opening at upstream 1 is overdue")
+}
+
+#[test]
+fn overdue_openings_and_a_silent_probe_reset_no_open_flow() {
+    let (mut host, _) = host_with_flows();
+    let mut probed_at = suspect_by_opening(&mut host, 1_000);
+    for _ in 0..10 {
+        let now = probed_at + PROBE_TIMEOUT;
+        host.apply_probe_result(Millis(now), key(1), ProbeResult::NoResponse);
+        assert_eq!(host.take_resets(), vec![]);
+        // The probe is repeated until there is more evidence.
+        let due = (now..).step_by(50).find(|now| {
+            host.tick(Millis(*now));
+            host.take_probes().iter().any(|it| it.upstream == key(1)) || *now > 60_000
+        });
+        probed_at = due.unwrap_or_default();
+        assert!(probed_at < 60_000, "the probe is not repeated");
+        let ix = host.registry().by_id(1).unwrap();
+        assert_eq!(host.reachability(ix), Reachability::Suspect, "gets no new flows meanwhile");
+    }
+    assert_eq!(host.stats().unreachable, 0);
+}
+
+#[test]
+fn response_during_a_silent_probe_outweighs_it() {
+    let (mut host, _) = host_with_flows();
+    let token = Token::of(key(1));
+    let (waiting, answered) = (flow(901), flow(902));
+    for it in [waiting, answered] {
+        host.handle_packet(Millis(1_000), &data_segment(it, token, 1, 100, 50));
+    }
+    host.handle_packet(Millis(1_200), &data_segment(waiting, token, 1, 100, 50));
+    assert_eq!(host.take_probes().len(), 1);
+    host.handle_packet(Millis(1_250), &data_segment(answered, token, 51, 300, 50));
+    host.handle_packet(Millis(1_340), &data_segment(flow(903), token, 1, 100, 50));
+    // A request that is newer than the response has waited for a moment only.
+    host.handle_packet(Millis(1_348), &data_segment(waiting, token, 1, 100, 50));
+    host.apply_probe_result(Millis(1_350), key(1), ProbeResult::NoResponse);
+    assert_eq!(host.take_resets(), vec![]);
+}
+
+#[test]
+fn no_flow_of_a_full_upstream_is_reset() {
+    for seed in 0..SEEDS {
+        let mut simulation = Simulation::new(MIXED_FLOWS, seed);
+        simulation.run_until(FAULT_START_MS);
+        for id in [2, 7, 12] {
+            simulation.set_health(id, Health::Saturated);
+        }
+        simulation.run_until(FAULT_START_MS + FAULT_DURATION_MS);
+        assert_eq!(simulation.counts.resets, 0, "seed {seed}");
+        assert_eq!(simulation.counts.expired, 0, "seed {seed}");
+    }
+}
+
+const PEER: HostId = HostId(2);
+
+/// Returns a host whose request at upstream 1 waits since 1,000 ms and was sent again after 200 ms, with
+/// the query that it sends its peers meanwhile.
+fn host_with_late_request(peers: Vec<HostId>) -> (DirectHost, Vec<(HostId, LivenessQuery)>) {
+    let mut host = host_with_flows().0;
+    host.set_zone_peers(peers);
+    for at in [1_000, 1_200] {
+        host.handle_packet(Millis(at), &data_segment(flow(900), Token::of(key(1)), 1, 100, 50));
+    }
+    assert_eq!(host.take_probes().len(), 1);
+    host.tick(Millis(1_250));
+    let queries = queries(&mut host);
+    (host, queries)
+}
+
+fn queries(host: &mut DirectHost) -> Vec<(HostId, LivenessQuery)> {
+    let messages = host.take_liveness_messages().into_iter();
+    messages
+        .filter_map(|(to, it)| match it {
+            LivenessMessage::Query(it) => Some((to, it)),
+            LivenessMessage::Reply(_) => None,
+        })
+        .collect()
+}
+
+/// Returns another host of the zone that has seen a response of upstream 1 at `answered`.
+fn peer_answered_at(answered: u64) -> DirectHost {
+    let mut peer = host(&[announcement(1, LOCAL_ZONE)]);
+    let token = Token::of(key(1));
+    for (at, ack) in [(answered - 50, 100), (answered, 200)] {
+        peer.handle_packet(Millis(at), &data_segment(flow(7), token, 1, ack, 50));
+    }
+    peer
+}
+
+#[test]
+fn upstream_that_serves_another_host_is_kept_and_given_up_once_it_stops() {
+    let (mut host, asked) = host_with_late_request(vec![PEER]);
+    assert_eq!(asked.len(), 1);
+    assert_eq!((asked[0].0, &asked[0].1.tokens), (PEER, &vec![Token::of(key(1))]));
+    let mut peer = peer_answered_at(1_180);
+    host.apply_liveness_reply(PEER, &peer.answer_liveness_query(Millis(1_252), &asked[0].1));
+    host.apply_probe_result(Millis(1_350), key(1), ProbeResult::NoResponse);
+    assert_eq!(host.take_resets(), vec![]);
+    assert_eq!((host.stats().kept, host.stats().kept_by_peers), (1, 1));
+    // The probe is repeated at the next timer event, and nothing has responded since.
+    host.tick(Millis(1_360));
+    assert_eq!(host.take_probes().len(), 1);
+    host.tick(Millis(1_410));
+    let asked = queries(&mut host);
+    host.apply_liveness_reply(PEER, &peer.answer_liveness_query(Millis(1_412), &asked[0].1));
+    host.apply_probe_result(Millis(1_510), key(1), ProbeResult::NoResponse);
+    assert!(!host.take_resets().is_empty());
+}
+
+#[test]
+fn peers_without_a_response_do_not_delay_the_verdict() {
+    let (mut host, asked) = host_with_late_request(vec![PEER]);
+    let mut peer = peer_answered_at(1_010);
+    host.apply_liveness_reply(PEER, &peer.answer_liveness_query(Millis(1_252), &asked[0].1));
+    host.apply_probe_result(Millis(1_350), key(1), ProbeResult::NoResponse);
+    assert!(!host.take_resets().is_empty());
+}
+
+#[test]
+fn peers_that_do_not_reply_delay_the_verdict_by_one_probe() {
+    let (mut host, _) = host_with_late_request(vec![PEER]);
+    host.apply_probe_result(Millis(1_350), key(1), ProbeResult::NoResponse);
+    assert_eq!(host.take_resets(), vec![]);
+    host.tick(Millis(1_360));
+    assert_eq!(host.take_probes().len(), 1);
+    host.tick(Millis(1_410));
+    host.apply_probe_result(Millis(1_510), key(1), ProbeResult::NoResponse);
+    assert!(!host.take_resets().is_empty());
+}
+
+#[test]
+fn replies_count_once_and_only_from_hosts_that_were_asked() {
+    let peers: Vec<HostId> = (2..6).map(HostId).collect();
+    let (mut host, asked) = host_with_late_request(peers);
+    assert_eq!(asked.len(), 4);
+    let reply = LivenessReply { seq: asked[0].1.seq, responses: vec![] };
+    let told = LivenessReply { responses: vec![(Token::of(key(1)), 0)], ..reply.clone() };
+    host.apply_liveness_reply(HostId(99), &told);
+    for _ in 0..4 {
+        host.apply_liveness_reply(PEER, &reply);
+    }
+    host.apply_liveness_reply(PEER, &told);
+    host.apply_probe_result(Millis(1_350), key(1), ProbeResult::NoResponse);
+    assert_eq!(host.take_resets(), vec![], "one of four hosts has replied");
+    assert_eq!(host.stats().kept_by_peers, 0);
+}
+
+#[test]
+fn refused_connection_is_sufficient_evidence_at_once() {
+    let (mut host, tokens) = host_with_flows();
+    host.set_zone_peers(vec![PEER]);
+    let probed_at = suspect_by_opening(&mut host, 1_000);
+    host.apply_probe_result(Millis(probed_at + 1), key(1), ProbeResult::Refused);
+    assert_eq!(host.take_resets().len(), tokens.len());
+}
+
+#[test]
+fn request_counts_only_once_it_has_waited_longer_than_usual() {
+    let mut host = host(&[announcement(1, LOCAL_ZONE), announcement(2, LOCAL_ZONE)]);
+    let token = Token::of(key(1));
+    // Answers take 500 ms, since the queue is full.
+    for number in 0..40 {
+        let at = 1_000 + 10 * u64::from(number);
+        host.handle_packet(Millis(at), &data_segment(flow(number), token, 1, 100, 50));
+    }
+    for number in 0..40 {
+        let at = 1_500 + 10 * u64::from(number);
+        host.handle_packet(Millis(at), &data_segment(flow(number), token, 51, 200, 0));
+    }
+    for at in [2_000, 2_200] {
+        host.handle_packet(Millis(at), &data_segment(flow(50), token, 1, 100, 50));
+    }
+    assert_eq!(host.take_probes().len(), 1);
+    host.apply_probe_result(Millis(2_350), key(1), ProbeResult::NoResponse);
+    assert_eq!(host.take_resets(), vec![]);
+    // The next probe ends after the usual 500 ms, and the margin of 20 ms.
+    host.tick(Millis(2_400));
+    assert_eq!(host.take_probes().len(), 1);
+    host.apply_probe_result(Millis(2_550), key(1), ProbeResult::NoResponse);
+    assert!(!host.take_resets().is_empty());
+}
+
+#[test]
+fn without_the_rule_for_evidence_a_silent_probe_is_a_verdict() {
+    let (mut host, tokens) = host_with_flows();
+    let mut cfg = settings(LOCAL_ZONE);
+    cfg.disabled = Disabled::new(vec![Mechanism::VerdictEvidence]);
+    host.update_settings(cfg);
+    let probed_at = suspect_by_opening(&mut host, 1_000);
+    let now = Millis(probed_at + PROBE_TIMEOUT);
+    host.apply_probe_result(now, key(1), ProbeResult::NoResponse);
+    assert_eq!(host.take_resets().len(), tokens.len());
+}
+
+#[test]
+fn queries_are_bounded_in_number_and_size() {
+    let upstreams: Vec<_> = (1..=200).map(|it| announcement(it, LOCAL_ZONE)).collect();
+    let mut host = host(&upstreams);
+    host.set_zone_peers((2..=100).map(HostId).collect());
+    let (mut sent, mut hosts, mut probes) = (0, Vec::new(), VecDeque::new());
+    for step in 0..200u64 {
+        let now = 1_000 + 50 * step;
+        for id in 1..=200 {
+            let request = data_segment(flow(id as u32), Token::of(key(id)), 1, 100, 50);
+            host.handle_packet(Millis(now), &request);
+        }
+        host.tick(Millis(now));
+        probes.extend(host.take_probes().into_iter().map(|it| (now + PROBE_TIMEOUT, it.upstream)));
+        while let Some((_, upstream)) = probes.pop_front_if(|it| it.0 <= now) {
+            host.apply_probe_result(Millis(now), upstream, ProbeResult::NoResponse);
+        }
+        for (to, query) in queries(&mut host) {
+            assert_ne!(to, LOCAL_HOST);
+            let responses = query.tokens.iter().map(|it| (*it, 0)).collect();
+            let reply = LivenessReply { seq: query.seq, responses };
+            host.apply_liveness_reply(to, &reply);
+            assert!(encode(&FleetMsg::LivenessQuery(query)).unwrap().len() < 1_200);
+            assert!(encode(&FleetMsg::LivenessReply(reply)).unwrap().len() < 1_200);
+            hosts.push(to);
+            sent += 1;
+        }
+    }
+    hosts.sort_unstable();
+    hosts.dedup();
+    assert_eq!(hosts.len(), 99, "all hosts of a large zone are asked in turn");
+    assert!(sent <= 16 * (8 + 6 * 10), "{sent} messages in ten seconds");
+}
+
+#[test]
+fn no_flow_is_reset_while_half_of_the_upstreams_are_full_and_all_have_long_queues() {
+    // The callers could send about three times as many requests as the upstreams serve.
+    let cfg = SimulationConfig {
+        callers_per_zone: 300,
+        max_think_ms: 100,
+        flow_requests: 10,
+        ..MIXED_FLOWS
+    };
+    let (mut resets_without, mut late, mut late_without) = (0, 0, 0);
+    for seed in 0..OVERLOAD_SEEDS {
+        let run = |disabled: Disabled| {
+            let mut simulation = Simulation::without(disabled, cfg, seed);
+            simulation.run_until(FAULT_START_MS);
+            for id in 1..=7 {
+                simulation.set_health(id, Health::Saturated);
+            }
+            simulation.run_until(FAULT_START_MS + FAULT_DURATION_MS);
+            simulation.counts
+        };
+        let with = run(Disabled::default());
+        let without = run(Disabled::new(vec![Mechanism::VerdictEvidence]));
+        assert_eq!((with.resets, with.expired), (0, 0), "seed {seed}");
+        resets_without += without.resets;
+        late += with.late_openings;
+        late_without += without.late_openings;
+    }
+    assert!(resets_without > 0, "the load shows nothing");
+    assert!(late <= late_without, "{late} openings are late, {late_without} without the rule");
+}
--- a/crates/pomelorun-core/tests/core/direct/golden.rs
+++ b/crates/pomelorun-core/tests/core/direct/golden.rs
@@ -10,9 +10,9 @@
     CoreSettings, Millis,
     direct::{
         Announcement, Choice, DirectRoute, DirectView, FailureReport, FleetMsg, FlowView,
-        IneligibleReason, KnownFrom, PeerUpdate, ReachabilityView, ReplicatedUpdate, RequestClass,
-        RouteTarget, Routing, RoutingChange, ServiceLimits, Token, TokenOwner, UpstreamKey,
-        UpstreamView,
+        IneligibleReason, KnownFrom, LivenessQuery, LivenessReply, PeerUpdate, ReachabilityView,
+        ReplicatedUpdate, RequestClass, RouteTarget, Routing, RoutingChange, ServiceLimits, Token,
+        TokenOwner, UpstreamKey, UpstreamView,
     },
 };
 use pomelorun_wire::{PeerMsg, ServiceAddr, ZoneId, decode, encode};
@@ -121,6 +121,20 @@
     );
 }
 
+#[test]
+fn liveness_messages_keep_their_encoding() {
+    let query = LivenessQuery { seq: 7, tokens: vec![Token(0xa1b2_c3d4)] };
+    check(
+        &FleetMsg::LivenessQuery(query),
+        "a16e6c6976656e6573735f7175657279a2637365710766746f6b656e73811aa1b2c3d4",
+    );
+    let reply = LivenessReply { seq: 7, responses: vec![(Token(0xa1b2_c3d4), 90)] };
+    check(
+        &FleetMsg::LivenessReply(reply),
+        "a16e6c6976656e6573735f7265706c79a2637365710769726573706f6e73657381821aa1b2c3d4185a",
+    );
+}
+
 #[test]
 fn peer_update_without_ejections_is_decoded() {
     let news = PeerUpdate { unreachable: vec![(1, 2, 3)], ejected: Vec::new() };
--- a/crates/pomelorun-core/tests/core/direct/probing.rs
+++ b/crates/pomelorun-core/tests/core/direct/probing.rs
@@ -1,6 +1,9 @@
 //! What attempts to connect show about an upstream.
 
-use pomelorun_core::direct::{ConnectAttempt, ProbeResult, conclude_attempts};
+use pomelorun_core::{
+    Millis,
+    direct::{ConnectAttempt, ProbeResult, conclude_attempts, conclude_connect},
+};
 
 use ConnectAttempt::{Accepted, LocalError, NoResponse, Refused};
 
@@ -33,3 +36,15 @@
         ProbeResult::Inconclusive
     );
 }
+
+#[test]
+fn refusal_is_told_from_silence_and_a_stalled_host_shows_nothing_by_silence() {
+    let (in_time, stalled) = (Millis(151), Millis(400));
+    let conclude = |attempt, took| conclude_connect([attempt; 2], Some(Accepted), took);
+    assert_eq!(conclude(NoResponse, in_time), ProbeResult::NoResponse);
+    assert_eq!(conclude(NoResponse, stalled), ProbeResult::Inconclusive);
+    for took in [in_time, stalled] {
+        assert_eq!(conclude(Refused, took), ProbeResult::Refused);
+        assert_eq!(conclude(Accepted, took), ProbeResult::Answered);
+    }
+}
--- a/crates/pomelorun-core/tests/core/direct/simulation.rs
+++ b/crates/pomelorun-core/tests/core/direct/simulation.rs
@@ -11,7 +11,7 @@
     Millis,
     direct::{
         Announcement, DirectEvent, DirectHost, DirectoryState, DirectoryUpdate, Disabled,
-        ProbeKind, ProbeResult, ResetPacket, Segment, SegmentKind, Token, Verdict,
+        LivenessMessage, ProbeKind, ProbeResult, ResetPacket, Segment, SegmentKind, Token, Verdict,
     },
 };
 use pomelorun_wire::{FlowKey, HostId, ZoneId};
@@ -470,6 +470,7 @@
                 let result = match result {
                     0 => ProbeResult::NoResponse,
                     1 => ProbeResult::Answered,
+                    3 => ProbeResult::Refused,
                     _ => ProbeResult::Inconclusive,
                 };
                 self.hosts[host].1.apply_probe_result(Millis(self.now), key(upstream), result);
@@ -701,7 +702,7 @@
             let refuses = upstream.health == Health::Refusing && reachable;
             let round_trip = 2 * self.delay(from, upstream.zone);
             let (delay, result) = match (it.kind, responds) {
-                (ProbeKind::Connect, false) if refuses => (round_trip, 0),
+                (ProbeKind::Connect, false) if refuses => (round_trip, 3),
                 (ProbeKind::Connect | ProbeKind::Identify, true) => (round_trip, 1),
                 // The probe is inconclusive if the reference upstream, for example beyond a
                 // partition, does not respond either.
@@ -722,6 +723,21 @@
             self.share_peer_update(at);
         }
         self.share_peer_update(host);
+        self.deliver_liveness_messages(host);
+    }
+
+    /// Delivers a host's queries to other hosts, and their replies.
+    fn deliver_liveness_messages(&mut self, host: usize) {
+        let id = HostId(host as u64 + 1);
+        for (to, message) in self.hosts[host].1.take_liveness_messages() {
+            let (Some(at), LivenessMessage::Query(query)) = (self.host_at(to), message) else {
+                continue;
+            };
+            let now = Millis(self.now + SAME_ZONE_DELAY_MS);
+            let reply = self.hosts[at].1.answer_liveness_query(now, &query);
+            assert_ne!(to, id);
+            self.hosts[host].1.apply_liveness_reply(to, &reply);
+        }
     }
 
     fn host_at(&self, id: HostId) -> Option<usize> {
--- a/crates/pomelorun-core/tests/core/direct/unknown_tokens.rs
+++ b/crates/pomelorun-core/tests/core/direct/unknown_tokens.rs
@@ -200,6 +200,26 @@
     assert_eq!(forwarded_to(group.send(0, &request(8, token))).map(|it| it.0), Some(1));
 }
 
+/// As above, with evidence that suffices at once: the silent probe above no longer does.
+#[test]
+fn verdict_of_another_host_is_not_adopted_with_a_token() {
+    let mut group = hosts_in_two_zones(&[announcement(1, LOCAL_ZONE), announcement(2, LOCAL_ZONE)]);
+    let token = Token::of(key(1));
+    group.send(2, &request(7, token));
+    group.now += 200;
+    group.send(2, &request(7, token));
+    group.hosts[2].apply_probe_result(Millis(group.now), key(1), ProbeResult::Refused);
+    assert_eq!(group.hosts[2].stats().unreachable, 1);
+    for at in 0..2 {
+        group.restart(at, &[announcement(2, LOCAL_ZONE)]);
+        group.hosts[at].set_zone_peers(vec![id(0), id(1)]);
+    }
+    assert_eq!(group.send(0, &request(8, token)), Verdict::Drop);
+    group.advance(700, DirectoryState::Available);
+    assert_eq!(group.hosts[0].take_resets(), vec![]);
+    assert_eq!(forwarded_to(group.send(0, &request(8, token))).map(|it| it.0), Some(1));
+}
+
 #[test]
 fn number_of_queried_unknown_tokens_is_bounded() {
     let mut group = HostGroup::new(1, &[announcement(1, LOCAL_ZONE)]);
--- a/crates/pomelorun-wire/src/code.rs
+++ b/crates/pomelorun-wire/src/code.rs
@@ -129,4 +129,6 @@
     STOPPED = 432, "stopped", "the daemon has stopped", "none";
     RELOADED = 433, "reloaded", "the settings file was reloaded", "restart the daemon if the log line asks for it";
     FLOW_RESET_OVERLOADED = 434, "flow_reset_overloaded", "an opening packet was refused: no upstream of the service has room for another request of its priority", "add upstreams, or reduce the demand of the less urgent routes";
+    UPSTREAM_KEPT = 435, "upstream_kept", "an upstream was kept although its probe timed out: load alone may explain that", "check whether the upstream is overloaded";
+    UPSTREAM_KEPT_BY_PEER = 436, "upstream_kept_by_peer", "another host of the zone has had a response from an upstream whose probe timed out, which is therefore kept", "check whether the upstream is overloaded";
 }
--- a/crates/pomelorun/src/direct/edge.rs
+++ b/crates/pomelorun/src/direct/edge.rs
@@ -10,8 +10,9 @@
     Millis,
     direct::{
         DirectHost, DirectSettings, DirectStats, DirectoryState, DirectoryUpdate, FailureReport,
-        ListingState, LoadMessage, LoadReport, LoadSummary, OpeningRetry, PeerUpdate, Probe,
-        ProbeResult, ReplicatedUpdate, SegmentKind, Token, TokenOwner, UpstreamKey, Verdict,
+        ListingState, LivenessMessage, LivenessQuery, LivenessReply, LoadMessage, LoadReport,
+        LoadSummary, OpeningRetry, PeerUpdate, Probe, ProbeResult, ReplicatedUpdate, SegmentKind,
+        Token, TokenOwner, UpstreamKey, Verdict,
     },
 };
 use pomelorun_wire::{FlowKey, HostId};
@@ -66,6 +67,7 @@
     is_reader: bool,
     probes: mpsc::UnboundedSender<Probe>,
     peer_updates: mpsc::UnboundedSender<PeerUpdate>,
+    liveness: mpsc::UnboundedSender<(HostId, LivenessMessage)>,
     event_log: event_log::EventLog,
     status: Arc<Status>,
     early_packets: EarlyPackets,
@@ -284,6 +286,16 @@
         self.flush_effects();
     }
 
+    /// Answers another host's query for last responses.
+    pub(crate) fn answer_liveness_query(&mut self, query: &LivenessQuery) -> LivenessReply {
+        self.host.answer_liveness_query(now(), query)
+    }
+
+    /// Applies another host's reply to a query for last responses.
+    pub(crate) fn apply_liveness_reply(&mut self, from: HostId, reply: &LivenessReply) {
+        self.host.apply_liveness_reply(from, reply);
+    }
+
     /// Applies failure reports from another host of this zone about upstreams that this host
     /// assesses.
     pub(crate) fn apply_reports(&mut self, reports: &[FailureReport]) {
@@ -479,6 +491,9 @@
         if !update.is_empty() {
             let _ = self.peer_updates.send(update);
         }
+        for it in self.host.take_liveness_messages() {
+            let _ = self.liveness.send(it);
+        }
         for it in self.host.take_events() {
             self.event_log.log_event(&it);
         }
@@ -498,6 +513,7 @@
     pub(crate) status: Arc<Status>,
     pub(crate) probes: mpsc::UnboundedSender<Probe>,
     pub(crate) peer_updates: mpsc::UnboundedSender<PeerUpdate>,
+    pub(crate) liveness: mpsc::UnboundedSender<(HostId, LivenessMessage)>,
     pub(crate) queries: mpsc::UnboundedReceiver<IntrospectionQuery>,
 }
 
@@ -517,7 +533,7 @@
         address: SocketAddrV4,
         links: EdgeLinks,
     ) -> Result<EdgeService, StartError> {
-        let EdgeLinks { status, probes, peer_updates, queries } = links;
+        let EdgeLinks { status, probes, peer_updates, liveness, queries } = links;
         let bind_error = |e: std::io::Error| StartError {
             service: EDGE,
             detail: format!("cannot bind {address}: {e}"),
@@ -535,6 +551,7 @@
             is_reader: false,
             probes,
             peer_updates,
+            liveness,
             event_log: event_log::EventLog::default(),
             status,
             early_packets: EarlyPackets::default(),
--- a/crates/pomelorun/src/direct/event_log.rs
+++ b/crates/pomelorun/src/direct/event_log.rs
@@ -5,7 +5,9 @@
 
 use pomelorun_core::{
     Millis,
-    direct::{DirectEvent, DropReason, LifecycleChange, OpenCause, ResetReason, UpstreamKey},
+    direct::{
+        DirectEvent, DropReason, KeepReason, LifecycleChange, OpenCause, ResetReason, UpstreamKey,
+    },
 };
 use pomelorun_wire::{Code, FlowKey};
 use spdlog::prelude::*;
@@ -108,6 +110,13 @@
                     }
                 );
             }
+            DirectEvent::Kept { upstream, reason, waited } => {
+                let (code, why) = keep_code(*reason);
+                info!("upstream kept although its probe timed out", kv: {
+                    code = code.to_string(), upstream = id_text(upstream), why,
+                    waited_ms = waited.0
+                });
+            }
             DirectEvent::Unreachable { upstream, flows, waited, from_peer } => {
                 warn!("upstream unreachable", kv: {
                     code = Code::UPSTREAM_UNREACHABLE.to_string(), upstream = id_text(upstream),
@@ -185,6 +194,16 @@
     });
 }
 
+fn keep_code(reason: KeepReason) -> (Code, &'static str) {
+    match reason {
+        KeepReason::OpeningsOnly => (Code::UPSTREAM_KEPT, "only openings wait"),
+        KeepReason::TooEarly => (Code::UPSTREAM_KEPT, "a full queue may take longer"),
+        KeepReason::AnsweredSince => (Code::UPSTREAM_KEPT, "it has answered meanwhile"),
+        KeepReason::PeersPending => (Code::UPSTREAM_KEPT, "other hosts have not replied yet"),
+        KeepReason::AnsweredPeer => (Code::UPSTREAM_KEPT_BY_PEER, "it answers another host"),
+    }
+}
+
 fn lifecycle_code(change: LifecycleChange) -> (Code, &'static str) {
     match change {
         LifecycleChange::Announced => (Code::UPSTREAM_ANNOUNCED, "announced"),
--- a/crates/pomelorun/src/direct/fleet.rs
+++ b/crates/pomelorun/src/direct/fleet.rs
@@ -11,7 +11,8 @@
 use pomelorun_core::{
     Millis,
     direct::{
-        Fleet, FleetMsg, LoadMessage, OutboundMessages, PeerUpdate, Readers, address_of, host_at,
+        Fleet, FleetMsg, LivenessMessage, LoadMessage, OutboundMessages, PeerUpdate, Readers,
+        address_of, host_at,
     },
 };
 use pomelorun_wire::{Code, HostId, decode, encode};
@@ -109,6 +110,13 @@
             }
             FleetMsg::TokenOwners(owners) => self.edge.borrow_mut().apply_token_owners(&owners),
             FleetMsg::Reports(reports) => self.edge.borrow_mut().apply_reports(&reports),
+            FleetMsg::LivenessQuery(query) => {
+                let reply = self.edge.borrow_mut().answer_liveness_query(&query);
+                self.send(vec![(from, FleetMsg::LivenessReply(reply))]);
+            }
+            FleetMsg::LivenessReply(reply) => {
+                self.edge.borrow_mut().apply_liveness_reply(from, &reply);
+            }
             FleetMsg::Load(report) => self.edge.borrow_mut().apply_load_report(from, &report),
             FleetMsg::LoadSum(summary) => {
                 self.edge.borrow_mut().apply_load_summary(from, &summary);
@@ -157,6 +165,14 @@
     }
 }
 
+/// Returns the message between hosts that carries a message about liveness.
+fn liveness_message(it: LivenessMessage) -> FleetMsg {
+    match it {
+        LivenessMessage::Query(it) => FleetMsg::LivenessQuery(it),
+        LivenessMessage::Reply(it) => FleetMsg::LivenessReply(it),
+    }
+}
+
 /// Returns the message between hosts that carries a message about load.
 fn load_message(it: LoadMessage) -> FleetMsg {
     match it {
@@ -165,11 +181,19 @@
     }
 }
 
+/// Messages of the edge that other hosts are sent at once.
+pub(crate) struct OutboundReceivers {
+    /// For all hosts of the zone.
+    pub(crate) peer_updates: mpsc::UnboundedReceiver<PeerUpdate>,
+    /// Each with its receiver.
+    pub(crate) liveness: mpsc::UnboundedReceiver<(HostId, LivenessMessage)>,
+}
+
 /// The service `fleet`.
 pub(crate) struct FleetService {
     transport: SharedFleet,
     socket: Rc<UdpSocket>,
-    peer_updates: Option<mpsc::UnboundedReceiver<PeerUpdate>>,
+    outbound: Option<OutboundReceivers>,
     tasks: Vec<JoinHandle<()>>,
 }
 
@@ -180,7 +204,7 @@
         address: SocketAddrV4,
         edge: SharedEdge,
         readers: watch::Sender<Readers>,
-        peer_updates: mpsc::UnboundedReceiver<PeerUpdate>,
+        outbound: OutboundReceivers,
     ) -> Result<FleetService, StartError> {
         let bind_error = |e: std::io::Error| StartError {
             service: FLEET,
@@ -196,7 +220,7 @@
             last_tick: now(),
         };
         let transport = Rc::new(RefCell::new(transport));
-        Ok(FleetService { transport, socket, peer_updates: Some(peer_updates), tasks: Vec::new() })
+        Ok(FleetService { transport, socket, outbound: Some(outbound), tasks: Vec::new() })
     }
 
     /// Returns the transport for other services.
@@ -213,8 +237,8 @@
     fn start(&mut self, _: &Registry) -> Result<Option<Recipient<ServiceMessage>>, StartError> {
         self.tasks.push(actix_rt::spawn(receive(self.shared(), Rc::clone(&self.socket))));
         self.tasks.push(actix_rt::spawn(tick(self.shared())));
-        if let Some(rx) = self.peer_updates.take() {
-            self.tasks.push(actix_rt::spawn(send_peer_updates(self.shared(), rx)));
+        if let Some(rx) = self.outbound.take() {
+            self.tasks.push(actix_rt::spawn(send_outbound(self.shared(), rx)));
         }
         Ok(None)
     }
@@ -247,8 +271,16 @@
     }
 }
 
-async fn send_peer_updates(transport: SharedFleet, mut rx: mpsc::UnboundedReceiver<PeerUpdate>) {
-    while let Some(update) = rx.recv().await {
-        transport.borrow_mut().send_peer_update(&update);
+async fn send_outbound(transport: SharedFleet, mut rx: OutboundReceivers) {
+    loop {
+        tokio::select! {
+            Some(update) = rx.peer_updates.recv() => {
+                transport.borrow_mut().send_peer_update(&update);
+            }
+            Some((to, it)) = rx.liveness.recv() => {
+                transport.borrow_mut().send(vec![(to, liveness_message(it))]);
+            }
+            else => return,
+        }
     }
 }
--- a/crates/pomelorun/src/direct/metrics.rs
+++ b/crates/pomelorun/src/direct/metrics.rs
@@ -20,7 +20,7 @@
 
 /// Name, help text and value of each counter. `docs/operators/metrics.md` says what to do when one
 /// rises.
-const COUNTERS: [(&str, &str, ReadCount); 20] = [
+const COUNTERS: [(&str, &str, ReadCount); 22] = [
     ("pomelorun_packets_forwarded", "Packets forwarded to upstreams", |it| it.core.forwarded),
     ("pomelorun_flows_opened", "Flows opened, not counting retransmitted opening packets", |it| {
         it.core.opened
@@ -71,6 +71,16 @@
         "Times an upstream was not marked unreachable because the fault was probably local",
         |it| it.core.local_faults,
     ),
+    (
+        "pomelorun_upstream_kept",
+        "Times an upstream was kept after a silent probe because load alone may explain it",
+        |it| it.core.kept,
+    ),
+    (
+        "pomelorun_upstream_kept_by_peers",
+        "Of these, times another host of the zone had a response from it",
+        |it| it.core.kept_by_peers,
+    ),
     ("pomelorun_upstream_ejected", "Times an upstream was ejected for failing requests", |it| {
         it.core.ejected
     }),
--- a/crates/pomelorun/src/direct/probes.rs
+++ b/crates/pomelorun/src/direct/probes.rs
@@ -1,9 +1,18 @@
 //! The service `probes`: checks whether an upstream responds, and whether it is the expected one.
 
-use std::{io::ErrorKind, net::SocketAddrV4, pin::pin, rc::Rc, time::Duration};
+use std::{
+    io::ErrorKind,
+    net::SocketAddrV4,
+    pin::pin,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use actix::Recipient;
-use pomelorun_core::direct::{ConnectAttempt, Probe, ProbeKind, ProbeResult, conclude_attempts};
+use pomelorun_core::{
+    Millis,
+    direct::{ConnectAttempt, Probe, ProbeKind, ProbeResult, conclude_connect},
+};
 use pomelorun_wire::Code;
 use spdlog::prelude::*;
 use tokio::{
@@ -102,10 +111,11 @@
 /// Connects to the upstream, and after [`SECOND_ATTEMPT_DELAY`] once more, together with the reference
 /// upstream.
 async fn connect(it: &Probe) -> ProbeResult {
+    let started = Instant::now();
     let mut first = pin!(try_connect(it.addr, CONNECT_TIMEOUT));
     let early = timeout(SECOND_ATTEMPT_DELAY, &mut first).await.ok();
     if let Some(it) = early.filter(|it| *it != ConnectAttempt::NoResponse) {
-        return conclude_attempts([it; 2], None);
+        return conclude_connect([it; 2], None, elapsed(started));
     }
     let remaining = CONNECT_TIMEOUT - SECOND_ATTEMPT_DELAY;
     let rest_of_first = async {
@@ -122,15 +132,19 @@
     };
     let second = try_connect(it.addr, remaining);
     let (first, second, reference) = tokio::join!(rest_of_first, second, reference);
-    let result = conclude_attempts([first, second], reference);
+    let result = conclude_connect([first, second], reference, elapsed(started));
     if result == ProbeResult::Inconclusive {
-        warn!("probe inconclusive: reference upstream does not respond either", kv: {
+        warn!("probe inconclusive: reference upstream does not respond either, or this host was stalled", kv: {
             code = Code::LOCAL_FAULT.to_string(), upstream = format!("{:016x}", it.upstream.id)
         });
     }
     result
 }
 
+fn elapsed(started: Instant) -> Millis {
+    Millis(u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX))
+}
+
 async fn try_connect(addr: SocketAddrV4, connect_timeout: Duration) -> ConnectAttempt {
     match timeout(connect_timeout, TcpStream::connect(addr)).await {
         Ok(Ok(_)) => ConnectAttempt::Accepted,
--- a/crates/pomelorun/src/direct/run.rs
+++ b/crates/pomelorun/src/direct/run.rs
@@ -22,7 +22,7 @@
     direct::{
         edge::{EdgeLinks, EdgeService, SharedEdge, now},
         feed::{Feed, FeedService},
-        fleet::{FleetService, SharedFleet},
+        fleet::{FleetService, OutboundReceivers, SharedFleet},
         introspection::IntrospectionQuery,
         platform::{Directory, Platform},
         probes::ProbeService,
@@ -143,18 +143,19 @@
 ) -> Result<(SharedEdge, SharedFleet), StartError> {
     let (probes, probes_rx) = mpsc::unbounded_channel();
     let (peer_updates, peer_updates_rx) = mpsc::unbounded_channel();
+    let (liveness, liveness_rx) = mpsc::unbounded_channel();
     let (readers, readers_rx) = watch::channel(Readers::default());
     let host = DirectHost::new(file.direct_settings());
     let status = Arc::clone(status);
-    let links = EdgeLinks { status, probes, peer_updates, queries };
+    let links = EdgeLinks { status, probes, peer_updates, liveness, queries };
     let service = EdgeService::bind(host, platform.codec, file.packets, links)?;
     let edge = service.shared();
     kernel.start(Box::new(service))?;
     let feed = Rc::new(RefCell::new(Feed::new()));
     let peer_address = file.peer_address();
     let fleet = file.new_fleet(now());
-    let service =
-        FleetService::bind(fleet, peer_address, Rc::clone(&edge), readers, peer_updates_rx)?;
+    let outbound = OutboundReceivers { peer_updates: peer_updates_rx, liveness: liveness_rx };
+    let service = FleetService::bind(fleet, peer_address, Rc::clone(&edge), readers, outbound)?;
     let fleet = service.shared();
     let cx = ReaderContext {
         edge: Rc::clone(&edge),
