--- a/crates/pomelorun-core/src/direct.rs
+++ b/crates/pomelorun-core/src/direct.rs
@@ -7,6 +7,7 @@
 //! no I/O and reads no clock.
 
 mod admission;
+mod answer_times;
 mod cold;
 mod decaying_sum;
 mod directory_merge;
@@ -28,6 +29,7 @@
 mod outlier;
 mod overdue_requests;
 mod overload;
+mod peer_evidence;
 mod peer_update;
 mod placement;
 mod registry;
@@ -58,8 +60,8 @@
     },
     latency::{BUCKET_BOUNDS_MS, LatencyHistogram},
     liveness::{
-        ConnectAttempt, Liveness, ProbeEffect, ProbeKind, ProbeResult, Reachability,
-        UnansweredPacket, conclude_attempts,
+        ConnectAttempt, KeepReason, Liveness, ProbeEffect, ProbeKind, ProbeResult, Reachability,
+        UnansweredPacket, conclude_attempts, conclude_connect,
     },
     load::Load,
     load_report::{
@@ -72,6 +74,7 @@
     overload::{
         Admission, Opening, ServiceLoad, ServiceOverload, ShortageReport, UpstreamRoom, Urgency,
     },
+    peer_evidence::{LivenessMessage, LivenessQuery, LivenessReply},
     peer_update::PeerUpdate,
     placement::{Candidate, Choice, choose},
     registry::{Announcement, Registry, Upstream, UpstreamIx, UpstreamKey},
--- a/crates/pomelorun-core/tests/core/direct.rs
+++ b/crates/pomelorun-core/tests/core/direct.rs
@@ -1,11 +1,13 @@
 //! Direct server return: tokens, registry, upstream selection, outlier detection, directory
 //! synchronization and the fleet.
 
+mod detection_times;
 mod directory_restore;
 mod directory_sync;
 mod failure_scenarios;
 mod fixtures;
 mod fleet;
+mod full_upstreams;
 mod golden;
 mod host;
 mod introspection;
@@ -15,8 +17,8 @@
 mod mechanism;
 mod opening_retries;
 mod outliers;
-mod placement;
 mod overload;
+mod placement;
 mod probing;
 mod registry;
 mod routing;
