Simulate demand beyond what upstreams can serve, and check what callers get

The simulation of the core knew one kind of callers whose next request waits for the answer to the last, upstreams of one speed and queues without a bound, so no shortage could be played. Requests of several kinds now arrive at rates of their own through routes of different priority, try again up to three times, and meet upstreams of different speeds that refuse beyond a limit; hosts exchange messages about load, some of which may be lost. Existing configurations draw the same random numbers. Retries of opening packets are scheduled once per time and host; under many openings the copies took most of a run's time.

--- a/crates/pomelorun-core/tests/core/direct.rs
+++ b/crates/pomelorun-core/tests/core/direct.rs
@@ -7,6 +7,7 @@
 mod fixtures;
 mod fleet;
 mod golden;
+mod hard_load;
 mod host;
 mod introspection;
 mod joining;
--- a/crates/pomelorun-core/tests/core/direct/simulation.rs
+++ b/crates/pomelorun-core/tests/core/direct/simulation.rs
@@ -1,25 +1,29 @@
 //! Simulates a deployment in virtual time: hosts, upstreams, and callers that open flows, send
 //! requests, retransmit unanswered packets and time out.
 
+mod hard_load;
+
 use std::{
     cmp::Reverse,
-    collections::{BTreeMap, BinaryHeap},
+    collections::{BTreeMap, BTreeSet, BinaryHeap},
     net::SocketAddrV4,
 };
 
 use pomelorun_core::{
     Millis,
     direct::{
-        Announcement, DirectEvent, DirectHost, DirectoryState, DirectoryUpdate, Disabled,
-        ProbeKind, ProbeResult, ResetPacket, Segment, SegmentKind, Token, Verdict,
+        Announcement, DirectEvent, DirectHost, DirectRoute, DirectoryState, DirectoryUpdate,
+        Disabled, ProbeKind, ProbeResult, ResetPacket, Segment, SegmentKind, Token, Verdict,
     },
 };
 use pomelorun_wire::{FlowKey, HostId, ZoneId};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use crate::direct::fixtures::{
-    SERVICE, addr, announcement, key, open_segment, route, routing, settings,
+pub(crate) use crate::direct::simulation::hard_load::{Burst, KindCounts, RequestKind};
+use crate::direct::{
+    fixtures::{SERVICE, addr, announcement, key, open_segment, route, routing, settings},
+    simulation::hard_load::{HardLoad, PendingRequest, TryEnd},
 };
 
 /// Time after which a request that opens a flow is late, in milliseconds, whatever comes then.
@@ -106,6 +110,8 @@
     started_requests: BTreeMap<FlowKey, u32>,
     /// Number of requests in flight.
     in_flight: u32,
+    /// Requests are served in the reciprocal of this times the usual time.
+    speed: f64,
 }
 
 impl Upstream {
@@ -116,6 +122,7 @@
             slots: [0; 2],
             started_requests: BTreeMap::new(),
             in_flight: 0,
+            speed: 1.0,
         }
     }
 }
@@ -142,6 +149,8 @@
     sends_bad_requests: bool,
     /// Number of answered requests on the current flow.
     answered: u32,
+    /// The request that a caller of a request kind last sent.
+    request: Option<PendingRequest>,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -185,6 +194,20 @@
         upstream: u64,
         result: u8,
     },
+    /// An upstream refused a request because its queue was full.
+    Shed {
+        caller: usize,
+        step: u64,
+    },
+    /// The next request of a kind is due in a zone.
+    Arrive {
+        source: usize,
+    },
+    /// A message about load arrives at a host.
+    LoadMessage {
+        host: usize,
+        id: u64,
+    },
 }
 
 /// Counters of a simulation run.
@@ -225,13 +248,18 @@
     hosts: Vec<(ZoneId, DirectHost)>,
     upstreams: BTreeMap<u64, Upstream>,
     callers: Vec<Caller>,
+    /// Caller of each current flow.
+    caller_by_flow: BTreeMap<FlowKey, usize>,
     partitioned_zone: Option<ZoneId>,
     events: BinaryHeap<Reverse<(u64, u64, Event)>>,
     last_event_id: u64,
+    /// Scheduled retries of opening packets: time and host.
+    scheduled_retries: BTreeSet<(u64, usize)>,
     rng: ChaCha8Rng,
     opened_flows: u32,
     /// Maximum latency of a response that counts as in time, in milliseconds.
     target_latency_ms: u64,
+    hard_load: HardLoad,
 }
 
 impl Simulation {
@@ -241,6 +269,15 @@
 
     /// Creates a simulation whose hosts have some mechanisms switched off.
     pub(crate) fn without(disabled: Disabled, cfg: SimulationConfig, seed: u64) -> Simulation {
+        Simulation::with_routes(disabled, cfg, seed, vec![route(SERVICE, "feed")])
+    }
+
+    fn with_routes(
+        disabled: Disabled,
+        cfg: SimulationConfig,
+        seed: u64,
+        routes: Vec<DirectRoute>,
+    ) -> Simulation {
         let mut simulation = Simulation {
             now: 0,
             counts: Counts::default(),
@@ -249,15 +286,18 @@
             hosts: Vec::new(),
             upstreams: BTreeMap::new(),
             callers: Vec::new(),
+            caller_by_flow: BTreeMap::new(),
             partitioned_zone: None,
             events: BinaryHeap::new(),
             last_event_id: 0,
+            scheduled_retries: BTreeSet::new(),
             rng: ChaCha8Rng::seed_from_u64(seed),
             opened_flows: 0,
             target_latency_ms: cfg.max_work_ms * 4 + 20,
+            hard_load: HardLoad::new(seed),
         };
         let zones: Vec<ZoneId> = (1..=cfg.zones).map(ZoneId).collect();
-        let mut all = vec![routing(1, vec![route(SERVICE, "feed")])];
+        let mut all = vec![routing(1, routes)];
         let ids = (1u64..).zip(zones.iter().cycle());
         for (id, zone) in ids.take(zones.len() * cfg.upstreams_per_zone as usize) {
             all.push(DirectoryUpdate::Upstream(announcement(id, *zone)));
@@ -283,20 +323,7 @@
         }
         for zone in &zones {
             for _ in 0..cfg.callers_per_zone {
-                let at = simulation.callers.len();
-                simulation.callers.push(Caller {
-                    zone: *zone,
-                    flow: crate::direct::fixtures::flow(0),
-                    phase: Phase::Opening,
-                    token: Token::NONE,
-                    upstream: 0,
-                    seq: 0,
-                    ack: 0,
-                    step_started_at: 0,
-                    step: 0,
-                    sends_bad_requests: false,
-                    answered: 0,
-                });
+                let at = simulation.add_caller(*zone, None);
                 let start = simulation.rng.random_range(0..1_000);
                 simulation.now = start;
                 simulation.open_new_flow(at);
@@ -306,6 +333,24 @@
         simulation
     }
 
+    fn add_caller(&mut self, zone: ZoneId, request: Option<PendingRequest>) -> usize {
+        self.callers.push(Caller {
+            zone,
+            flow: crate::direct::fixtures::flow(0),
+            phase: Phase::Opening,
+            token: Token::NONE,
+            upstream: 0,
+            seq: 0,
+            ack: 0,
+            step_started_at: 0,
+            step: 0,
+            sends_bad_requests: false,
+            answered: 0,
+            request,
+        });
+        self.callers.len() - 1
+    }
+
     /// Adds an upstream and announces it to all hosts.
     pub(crate) fn add_upstream(&mut self, zone: ZoneId) -> u64 {
         let id = self.upstreams.keys().last().map_or(1, |it| it + 1);
@@ -414,6 +459,7 @@
                 let now = Millis(self.now);
                 self.hosts[host].1.tick(now);
                 self.process_outputs(host);
+                self.send_load_messages(host);
                 self.schedule(50, Event::Tick(host));
             }
             Event::RetryOpenings(host) => self.retry_openings(host),
@@ -439,6 +485,9 @@
                     let phase = self.callers[caller].phase;
                     self.counts.expired += u64::from(phase == Phase::Requesting);
                     self.counts.late_openings += u64::from(phase == Phase::Opening);
+                    if self.callers[caller].request.is_some() {
+                        return self.end_try(caller, TryEnd::TimedOut);
+                    }
                     self.open_new_flow(caller);
                 }
             }
@@ -451,13 +500,21 @@
                 self.hosts[host].1.apply_probe_result(Millis(self.now), key(upstream), result);
                 self.process_outputs(host);
             }
+            Event::Shed { caller, step } => {
+                self.handle_response(caller, step, ERROR_RESPONSE_BYTES);
+            }
+            Event::Arrive { source } => self.handle_arrival(source),
+            Event::LoadMessage { host, id } => self.handle_load_message(host, id),
         }
     }
 
     fn open_new_flow(&mut self, caller: usize) {
         self.opened_flows += 1;
-        let flow = crate::direct::fixtures::flow(self.opened_flows);
+        let service = self.service_of(caller);
+        let flow = FlowKey { service, ..crate::direct::fixtures::flow(self.opened_flows) };
         let it = &mut self.callers[caller];
+        self.caller_by_flow.remove(&it.flow);
+        self.caller_by_flow.insert(flow, caller);
         it.flow = flow;
         it.phase = Phase::Opening;
         it.token = Token::NONE;
@@ -562,6 +619,10 @@
             return;
         }
         it.started_requests.insert(segment.flow, segment.seq);
+        if self.hard_load.max_in_flight.is_some_and(|max| it.in_flight >= max) {
+            self.schedule(request_delay + response_delay, Event::Shed { caller, step });
+            return;
+        }
         let percent_roll = self.rng.random_range(0..100);
         let bytes = match it.health {
             Health::ErrorPercent(percent) if percent_roll < percent => ERROR_RESPONSE_BYTES,
@@ -570,6 +631,7 @@
             _ => RESPONSE_BYTES,
         };
         let work = self.rng.random_range(1..=self.cfg.max_work_ms) * slowdown;
+        let work = (work as f64 / it.speed).ceil() as u64;
         let free = if it.slots[0] <= it.slots[1] { 0 } else { 1 };
         let end = it.slots[free].max(now) + work;
         it.slots[free] = end;
@@ -605,8 +667,14 @@
             }
             None => true,
         };
+        if !unresponsive {
+            self.handle_response(caller, step, bytes);
+        }
+    }
+
+    fn handle_response(&mut self, caller: usize, step: u64, bytes: u32) {
         let it = &mut self.callers[caller];
-        if unresponsive || it.step != step || it.phase != Phase::Requesting {
+        if it.step != step || it.phase != Phase::Requesting {
             return;
         }
         let failed = bytes == ERROR_RESPONSE_BYTES;
@@ -629,6 +697,9 @@
             }
         }
         let it = &self.callers[caller];
+        if it.request.is_some() {
+            return self.end_try(caller, if failed { TryEnd::Shed } else { TryEnd::Answered });
+        }
         if failed && !it.sends_bad_requests || it.answered >= self.cfg.flow_requests {
             self.send_through_host(
                 caller,
@@ -648,11 +719,10 @@
     }
 
     fn retry_openings(&mut self, host: usize) {
+        self.scheduled_retries.remove(&(self.now, host));
         for it in self.hosts[host].1.retry_openings(Millis(self.now)) {
             self.counts.retries += 1;
-            let Some(caller) = self.callers.iter().position(|caller| caller.flow == it.flow) else {
-                continue;
-            };
+            let Some(caller) = self.caller_by_flow.get(&it.flow).copied() else { continue };
             let segment = open_segment(it.flow, 0);
             self.deliver(caller, host, &segment, it.id, it.token);
         }
@@ -662,7 +732,10 @@
     fn process_outputs(&mut self, host: usize) {
         let from = self.hosts[host].0;
         if let Some(due) = self.hosts[host].1.next_opening_retry() {
-            self.schedule(due.0.saturating_sub(self.now), Event::RetryOpenings(host));
+            let delay = due.0.saturating_sub(self.now);
+            if self.scheduled_retries.insert((self.now + delay, host)) {
+                self.schedule(delay, Event::RetryOpenings(host));
+            }
         }
         for it in self.hosts[host].1.take_resets() {
             self.reset(host, it);
@@ -740,9 +813,7 @@
     }
 
     fn reset(&mut self, host: usize, it: ResetPacket) {
-        let Some(caller) = self.callers.iter().position(|caller| caller.flow == it.flow) else {
-            return;
-        };
+        let Some(caller) = self.caller_by_flow.get(&it.flow).copied() else { return };
         let open = self.callers[caller].phase != Phase::Opening;
         let upstream = self.upstreams.get(&self.callers[caller].upstream);
         if open && let Some(upstream) = upstream {
@@ -752,6 +823,9 @@
                 u64::from(alive && self.can_reach(self.hosts[host].0, upstream.zone));
             self.last_reset = self.now;
         }
+        if self.callers[caller].request.is_some() {
+            return self.end_try(caller, if open { TryEnd::Reset } else { TryEnd::Rejected });
+        }
         self.open_new_flow(caller);
     }
 }
