Let a reset travel to the simulated caller before it tries again

A caller whose opening was rejected sent its next try in the same millisecond, so that all tries met the same state of the host. It now waits for the way of the reset and of its next packet.

--- a/crates/pomelorun-core/tests/core/direct/simulation/hard_load.rs
+++ b/crates/pomelorun-core/tests/core/direct/simulation/hard_load.rs
@@ -18,7 +18,9 @@
 
 use crate::direct::{
     fixtures::SERVICE,
-    simulation::{Event, Phase, REQUEST_TIMEOUT_MS, Simulation, SimulationConfig},
+    simulation::{
+        Event, Phase, REQUEST_TIMEOUT_MS, SAME_ZONE_DELAY_MS, Simulation, SimulationConfig,
+    },
 };
 
 /// Maximum number of tries of a request.
@@ -298,8 +300,16 @@
         let again = matches!(end, TryEnd::Shed | TryEnd::Rejected | TryEnd::Reset);
         if again && request.tries < MAX_TRIES {
             request.tries += 1;
-            self.callers[caller].request = Some(request);
-            return self.open_new_flow(caller);
+            let it = &mut self.callers[caller];
+            it.request = Some(request);
+            if end == TryEnd::Shed {
+                return self.open_new_flow(caller);
+            }
+            // The reset has to travel from the host to the caller.
+            it.phase = Phase::Thinking;
+            it.step += 1;
+            let step = it.step;
+            return self.schedule(2 * SAME_ZONE_DELAY_MS, Event::Reopen { caller, step });
         }
         self.end_request(caller, request, end == TryEnd::Answered);
     }
