--- a/crates/pomelorun-core/tests/core/direct.rs
+++ b/crates/pomelorun-core/tests/core/direct.rs
@@ -9,6 +9,7 @@
 mod fleet;
 mod full_upstreams;
 mod golden;
+mod hard_load;
 mod host;
 mod introspection;
 mod joining;
