Count a host's own flows only while requests are in progress

Each flow that a host placed counted as load for 400 ms of half-life, however short its requests were, and still after the summaries included it, so that upstreams without a request looked full in calm.

A host now adds its own requests in progress beyond those that it had reported when the last summary of its zone came. An answer counts as possibly queued by the other requests at the upstream, without itself.

--- a/crates/pomelorun-core/src/direct/host/failure_detection.rs
+++ b/crates/pomelorun-core/src/direct/host/failure_detection.rs
@@ -161,10 +161,10 @@
     ) {
         let Some(it) = self.registry.get(ix) else { return };
         let (zone, slots) = (it.announcement.zone, it.announcement.slots);
-        let shared = self.shared_in_progress(now, it);
         let load = &mut self.upstream_states[ix.0 as usize].load;
         let has_queued = load.remove_waiting(now, sent_at, slots);
         let Some(route) = route else { return };
+        let shared = self.shared_in_progress(now, ix);
         let sample = AnswerSample {
             route,
             took: now.since(sent_at),
--- a/crates/pomelorun-core/src/direct/host/flow_placement.rs
+++ b/crates/pomelorun-core/src/direct/host/flow_placement.rs
@@ -90,7 +90,6 @@
             OpenCause::Retransmission => self.stats.retried_opens += 1,
             OpenCause::Overdue => self.stats.overdue_opens += 1,
         }
-        self.count_placed(now, best.ix);
         attempts.upstreams.push(best.ix);
         self.await_answer(now, seg, zone, attempts.upstreams.len());
         self.flows.insert(Flow {
@@ -221,18 +220,12 @@
             load_share: 1.0,
             slots: it.announcement.slots,
             speed: if knows_speed { speed } else { 1.0 },
-            shared_in_progress: self.shared_in_progress(now, it),
+            shared_in_progress: self.shared_in_progress(now, ix),
             penalty: if_enabled(Mechanism::OutlierEjection, state.outlier.penalty(now)),
             tie_break: 0,
         }
     }
 
-    /// Returns the number of requests in progress at an upstream through all hosts, if it is known.
-    pub(super) fn shared_in_progress(&self, now: Millis, it: &Upstream) -> Option<f64> {
-        let is_shared = self.is_enabled(Mechanism::SharedLoad);
-        is_shared.then(|| self.shared_load.in_progress(now, it.token)).flatten()
-    }
-
     /// Returns the rank of an upstream for new flows, or why it is not eligible.
     pub(super) fn classify(
         &self,
--- a/crates/pomelorun-core/src/direct/host/introspection.rs
+++ b/crates/pomelorun-core/src/direct/host/introspection.rs
@@ -106,7 +106,7 @@
             cold_left_ms: it.cold_until.since(now).0,
             lapsed_ms: it.lapsed_at.map(|at| now.since(at).0),
             waiting: state.load.waiting,
-            shared_in_progress: self.shared_load.in_progress(now, it.token),
+            shared_in_progress: self.shared_in_progress(now, ix),
             speed: Some(self.shared_load.speed(it.token)).filter(|it| *it != 1.0),
             choice: choice.ok(),
             ineligible: choice.err(),
--- a/crates/pomelorun-core/src/direct/host/load_sharing.rs
+++ b/crates/pomelorun-core/src/direct/host/load_sharing.rs
@@ -219,11 +219,16 @@
         }
     }
 
-    /// Records that a flow was placed on an upstream.
-    pub(super) fn count_placed(&mut self, now: Millis, ix: UpstreamIx) {
-        if let Some(it) = self.registry.get(ix).filter(|_| self.shares_load()) {
-            self.shared_load.record_placed(now, it.token);
-        }
+    /// Returns the number of requests in progress at an upstream through all hosts, if it is known.
+    pub(super) fn shared_in_progress(&self, now: Millis, ix: UpstreamIx) -> Option<f64> {
+        let it = self.registry.get(ix).filter(|_| self.is_enabled(Mechanism::SharedLoad))?;
+        self.shared_load.in_progress(now, it.token, self.own_in_progress(ix))
+    }
+
+    /// Returns the number of requests in progress at an upstream through this host.
+    fn own_in_progress(&self, ix: UpstreamIx) -> u32 {
+        let waiting = self.upstream_states.get(ix.0 as usize).map_or(0, |it| it.load.waiting);
+        self.load_sharing.overdue.in_progress(ix, waiting)
     }
 
     /// Records how long an upstream took to answer a request.
@@ -266,7 +271,6 @@
         });
         overdue.settle(waiting);
         sampler.sample(now, |ix| overdue.in_progress(ix, waiting(ix)));
-        self.shared_load.forget_placed(now);
     }
 
     fn report_load(&mut self, now: Millis, interval: Millis, collector: Option<HostId>) {
@@ -278,6 +282,7 @@
             |addr| service_times.get(addr),
         );
         let Some(collector) = collector else { return };
+        self.shared_load.record_report(&parts);
         for it in parts {
             if collector == self.cfg.host {
                 self.load_sharing.collector.apply(now, collector, &it);
@@ -314,7 +319,7 @@
             let upstream = registry.by_token(token).and_then(|it| registry.get(it));
             UpstreamHint {
                 slots: upstream.map_or(1, |it| it.announcement.slots),
-                in_progress: shared.in_progress(now, token).unwrap_or(0.0),
+                in_progress: shared.in_progress(now, token, 0).unwrap_or(0.0),
             }
         });
         self.shared_load.apply(now, &summary, recent);
--- a/crates/pomelorun-core/src/direct/host/overload_control.rs
+++ b/crates/pomelorun-core/src/direct/host/overload_control.rs
@@ -125,7 +125,7 @@
             let Some(it) = self.registry.get(ix).filter(|it| self.takes_flows(now, ix, it)) else {
                 continue;
             };
-            let in_progress = shared.in_progress(now, it.token);
+            let in_progress = self.shared_in_progress(now, ix);
             is_known |= in_progress.is_some();
             own_in_progress += f64::from(self.upstream_states[ix.0 as usize].load.waiting);
             rooms.push(UpstreamRoom {
--- a/crates/pomelorun-core/src/direct/shared_load.rs
+++ b/crates/pomelorun-core/src/direct/shared_load.rs
@@ -9,10 +9,9 @@
 
 use crate::{
     direct::{
-        decaying_sum::DecayingSum,
         load_report::{
-            ByteBudget, IN_PROGRESS_UNIT, LoadSummary, MAX_ROUTE_BYTES, MAX_ROW_BYTES, RouteReport,
-            UpstreamSum,
+            ByteBudget, IN_PROGRESS_UNIT, LoadReport, LoadSummary, MAX_ROUTE_BYTES, MAX_ROW_BYTES,
+            RouteReport, UpstreamSum,
         },
         token::Token,
     },
@@ -29,13 +28,6 @@
 const SPEED_TTL: Millis = Millis(120_000);
 /// Time for which the rate of an address counts that is not confirmed.
 const ROUTES_TTL: Millis = Millis(10_000);
-/// Half-life of a flow that this host has placed, in milliseconds: about the time until a summary
-/// includes it.
-const PLACED_HALF_LIFE_MS: f64 = 400.0;
-/// Most flows that this host counts at one upstream beyond the summaries.
-const MAX_PLACED: f64 = 8.0;
-/// Number of placed flows below which they are forgotten.
-const MIN_PLACED: f64 = 0.05;
 /// Speed of an upstream of which nothing is known, in percent.
 pub(crate) const USUAL_SPEED_PERCENT: u16 = 100;
 
@@ -125,6 +117,9 @@
     }
 }
 
+/// Requests in progress by upstream in a report of this host, in [`IN_PROGRESS_UNIT`], sorted.
+type OwnReport = Vec<(Token, u16)>;
+
 /// Load and speed of upstreams and rates of addresses, summed over the zones whose summaries are
 /// recent.
 #[derive(Debug, Default)]
@@ -133,21 +128,24 @@
     own_zone: Option<ZoneId>,
     /// Sorted by zone.
     zones: Vec<ZoneLoad>,
-    /// Flows that this host has placed lately, sorted by token.
-    placed: Vec<(Token, DecayingSum)>,
+    /// What this host has reported last.
+    reported: OwnReport,
+    /// What it had reported when the last summary of its zone came, which includes that.
+    included: OwnReport,
 }
 
 impl SharedLoad {
     /// Returns the mean number of requests in progress at an upstream over all hosts, or `None` while
     /// no recent summary tells.
     ///
-    /// Flows that this host has placed since are included.
-    pub(crate) fn in_progress(&self, now: Millis, token: Token) -> Option<f64> {
-        self.own_recent(now)?;
+    /// Of the `own` requests in progress through this host, those are added that the sums do not
+    /// include yet.
+    pub(crate) fn in_progress(&self, now: Millis, token: Token, own: u32) -> Option<f64> {
+        let zone_sum = self.own_recent(now)?.in_progress(now, token);
         let sum: f64 = self.recent(now).map(|it| it.in_progress(now, token)).sum();
-        let placed = self.placed.binary_search_by_key(&token, |it| it.0);
-        let placed = placed.map_or(0.0, |at| self.placed[at].1.value_at(now, PLACED_HALF_LIFE_MS));
-        Some(sum + placed.min(MAX_PLACED))
+        let included = self.included.binary_search_by_key(&token, |it| it.0);
+        let included = included.map_or(0.0, |at| f64::from(self.included[at].1) * IN_PROGRESS_UNIT);
+        Some(sum + (f64::from(own) - included.min(zone_sum)).max(0.0))
     }
 
     /// Returns the speed of an upstream relative to its service, 1 if nothing is known.
@@ -249,27 +247,17 @@
             }
         };
         self.zones[at].apply(now, summary, recent_for);
-        SummaryEffect::Applied
-    }
-
-    /// Records that this host has placed a flow on an upstream.
-    pub(crate) fn record_placed(&mut self, now: Millis, token: Token) {
-        if self.own_recent(now).is_none() {
-            return;
+        if self.own_zone == Some(summary.zone) {
+            self.included.clone_from(&self.reported);
         }
-        let at = match self.placed.binary_search_by_key(&token, |it| it.0) {
-            Ok(at) => at,
-            Err(at) => {
-                self.placed.insert(at, (token, DecayingSum::default()));
-                at
-            }
-        };
-        self.placed[at].1.add(now, PLACED_HALF_LIFE_MS, 1.0);
+        SummaryEffect::Applied
     }
 
-    /// Forgets placed flows that the summaries include by now.
-    pub(crate) fn forget_placed(&mut self, now: Millis) {
-        self.placed.retain(|it| it.1.value_at(now, PLACED_HALF_LIFE_MS) >= MIN_PLACED);
+    /// Records the report that this host sends to its collector.
+    pub(crate) fn record_report(&mut self, parts: &[LoadReport]) {
+        let rows = parts.iter().flat_map(|it| &it.upstreams);
+        self.reported = rows.map(|it| (it.token, it.in_progress)).collect();
+        self.reported.sort_unstable();
     }
 
     /// Keeps only the sums of these zones, which are sorted.
--- a/crates/pomelorun-core/tests/core/direct/load_sharing.rs
+++ b/crates/pomelorun-core/tests/core/direct/load_sharing.rs
@@ -15,7 +15,9 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use crate::direct::fixtures::{SERVICE, announcement, data_segment, flow, key, route, settings};
+use crate::direct::fixtures::{
+    SERVICE, announcement, data_segment, flow, key, open_segment, route, settings,
+};
 
 const TICK: Millis = Millis(50);
 /// Largest payload of a datagram between hosts.
@@ -240,6 +242,40 @@
     assert_near(mesh.in_progress(1, 2), 1.0, 0.5);
 }
 
+/// Returns the mean number of requests in progress at the only upstream as host 0 sees it, while a
+/// flow with one request is opened through each of the `busy` hosts every 100 ms, which is answered
+/// after a number of ticks.
+fn mean_seen(busy: usize, ticks: usize) -> f64 {
+    let mut mesh = Mesh::new(3, 1, 1);
+    let mut running = VecDeque::new();
+    let mut seen = Vec::new();
+    for step in 0..400 {
+        for host in (0..busy).filter(|_| step % 2 == 0) {
+            let flow = flow((step * 3 + host) as u32);
+            mesh.hosts[host].handle_packet(mesh.now, &open_segment(flow, 0));
+            mesh.request(host, 1, flow);
+            running.push_back((step + ticks, host, flow));
+        }
+        while let Some((_, host, flow)) = running.pop_front_if(|it| it.0 <= step) {
+            mesh.answer(host, 1, flow);
+        }
+        mesh.step();
+        if step >= 100 {
+            seen.push(mesh.in_progress(0, 1).expect("the load is shared"));
+        }
+    }
+    seen.iter().sum::<f64>() / seen.len() as f64
+}
+
+#[test]
+fn flows_count_as_long_as_their_requests_in_calm() {
+    assert!(mean_seen(1, 0) <= 0.25, "{} instead of none", mean_seen(1, 0));
+    for (busy, ticks) in [(1, 2), (3, 2), (3, 6)] {
+        let (seen, expected) = (mean_seen(busy, ticks), (busy * ticks) as f64 / 2.0);
+        assert!((seen - expected).abs() <= 0.5, "{seen} instead of {expected}");
+    }
+}
+
 #[test]
 fn rates_of_addresses_are_added_up() {
     let mut mesh = Mesh::new(4, 2, 4);
