Require reports of most hosts of a zone for its sum to count

A collector that had paused for longer than reports count, or that heard few hosts, went on serving and its partial sum was believed.

It now stops after such a pause and while half of the zone's hosts or fewer report, and hosts do not count a sum of fewer than half of a zone's live hosts.

--- a/crates/pomelorun-core/src/direct/host/load_sharing.rs
+++ b/crates/pomelorun-core/src/direct/host/load_sharing.rs
@@ -31,7 +31,7 @@
 const MAX_INTERVAL: Millis = Millis(3_000);
 /// Time between two reports per host of a zone, so that its collector gets at most 100 a second.
 const INTERVAL_PER_HOST: Millis = Millis(10);
-/// Time after which a host that ranks first serves as the collector although few others report.
+/// Time after which a host that ranks first and knows no other one serves as the collector.
 const TAKE_OVER_DELAY: Millis = Millis(2_000);
 /// Salt that makes the ranking of collectors independent of other rankings.
 const COLLECTOR_SALT: u64 = 0x6c6f_6164;
@@ -63,7 +63,9 @@
     hosts: Vec<(ZoneId, HostId)>,
     /// Collector of each zone, sorted by zone.
     collectors: Vec<(ZoneId, HostId)>,
-    /// Since when this host ranks first in its zone.
+    /// When the load was last recorded.
+    last_tick: Option<Millis>,
+    /// Since when this host ranks first in its zone and has not paused.
     ranks_first_since: Option<Millis>,
     /// `true` once the first report and summary are scheduled.
     has_started: bool,
@@ -92,6 +94,11 @@
         &self.hosts[start..start + len]
     }
 
+    /// Returns the number of hosts of each zone, sorted.
+    fn zone_hosts(&self) -> Vec<(ZoneId, usize)> {
+        self.collectors.iter().map(|it| (it.0, self.hosts_in(it.0).len())).collect()
+    }
+
     fn is_in(&self, zone: ZoneId, host: HostId) -> bool {
         self.hosts.binary_search(&(zone, host)).is_ok()
     }
@@ -120,8 +127,7 @@
         sharing.collectors =
             zones.filter_map(|zone| zone.iter().max_by_key(rank).copied()).collect();
         sharing.hosts = hosts;
-        let zones: Vec<ZoneId> = sharing.collectors.iter().map(|it| it.0).collect();
-        self.shared_load.retain_zones(&zones);
+        self.shared_load.set_zones(sharing.zone_hosts());
         self.shared_load.set_own_zone(self.cfg.zone);
     }
 
@@ -184,6 +190,12 @@
         let sharing = &mut self.load_sharing;
         let interval = sharing.interval(zone);
         let collector = sharing.collector_of(zone);
+        let last_tick = sharing.last_tick.replace(now).unwrap_or(now);
+        if now.since(last_tick) + interval >= recent_for(interval) {
+            // Most reports are too old, and others may have taken over.
+            sharing.is_serving = false;
+            sharing.ranks_first_since = None;
+        }
         if !std::mem::replace(&mut sharing.has_started, true) {
             // Hosts that start together do not report together.
             let phase = |salt: u64| Millis(rendezvous_score(me.0, salt) % interval.0);
@@ -258,6 +270,7 @@
         self.load_sharing = LoadSharing { hosts, collectors, ..LoadSharing::default() };
         self.shared_load = SharedLoad::default();
         self.shared_load.set_own_zone(self.cfg.zone);
+        self.shared_load.set_zones(self.load_sharing.zone_hosts());
     }
 
     fn sample_load(&mut self, now: Millis) {
@@ -297,10 +310,14 @@
         let sharing = &mut self.load_sharing;
         let zone_hosts = sharing.hosts_in(zone).len();
         let heard = sharing.collector.recent_hosts(now, recent);
-        // A host that knows no other one has probably just started.
-        let is_informed = sharing.hosts.len() > 1 && heard * 2 > zone_hosts;
-        let has_waited = now.since(ranks_first_since) >= TAKE_OVER_DELAY;
-        if !sharing.is_serving && !is_informed && !has_waited {
+        let is_due = match sharing.hosts.len() {
+            // Has probably just started.
+            1 => now.since(ranks_first_since) >= TAKE_OVER_DELAY,
+            // All may report within an interval.
+            _ => heard >= zone_hosts || now.since(ranks_first_since) >= interval,
+        };
+        if heard * 2 <= zone_hosts || !sharing.is_serving && !is_due {
+            sharing.is_serving = false;
             return;
         }
         let known = self.shared_load.incarnation(zone);
--- a/crates/pomelorun-core/src/direct/shared_load.rs
+++ b/crates/pomelorun-core/src/direct/shared_load.rs
@@ -128,6 +128,8 @@
     own_zone: Option<ZoneId>,
     /// Sorted by zone.
     zones: Vec<ZoneLoad>,
+    /// Number of live hosts of each zone, sorted.
+    zone_hosts: Vec<(ZoneId, usize)>,
     /// What this host has reported last.
     reported: OwnReport,
     /// What it had reported when the last summary of its zone came, which includes that.
@@ -260,9 +262,10 @@
         self.reported.sort_unstable();
     }
 
-    /// Keeps only the sums of these zones, which are sorted.
-    pub(crate) fn retain_zones(&mut self, zones: &[ZoneId]) {
-        self.zones.retain(|it| zones.binary_search(&it.zone).is_ok());
+    /// Sets the zones with their numbers of live hosts, sorted, and drops the sums of others.
+    pub(crate) fn set_zones(&mut self, zones: Vec<(ZoneId, usize)>) {
+        self.zones.retain(|it| zones.binary_search_by_key(&it.zone, |it| it.0).is_ok());
+        self.zone_hosts = zones;
     }
 
     /// Returns all that is known of the other zones, in messages for a host that joins.
@@ -277,7 +280,13 @@
     }
 
     fn recent(&self, now: Millis) -> impl Iterator<Item = &ZoneLoad> {
-        self.zones.iter().filter(move |it| it.is_recent(now))
+        self.zones.iter().filter(move |it| it.is_recent(now) && self.is_of_most_hosts(it))
+    }
+
+    /// Returns `true` unless a sum is that of fewer than half of the hosts of its zone.
+    fn is_of_most_hosts(&self, it: &ZoneLoad) -> bool {
+        let known = self.zone_hosts.binary_search_by_key(&it.zone, |it| it.0);
+        known.is_ok_and(|at| usize::from(it.hosts) * 2 >= self.zone_hosts[at].1)
     }
 }
 
--- a/crates/pomelorun-core/tests/core/direct/load_sharing.rs
+++ b/crates/pomelorun-core/tests/core/direct/load_sharing.rs
@@ -354,6 +354,66 @@
     }
 }
 
+/// Asserts that hosts know nothing, the 6 requests through one zone or the 12 through both, and never
+/// a part of a zone's. Returns how many times the load was known in zone 1.
+fn known_without_partial_sums(mesh: &mut Mesh, ms: u64) -> usize {
+    let end = mesh.now + Millis(ms);
+    let mut known = 0;
+    while mesh.now < end {
+        mesh.step();
+        for host in 0..6 {
+            let Some(seen) = mesh.in_progress(host, 1) else { continue };
+            let is_own = mesh.ids[host].0 == ZoneId(1);
+            let is_whole = [6.0, 12.0].iter().any(|it| (seen - it).abs() <= 0.3);
+            assert!(is_whole, "{seen} requests at host {host} at {:?}", mesh.now);
+            known += usize::from(is_own);
+        }
+    }
+    known
+}
+
+#[test]
+fn paused_collector_is_not_believed_until_it_has_heard_most_hosts() {
+    for pause in [1_900, 2_200, 5_000] {
+        let mut mesh = loaded_mesh();
+        let collector = mesh.collector(ZoneId(1));
+        mesh.up[collector] = false;
+        mesh.run(pause);
+        mesh.up[collector] = true;
+        known_without_partial_sums(&mut mesh, 2_000);
+        assert!(known_without_partial_sums(&mut mesh, 500) > 0);
+    }
+}
+
+#[test]
+fn collector_that_hears_few_hosts_is_not_believed() {
+    let mut mesh = loaded_mesh();
+    let deaf = mesh.ids[mesh.collector(ZoneId(1))].1;
+    mesh.lost = Box::new(move |from, to| from.0 % 2 == 0 && to == deaf);
+    known_without_partial_sums(&mut mesh, 4_500);
+    assert_eq!(known_without_partial_sums(&mut mesh, 2_000), 0);
+}
+
+#[test]
+fn sum_of_few_hosts_is_not_believed() {
+    let mut mesh = loaded_mesh();
+    let (zone, from) = (ZoneId(1), mesh.ids[mesh.collector(ZoneId(1))].1);
+    mesh.hosts[0].apply_load_summary(
+        mesh.now,
+        from,
+        &LoadSummary {
+            zone,
+            incarnation: u64::MAX / 2,
+            seq: 1,
+            hosts: 1,
+            age_ms: 0,
+            upstreams: vec![],
+            routes: vec![],
+        },
+    );
+    assert_eq!(mesh.in_progress(0, 1), None);
+}
+
 #[test]
 fn joining_host_gets_the_whole_picture_at_once() {
     let mut mesh = Mesh::new(8, 2, 300);
