Let speeds fade that no collector confirms

A speed counted for as long as no message replaced it, a successor repeated what it had been told without end, and a collector that had started again never told that a speed was the usual one again.

Speeds and usual times now count only while their zone is heard and they are confirmed. A successor takes the speeds that it was told as answers that fade like others, and a term starts with all values, which replace the former ones.

--- a/crates/pomelorun-core/src/direct/host/flow_placement.rs
+++ b/crates/pomelorun-core/src/direct/host/flow_placement.rs
@@ -205,7 +205,7 @@
     /// Returns an upstream as a candidate with its load, and with the rank [`Choice::Good`].
     pub(super) fn candidate(&self, now: Millis, ix: UpstreamIx, it: &Upstream) -> Candidate {
         let state = &self.upstream_states[ix.0 as usize];
-        let speed = self.shared_load.speed(it.token).clamp(SPEED_BOUNDS.0, SPEED_BOUNDS.1);
+        let speed = self.shared_load.speed(now, it.token).clamp(SPEED_BOUNDS.0, SPEED_BOUNDS.1);
         let knows_speed = self.is_enabled(Mechanism::UpstreamSpeed);
         let if_enabled =
             |mechanism, value: f64| if self.is_enabled(mechanism) { value } else { 0.0 };
--- a/crates/pomelorun-core/src/direct/host/introspection.rs
+++ b/crates/pomelorun-core/src/direct/host/introspection.rs
@@ -79,7 +79,7 @@
             Some(RouteLoadView {
                 address: SocketAddrV4::new(addr.ip.into(), addr.port),
                 requests_per_s: self.shared_load.requests_per_s(now, addr)?,
-                service_time_ms: self.shared_load.service_time_ms(addr),
+                service_time_ms: self.shared_load.service_time_ms(now, addr),
             })
         };
         let routes = self.shared_load.addresses().into_iter().filter_map(route).collect();
@@ -107,7 +107,7 @@
             lapsed_ms: it.lapsed_at.map(|at| now.since(at).0),
             waiting: state.load.waiting,
             shared_in_progress: self.shared_in_progress(now, ix),
-            speed: Some(self.shared_load.speed(it.token)).filter(|it| *it != 1.0),
+            speed: Some(self.shared_load.speed(now, it.token)).filter(|it| *it != 1.0),
             choice: choice.ok(),
             ineligible: choice.err(),
             score: Candidate { load_share, ..self.candidate(now, ix, it) }.score(),
--- a/crates/pomelorun-core/src/direct/host/load_sharing.rs
+++ b/crates/pomelorun-core/src/direct/host/load_sharing.rs
@@ -322,10 +322,11 @@
         }
         let known = self.shared_load.incarnation(zone);
         let term = sharing.collector.incarnation();
-        if !sharing.is_serving || known.is_some_and(|it| it > term) {
+        let starts = !sharing.is_serving || known.is_some_and(|it| it > term);
+        if starts {
             // Above that of any predecessor, so that its sum is replaced and not added to.
             let next = known.unwrap_or(0).max(term).saturating_add(1).max(now.0);
-            sharing.collector.start_term(now, next, &self.shared_load.zone_upstreams(zone));
+            sharing.collector.start_term(now, next, &self.shared_load.zone_upstreams(now, zone));
             sharing.is_serving = true;
             sharing.joined.clear();
         }
@@ -339,13 +340,20 @@
                 in_progress: shared.in_progress(now, token, 0).unwrap_or(0.0),
             }
         });
-        self.shared_load.apply(now, &summary, recent);
+        let messages = if starts {
+            split_summary(&sharing.collector.full_summary(now, scope))
+        } else {
+            vec![summary]
+        };
         self.send_to_joined(now, scope);
-        self.send_to_zone(&summary);
-        let sharing = &mut self.load_sharing;
-        let others = sharing.collectors.iter().filter(|it| it.0 != zone);
-        let messages = others.map(|it| (it.1, LoadMessage::Summary(summary.clone())));
-        sharing.out.extend(messages);
+        for it in &messages {
+            self.shared_load.apply(now, it, recent);
+            self.send_to_zone(it);
+            let sharing = &mut self.load_sharing;
+            let others = sharing.collectors.iter().filter(|it| it.0 != zone);
+            let messages = others.map(|to| (to.1, LoadMessage::Summary(it.clone())));
+            sharing.out.extend(messages);
+        }
     }
 
     fn send_to_zone(&mut self, summary: &LoadSummary) {
--- a/crates/pomelorun-core/src/direct/host/overload_control.rs
+++ b/crates/pomelorun-core/src/direct/host/overload_control.rs
@@ -42,7 +42,7 @@
             urgency,
             flow_hash: seg.flow.stable_hash(),
             timeout: route.class.timeout,
-            service_time_ms: self.shared_load.service_time_ms(route.addr),
+            service_time_ms: self.shared_load.service_time_ms(now, route.addr),
             was_sent: !attempts.upstreams.is_empty()
                 || !self.is_enabled(Mechanism::OverloadRejection),
         };
@@ -134,7 +134,7 @@
                 zone: it.announcement.zone,
                 in_progress: in_progress.unwrap_or(0.0),
                 slots: f64::from(it.announcement.slots),
-                speed: shared.speed(it.token),
+                speed: shared.speed(now, it.token),
                 reserved: false,
             });
         }
@@ -144,7 +144,7 @@
         let routes = || self.routing.routes().iter().filter(|it| it.share_of(service) > 0.0);
         let busy_slots = |it: &DirectRoute| {
             let per_s = shared.requests_per_s(now, it.addr)?;
-            Some(per_s * shared.service_time_ms(it.addr)? / 1_000.0 * it.share_of(service))
+            Some(per_s * shared.service_time_ms(now, it.addr)? / 1_000.0 * it.share_of(service))
         };
         let urgent = routes().filter(|it| it.class.priority == most);
         let urgent_slots = urgent.map(busy_slots).fold(None, |sum: Option<f64>, it| match it {
@@ -153,7 +153,7 @@
         });
         // Of the least urgent routes, the one with the strictest goal.
         let targets = routes().filter(|it| it.class.priority == least).map(|it| {
-            let service_time_ms = shared.service_time_ms(it.addr);
+            let service_time_ms = shared.service_time_ms(now, it.addr);
             (target_per_slot(it.answer_within, service_time_ms), service_time_ms)
         });
         let (target, service_time_ms) = targets.min_by(|a, b| a.0.total_cmp(&b.0))?;
--- a/crates/pomelorun-core/src/direct/load_collector.rs
+++ b/crates/pomelorun-core/src/direct/load_collector.rs
@@ -36,6 +36,8 @@
 const LOADED_PER_SLOT: f64 = 0.75;
 /// Time after which the rate of an address no longer counts.
 const ROUTES_TTL: Millis = Millis(10_000);
+/// Number of answers that the speed counts as which a predecessor has told.
+const KNOWN_SPEED_ANSWERS: u16 = 64;
 /// Time after which an upstream without samples is forgotten.
 const SPEED_TTL: Millis = Millis(120_000);
 
@@ -88,10 +90,6 @@
     speeds: Vec<(Token, SpeedEstimate, Millis)>,
     /// Sorted by token.
     sent: Vec<SentSum>,
-    /// Speeds in percent that the predecessor has told, which count until this host knows them,
-    /// sorted by token.
-    inherited: Vec<(Token, u16)>,
-    term_start: Millis,
     incarnation: u64,
     seq: u32,
 }
@@ -150,13 +148,20 @@
 
     /// Starts to send summaries, in a term above that of the predecessor.
     ///
-    /// What the predecessor has told this host counts as sent.
+    /// What the predecessor has told this host counts as sent, and its speeds as answers to this
+    /// host's zone, which fade like others.
     pub(crate) fn start_term(&mut self, now: Millis, incarnation: u64, known: &[UpstreamSum]) {
         self.incarnation = incarnation;
         self.seq = 0;
         self.sent = known.iter().map(|&sum| SentSum { sum, at: now }).collect();
-        self.inherited = known.iter().map(|it| (it.token, it.speed_percent)).collect();
-        self.term_start = now;
+        for it in known.iter().filter(|it| it.speed_percent != USUAL_SPEED_PERCENT) {
+            if self.speeds.binary_search_by_key(&it.token, |it| it.0).is_err() {
+                let slowness = -(f64::from(it.speed_percent) / 100.0).ln();
+                let slowness_milli = (slowness * 1_000.0 * f64::from(KNOWN_SPEED_ANSWERS)) as i32;
+                let samples = SpeedSamples { count: KNOWN_SPEED_ANSWERS, slowness_milli };
+                self.add_speed(now, it.token, samples);
+            }
+        }
     }
 
     /// Returns the term.
@@ -168,9 +173,6 @@
     pub(crate) fn expire(&mut self, now: Millis, recent_for: Millis) {
         self.reports.retain(|it| now.since(it.received_at) < recent_for);
         self.speeds.retain(|it| now.since(it.2) < SPEED_TTL);
-        if now.since(self.term_start) >= SPEED_TTL {
-            self.inherited.clear();
-        }
     }
 
     /// Returns the next summary: what has changed, and some of the rest.
@@ -197,7 +199,7 @@
         LoadSummary { upstreams: due, routes, ..self.header(now, scope) }
     }
 
-    /// Returns all values that were sent last, for a host that joins.
+    /// Returns all values that were sent last, for a host that joins and for the start of a term.
     pub(crate) fn full_summary(&self, now: Millis, scope: SummaryScope) -> LoadSummary {
         let upstreams = self.sent.iter().map(|it| it.sum).collect();
         let routes = fit_routes(self.sum_routes(now), ByteBudget(MAX_ROUTE_BYTES));
@@ -239,11 +241,7 @@
     fn speed_percent(&self, now: Millis, token: Token) -> u16 {
         let own = self.speeds.binary_search_by_key(&token, |it| it.0);
         let own = own.map_or(1.0, |at| self.speeds[at].1.speed(now));
-        if own != 1.0 {
-            return (own * 100.0).round().clamp(1.0, f64::from(u16::MAX)) as u16;
-        }
-        let inherited = self.inherited.binary_search_by_key(&token, |it| it.0);
-        inherited.map_or(USUAL_SPEED_PERCENT, |at| self.inherited[at].1)
+        (own * 100.0).round().clamp(1.0, f64::from(u16::MAX)) as u16
     }
 
     fn last_sent(&self, token: Token) -> Option<&SentSum> {
--- a/crates/pomelorun-core/src/direct/shared_load.rs
+++ b/crates/pomelorun-core/src/direct/shared_load.rs
@@ -26,6 +26,9 @@
 const IN_PROGRESS_TTL: Millis = Millis(10_000);
 /// Time for which a speed counts that is not confirmed.
 const SPEED_TTL: Millis = Millis(120_000);
+/// Time for which speeds count of a zone that is silent: longer than a collector's successor takes
+/// to tell them again.
+const SILENT_ZONE_TTL: Millis = Millis(10_000);
 /// Time for which the rate of an address counts that is not confirmed.
 const ROUTES_TTL: Millis = Millis(10_000);
 /// Speed of an upstream of which nothing is known, in percent.
@@ -80,17 +83,35 @@
         Some(&self.upstreams[at])
     }
 
+    fn is_silent(&self, now: Millis) -> bool {
+        now.since(self.received_at) >= SILENT_ZONE_TTL
+    }
+
+    /// Returns the speed of an upstream in percent, if it is known and not the usual one.
+    fn speed_percent(&self, now: Millis, token: Token) -> Option<u16> {
+        let entry = self.upstream(token).filter(|it| now.since(it.confirmed_at) < SPEED_TTL);
+        let speed = entry.filter(|_| !self.is_silent(now))?.sum.speed_percent;
+        (speed != USUAL_SPEED_PERCENT).then_some(speed)
+    }
+
     fn in_progress(&self, now: Millis, token: Token) -> f64 {
         let entry = self.upstream(token).filter(|it| now.since(it.confirmed_at) < IN_PROGRESS_TTL);
         entry.map_or(0.0, |it| f64::from(it.sum.in_progress) * IN_PROGRESS_UNIT)
     }
 
-    fn route(&self, addr: ServiceAddr) -> Option<&RouteReport> {
+    fn route(&self, now: Millis, addr: ServiceAddr) -> Option<&RouteReport> {
+        if now.since(self.routes_at) >= ROUTES_TTL {
+            return None;
+        }
         let at = self.routes.binary_search_by_key(&addr, |it| it.addr).ok()?;
         Some(&self.routes[at])
     }
 
     fn apply(&mut self, now: Millis, summary: &LoadSummary, recent_for: Millis) {
+        if summary.incarnation != self.incarnation {
+            // A term starts with all that its collector knows.
+            self.upstreams.clear();
+        }
         (self.incarnation, self.seq) = (summary.incarnation, summary.seq);
         (self.received_at, self.recent_for) = (now, recent_for);
         (self.hosts, self.age_ms) = (summary.hosts, summary.age_ms);
@@ -151,12 +172,10 @@
     }
 
     /// Returns the speed of an upstream relative to its service, 1 if nothing is known.
-    pub(crate) fn speed(&self, token: Token) -> f64 {
-        let known = |it: &&UpstreamEntry| it.sum.speed_percent != USUAL_SPEED_PERCENT;
-        let speeds = self.zones.iter().filter_map(|it| it.upstream(token)).filter(known);
-        let (sum, zones) = speeds.fold((0.0, 0.0), |(sum, zones), it| {
-            (sum + f64::from(it.sum.speed_percent) / 100.0, zones + 1.0)
-        });
+    pub(crate) fn speed(&self, now: Millis, token: Token) -> f64 {
+        let speeds = self.zones.iter().filter_map(|it| it.speed_percent(now, token));
+        let (sum, zones) =
+            speeds.fold((0.0, 0.0), |(sum, zones), it| (sum + f64::from(it) / 100.0, zones + 1.0));
         if zones > 0.0 { sum / zones } else { 1.0 }
     }
 
@@ -164,13 +183,13 @@
     /// tells.
     pub(crate) fn requests_per_s(&self, now: Millis, addr: ServiceAddr) -> Option<f64> {
         self.own_recent(now)?;
-        let rates = self.recent(now).filter_map(|it| it.route(addr));
+        let rates = self.recent(now).filter_map(|it| it.route(now, addr));
         Some(rates.map(|it| f64::from(it.requests_per_s_tenths) / 10.0).sum())
     }
 
     /// Returns the usual time to an answer at an upstream without a queue, in milliseconds.
-    pub(crate) fn service_time_ms(&self, addr: ServiceAddr) -> Option<f64> {
-        let routes = self.zones.iter().filter_map(|it| it.route(addr));
+    pub(crate) fn service_time_ms(&self, now: Millis, addr: ServiceAddr) -> Option<f64> {
+        let routes = self.zones.iter().filter_map(|it| it.route(now, addr));
         let us = mean_service_time_us(routes);
         (us > 0).then(|| f64::from(us) / 1_000.0)
     }
@@ -197,9 +216,9 @@
         self.zones.iter().find(|it| it.zone == zone).map(|it| it.incarnation)
     }
 
-    /// Returns the last known values of a zone.
-    pub(crate) fn zone_upstreams(&self, zone: ZoneId) -> Vec<UpstreamSum> {
-        let zone = self.zones.iter().find(|it| it.zone == zone);
+    /// Returns the last known values of a zone that is not silent.
+    pub(crate) fn zone_upstreams(&self, now: Millis, zone: ZoneId) -> Vec<UpstreamSum> {
+        let zone = self.zones.iter().find(|it| it.zone == zone && !it.is_silent(now));
         zone.map_or_else(Vec::new, |it| it.upstreams.iter().map(|it| it.sum).collect())
     }
 
