Count each row of a host's report once

Further parts of a report were appended to what the collector knew of the host: those whose first part was lost, and duplicates, counted again and again.

A row now replaces the one of the same upstream, a message that repeats an upstream is not believed, the rows of one host are bounded and those of unknown upstreams are skipped.

--- a/crates/pomelorun-core/src/direct/event.rs
+++ b/crates/pomelorun-core/src/direct/event.rs
@@ -98,6 +98,11 @@
         /// Token of the upstream.
         token: Token,
     },
+    /// It tells of an upstream twice.
+    Repeated {
+        /// Token of the upstream.
+        token: Token,
+    },
     /// It tells of an impossible rate of requests.
     Rate,
     /// It tells of more hosts than there are.
--- a/crates/pomelorun-core/src/direct/host/load_sharing.rs
+++ b/crates/pomelorun-core/src/direct/host/load_sharing.rs
@@ -148,7 +148,10 @@
             return;
         }
         match self.check_report(report) {
-            Ok(()) => self.load_sharing.collector.apply(now, from, report),
+            Ok(()) => {
+                let is_known = |token| self.registry.by_token(token).is_some();
+                self.load_sharing.collector.apply(now, from, report, is_known);
+            }
             Err(why) => self.reject_load(now, from, why),
         }
     }
@@ -298,7 +301,7 @@
         self.shared_load.record_report(&parts);
         for it in parts {
             if collector == self.cfg.host {
-                self.load_sharing.collector.apply(now, collector, &it);
+                self.load_sharing.collector.apply(now, collector, &it, |_| true);
             } else {
                 self.load_sharing.out.push((collector, LoadMessage::Report(it)));
             }
@@ -379,6 +382,9 @@
         if report.interval_ms > MAX_AGE_MS {
             return Err(ImplausibleLoad::Time);
         }
+        if let Some(token) = repeated(report.upstreams.iter().map(|it| it.token)) {
+            return Err(ImplausibleLoad::Repeated { token });
+        }
         for it in &report.upstreams {
             if f64::from(it.in_progress) * IN_PROGRESS_UNIT > self.max_in_progress(it.token) {
                 return Err(ImplausibleLoad::InProgress { token: it.token });
@@ -401,6 +407,9 @@
         if summary.age_ms > MAX_AGE_MS {
             return Err(ImplausibleLoad::Time);
         }
+        if let Some(token) = repeated(summary.upstreams.iter().map(|it| it.token)) {
+            return Err(ImplausibleLoad::Repeated { token });
+        }
         for it in &summary.upstreams {
             let most = self.max_in_progress(it.token) * hosts.max(1) as f64;
             if f64::from(it.in_progress) * IN_PROGRESS_UNIT > most {
@@ -435,6 +444,13 @@
     }
 }
 
+/// Returns a token that occurs twice.
+fn repeated(tokens: impl Iterator<Item = Token>) -> Option<Token> {
+    let mut tokens: Vec<Token> = tokens.collect();
+    tokens.sort_unstable();
+    tokens.windows(2).find(|it| it[0] == it[1]).map(|it| it[0])
+}
+
 /// Returns when something that was due is due again; not several times at once after a pause.
 fn next_due(now: Millis, due: Millis, interval: Millis) -> Millis {
     let next = due + interval;
--- a/crates/pomelorun-core/src/direct/load_collector.rs
+++ b/crates/pomelorun-core/src/direct/load_collector.rs
@@ -34,6 +34,8 @@
 /// Requests in progress per slot from which each zone sends its part of the quantum, so that the
 /// sum over all zones is as exact.
 const LOADED_PER_SLOT: f64 = 0.75;
+/// Most upstreams that count of one host's report, in all its parts.
+const MAX_HOST_ROWS: usize = 512;
 /// Time after which the rate of an address no longer counts.
 const ROUTES_TTL: Millis = Millis(10_000);
 /// Number of answers that the speed counts as which a predecessor has told.
@@ -46,7 +48,7 @@
 struct HostReport {
     host: HostId,
     received_at: Millis,
-    /// Requests in progress by upstream.
+    /// Requests in progress by upstream, sorted.
     in_progress: Vec<(Token, u16)>,
     routes: Vec<RouteReport>,
     routes_at: Millis,
@@ -95,8 +97,16 @@
 }
 
 impl LoadCollector {
-    /// Applies a host's report, which replaces its previous one, or a further part of it.
-    pub(crate) fn apply(&mut self, now: Millis, from: HostId, report: &LoadReport) {
+    /// Applies a host's report, which replaces its previous one, or a further part of it, of which the
+    /// rows replace those of the same upstreams. Rows of upstreams that are not `known` are skipped:
+    /// nobody could place flows by them.
+    pub(crate) fn apply(
+        &mut self,
+        now: Millis,
+        from: HostId,
+        report: &LoadReport,
+        known: impl Fn(Token) -> bool,
+    ) {
         let at = match self.reports.binary_search_by_key(&from, |it| it.host) {
             Ok(at) => at,
             Err(at) => {
@@ -117,12 +127,19 @@
         if report.interval_ms > 0 {
             it.in_progress.clear();
         }
-        it.in_progress.extend(report.upstreams.iter().map(|it| (it.token, it.in_progress)));
+        let rows = || report.upstreams.iter().filter(|it| known(it.token));
+        for row in rows() {
+            match it.in_progress.binary_search_by_key(&row.token, |it| it.0) {
+                Ok(at) => it.in_progress[at].1 = row.in_progress,
+                Err(_) if it.in_progress.len() >= MAX_HOST_ROWS => {}
+                Err(at) => it.in_progress.insert(at, (row.token, row.in_progress)),
+            }
+        }
         if !report.routes.is_empty() {
             it.routes.clone_from(&report.routes);
             it.routes_at = now;
         }
-        for it in report.upstreams.iter().filter(|it| it.speed_samples > 0) {
+        for it in rows().filter(|it| it.speed_samples > 0) {
             let samples =
                 SpeedSamples { count: it.speed_samples, slowness_milli: it.slowness_milli };
             self.add_speed(now, it.token, samples);
--- a/crates/pomelorun-core/tests/core/direct/load_sharing.rs
+++ b/crates/pomelorun-core/tests/core/direct/load_sharing.rs
@@ -539,6 +539,42 @@
     }
 }
 
+#[test]
+fn repeated_parts_of_a_report_count_once() {
+    let mut mesh = loaded_mesh();
+    let collector = mesh.collector(ZoneId(1));
+    let from = mesh.ids[(collector + 2) % 6].1;
+    mesh.lost = Box::new(move |it, _| it == from);
+    let row = |token: Token| UpstreamReport {
+        token,
+        in_progress: 32,
+        speed_samples: 0,
+        slowness_milli: 0,
+    };
+    let stranger = Token(0x5eed_5eed);
+    let first =
+        LoadReport { interval_ms: 500, upstreams: vec![row(Token::of(key(3)))], routes: vec![] };
+    let further = LoadReport {
+        interval_ms: 0,
+        upstreams: vec![row(Token::of(key(2))), row(stranger)],
+        routes: vec![],
+    };
+    let twice = LoadReport { upstreams: vec![row(Token::of(key(3))); 2], ..first.clone() };
+    mesh.hosts[collector].apply_load_report(mesh.now, from, &first);
+    for _ in 0..5 {
+        // All other first parts are lost.
+        mesh.hosts[collector].apply_load_report(mesh.now, from, &further);
+        mesh.hosts[collector].apply_load_report(mesh.now, from, &further);
+        mesh.hosts[collector].apply_load_report(mesh.now, from, &twice);
+        mesh.run(500);
+    }
+    assert_eq!(mesh.hosts[collector].stats().load_rejected, 5);
+    assert_near(mesh.in_progress(collector, 2), 2.0, 0.1);
+    assert_near(mesh.in_progress(collector, 3), 2.0, 0.1);
+    let told = mesh.summaries.iter().flat_map(|it| &it.1.upstreams);
+    assert_eq!(told.filter(|it| it.token == stranger).count(), 0);
+}
+
 #[test]
 fn report_that_cannot_be_true_is_not_believed() {
     let mut mesh = loaded_mesh();
