Do not learn a route's usual time from rejections

Answers below a sixth of the usual time are rejections by full queues, but they still lowered the mean that all answers are compared with: with two of three answers rejected for a minute the usual 20 ms became 1.7 ms, and with one of three among the first 60, 9.4 ms.

They no longer count, and the usual time starts from the median of the first 20 answers. A route that has really become so fast is learnt anew once 200 answers more than nine times the others were fast, over at least a minute. `record` uses its time for that now.

New tests: the two figures above failed before; the relearning passed before too and bounds the change.

--- a/crates/pomelorun-core/src/direct/upstream_speed.rs
+++ b/crates/pomelorun-core/src/direct/upstream_speed.rs
@@ -33,11 +33,18 @@
 }
 
 /// Answers on a route that must have been seen before one is compared with them.
-const MIN_ROUTE_ANSWERS: u32 = 20;
+const MIN_ROUTE_ANSWERS: usize = 20;
 /// Answers that the usual time of a route is averaged over.
-const USUAL_TIME_ANSWERS: u32 = 64;
+const USUAL_TIME_ANSWERS: usize = 64;
 /// Maximum distance of one answer from the usual time in its mean, as a logarithm.
 const MAX_USUAL_DEVIATION: f64 = 1.0;
+/// Number of answers below [`MIN_SLOWNESS`], less [`USUAL_WEIGHT`] for each other one, and time since
+/// the first of them, from which on the route itself has become fast: callers that retry get no
+/// such majority of rejections for so long.
+const FAST_ROUTE_ANSWERS: u32 = 200;
+const FAST_ROUTE_TIME: Millis = Millis(60_000);
+/// Number of fast answers that one other answer outweighs.
+const USUAL_WEIGHT: u32 = 9;
 /// Logarithm of the relative time below which an answer is a rejection or from a cache. An upstream
 /// with a full queue answers at once and must not count as fast.
 const MIN_SLOWNESS: f64 = -1.8;
@@ -48,11 +55,56 @@
 /// Shortest time of a request at an upstream that the clock resolves, in milliseconds.
 const MIN_SERVICE_MS: f64 = 0.5;
 
-/// Usual time of one route, as the mean of logarithms of milliseconds.
+/// Usual time of one route, as the mean of logarithms of milliseconds. It starts from the median of
+/// the first answers, of which some may be rejections.
 #[derive(Debug, Clone, Copy, Default)]
 struct UsualTime {
-    answers: u32,
+    first: [f64; MIN_ROUTE_ANSWERS],
+    answers: usize,
     ln_ms: f64,
+    /// Majority of fast answers, and since when.
+    fast: u32,
+    fast_since: Millis,
+}
+
+impl UsualTime {
+    fn is_known(&self) -> bool {
+        self.answers >= MIN_ROUTE_ANSWERS
+    }
+
+    fn add_first(&mut self, ln_ms: f64) {
+        self.first[self.answers] = ln_ms;
+        self.answers += 1;
+        if self.is_known() {
+            self.first.sort_unstable_by(f64::total_cmp);
+            let middle = MIN_ROUTE_ANSWERS / 2;
+            self.ln_ms = (self.first[middle - 1] + self.first[middle]) / 2.0;
+        }
+    }
+
+    /// Adds the logarithm of the relative time of an answer.
+    fn add(&mut self, now: Millis, slowness: f64) {
+        if slowness < MIN_SLOWNESS {
+            self.add_fast(now);
+            return;
+        }
+        self.fast = self.fast.saturating_sub(USUAL_WEIGHT);
+        self.answers = (self.answers + 1).min(USUAL_TIME_ANSWERS);
+        self.ln_ms +=
+            slowness.clamp(-MAX_USUAL_DEVIATION, MAX_USUAL_DEVIATION) / self.answers as f64;
+    }
+
+    /// Counts an answer that is faster than an upstream can be, and forgets the usual time if it is
+    /// no longer that of the route.
+    fn add_fast(&mut self, now: Millis) {
+        if self.fast == 0 {
+            self.fast_since = now;
+        }
+        self.fast += 1;
+        if self.fast >= FAST_ROUTE_ANSWERS && now.since(self.fast_since) >= FAST_ROUTE_TIME {
+            *self = UsualTime::default();
+        }
+    }
 }
 
 /// Usual time to an answer for each address, without queueing and without the packets' way, at an
@@ -68,7 +120,7 @@
 
     /// Records an answer and returns the logarithm of its relative time in thousandths, or `None` if
     /// it shows nothing about the upstream.
-    pub fn record(&mut self, _now: Millis, sample: &AnswerSample) -> Option<i32> {
+    pub fn record(&mut self, now: Millis, sample: &AnswerSample) -> Option<i32> {
         if sample.may_have_queued {
             return None;
         }
@@ -82,21 +134,20 @@
             }
         };
         let usual = &mut self.0[at].1;
-        let is_known = usual.answers >= MIN_ROUTE_ANSWERS;
+        if !usual.is_known() {
+            usual.add_first(service_ms.ln());
+            return None;
+        }
         let slowness = service_ms.ln() - usual.ln_ms;
-        usual.answers = usual.answers.saturating_add(1);
-        let bound = if is_known { MAX_USUAL_DEVIATION } else { f64::INFINITY };
-        usual.ln_ms +=
-            slowness.clamp(-bound, bound) / f64::from(usual.answers.min(USUAL_TIME_ANSWERS));
-        let shows_speed = is_known && slowness >= MIN_SLOWNESS;
-        shows_speed.then(|| (slowness.min(MAX_SLOWNESS) * 1_000.0) as i32)
+        usual.add(now, slowness);
+        (slowness >= MIN_SLOWNESS).then(|| (slowness.min(MAX_SLOWNESS) * 1_000.0) as i32)
     }
 
     /// Returns the usual time to an answer for an address, in milliseconds.
     pub fn get(&self, route: ServiceAddr) -> Option<f64> {
         let at = self.0.binary_search_by_key(&route, |it| it.0).ok()?;
         let usual = &self.0[at].1;
-        (usual.answers >= MIN_ROUTE_ANSWERS).then(|| usual.ln_ms.exp())
+        usual.is_known().then(|| usual.ln_ms.exp())
     }
 }
 
--- a/crates/pomelorun-core/tests/core/direct/upstream_speed.rs
+++ b/crates/pomelorun-core/tests/core/direct/upstream_speed.rs
@@ -39,6 +39,7 @@
     now: Millis,
     times: Vec<ServiceTimes>,
     estimates: Vec<SpeedEstimate>,
+    answers_per_s: f64,
 }
 
 impl Zone {
@@ -48,6 +49,7 @@
             now: Millis(0),
             times: (0..HOSTS).map(|_| ServiceTimes::default()).collect(),
             estimates: vec![SpeedEstimate::default(); upstreams],
+            answers_per_s: ANSWERS_PER_S,
         }
     }
 
@@ -56,7 +58,7 @@
         self.now = self.now + Millis(REPORT_MS);
         for (at, speed) in speeds.iter().enumerate() {
             let mut samples = SpeedSamples::default();
-            let mean = ANSWERS_PER_S * REPORT_MS as f64 / 1_000.0;
+            let mean = self.answers_per_s * REPORT_MS as f64 / 1_000.0;
             for _ in 0..HOSTS {
                 if self.rng.random_range(0.0..1.0) >= mean / HOSTS as f64 {
                     continue;
@@ -186,3 +188,46 @@
     let tried_at = (0..).find(|&it| zone.estimates[0].speed(Millis(it * 1_000)) > 0.4).unwrap();
     assert!((30..=180).contains(&tried_at), "{tried_at}");
 }
+
+#[test]
+fn rejections_do_not_change_the_usual_time() {
+    let mut times = ServiceTimes::default();
+    (0..100).for_each(|_| {
+        times.record(Millis(0), &sample(0, 20.0));
+    });
+    // A shortage of a minute, in which two of three answers are rejections.
+    for at in 0..600 {
+        let took_ms = if at % 3 == 0 { 20.0 } else { 1.0 };
+        times.record(Millis(at * 100), &sample(0, took_ms));
+    }
+    let usual = times.get(route(0)).unwrap();
+    assert!((usual / 20.0 - 1.0).abs() < 0.1, "{usual}");
+    for at in 0..300 {
+        times.record(Millis(60_000 + at * 10), &sample(0, 1.0));
+    }
+    let usual = times.get(route(0)).unwrap();
+    assert!((usual / 20.0 - 1.0).abs() < 0.1, "{usual} after rejections alone");
+}
+
+#[test]
+fn rejections_among_the_first_answers_do_not_set_the_usual_time() {
+    let mut times = ServiceTimes::default();
+    for at in 0..60 {
+        times.record(Millis(at), &sample(0, if at % 3 == 0 { 1.0 } else { 20.0 }));
+    }
+    let usual = times.get(route(0)).unwrap();
+    assert!((usual / 20.0 - 1.0).abs() < 0.1, "{usual}");
+}
+
+#[test]
+fn route_that_has_become_fast_is_learnt_again() {
+    let mut times = ServiceTimes::default();
+    (0..100).for_each(|_| {
+        times.record(Millis(0), &sample(0, 80.0));
+    });
+    for at in 0..1_200 {
+        times.record(Millis(at * 100), &sample(0, 8.0));
+    }
+    let usual = times.get(route(0)).unwrap();
+    assert!((usual / 8.0 - 1.0).abs() < 0.1, "{usual}");
+}
