--- a/crates/pomelorun-core/src/direct/overload/reserve.rs
+++ b/crates/pomelorun-core/src/direct/overload/reserve.rs
@@ -12,9 +12,9 @@
 /// Largest share that is kept; the less urgent requests keep the rest.
 const MAX_SHARE: f64 = 0.5;
 /// Capacity that is kept, relative to what the urgent demand needs with all slots busy.
-const HEADROOM: f64 = 1.6;
+const HEADROOM: f64 = 1.25;
 /// Step in which the share changes.
-const STEP: f64 = 1.0 / 32.0;
+const STEP: f64 = 1.0 / 64.0;
 /// Time between two steps down: flows that were opened elsewhere meanwhile stay there.
 const STEP_DOWN_INTERVAL: Millis = Millis(5_000);
 
--- a/crates/pomelorun-core/src/direct/overload/room.rs
+++ b/crates/pomelorun-core/src/direct/overload/room.rs
@@ -9,9 +9,9 @@
 
 use crate::{direct::registry::UpstreamIx, time::Millis};
 
-/// Part of the response-time goal that requests in progress at an upstream may take up: the rest is
+/// Part of the response-time goal that requests in progress at an upstream may take up; the rest is
 /// for the way there and back, and for requests that take longer than usual.
-const GOAL_PART: f64 = 0.25;
+const GOAL_PART: f64 = 0.5;
 /// Least target of requests in progress, per slot: fewer would leave slots idle.
 const MIN_TARGET: f64 = 1.0;
 /// Largest target of requests in progress, per slot: with more, no slot idles less.
