Forget overdue requests however they end

The flow now says whether its request is overdue, and the count is kept with the waiting requests of the upstream.

--- a/crates/pomelorun-core/src/direct/host.rs
+++ b/crates/pomelorun-core/src/direct/host.rs
@@ -626,9 +626,9 @@
 
 /// Subtracts a removed flow's waiting request from the load of its upstream.
 fn release_load(states: &mut [UpstreamState], flow: &Flow) {
-    if !flow.established {
+    if !flow.established || flow.unanswered_since.is_none() {
         return;
     }
     let Some(it) = states.get_mut(flow.upstream().0 as usize) else { return };
-    it.load.waiting = it.load.waiting.saturating_sub(u32::from(flow.unanswered_since.is_some()));
+    it.load.release(flow.overdue);
 }
--- a/crates/pomelorun-core/src/direct/host/failure_detection.rs
+++ b/crates/pomelorun-core/src/direct/host/failure_detection.rs
@@ -118,6 +118,10 @@
         if seq_after(seg.ack, flow.ack) {
             flow.ack = seg.ack;
             if let Some(sent_at) = flow.unanswered_since.take() {
+                if std::mem::take(&mut flow.overdue) {
+                    let load = &mut self.upstream_states[ix.0 as usize].load;
+                    load.overdue = load.overdue.saturating_sub(1);
+                }
                 let waited = now.since(sent_at);
                 self.stats.response_latency.record(waited.0);
                 self.answer_times.record(&self.routing, seg.flow.service, waited);
@@ -200,6 +204,7 @@
             ack: seg.ack,
             unanswered_seq: seg.seq,
             unanswered_since: has_data.then_some(now),
+            overdue: false,
             unassessed_request: None,
             failed: false,
         });
--- a/crates/pomelorun-core/src/direct/host/flow_placement.rs
+++ b/crates/pomelorun-core/src/direct/host/flow_placement.rs
@@ -100,6 +100,7 @@
             ack: 0,
             unanswered_seq: seg.seq,
             unanswered_since: Some(now),
+            overdue: false,
             unassessed_request: None,
             failed: false,
         });
--- a/crates/pomelorun-core/src/direct/host/load_sharing.rs
+++ b/crates/pomelorun-core/src/direct/host/load_sharing.rs
@@ -242,8 +242,7 @@
 
     /// Returns the number of requests in progress at an upstream through this host.
     fn own_in_progress(&self, ix: UpstreamIx) -> u32 {
-        let waiting = self.upstream_states.get(ix.0 as usize).map_or(0, |it| it.load.waiting);
-        self.load_sharing.overdue.in_progress(ix, waiting)
+        self.upstream_states.get(ix.0 as usize).map_or(0, |it| it.load.in_progress())
     }
 
     /// Records how long an upstream took to answer a request.
@@ -253,10 +252,6 @@
         ix: UpstreamIx,
         sample: &AnswerSample,
     ) {
-        let timeout = self.routing.route(sample.route).map(|it| it.class.timeout);
-        if timeout.is_some_and(|it| sample.took >= it) {
-            self.load_sharing.overdue.record_late_answer(ix);
-        }
         let slowness = self.service_times.record(now, sample);
         if let Some(slowness) = slowness.filter(|_| self.shares_load()) {
             self.load_sharing.sampler.record_speed(ix, slowness);
@@ -277,16 +272,18 @@
     }
 
     fn sample_load(&mut self, now: Millis) {
-        let (flows, states) = (&mut self.flows, &self.upstream_states);
-        let waiting = |ix: UpstreamIx| states.get(ix.0 as usize).map_or(0, |it| it.load.waiting);
+        let (flows, states) = (&mut self.flows, &mut self.upstream_states);
         let LoadSharing { sampler, overdue, .. } = &mut self.load_sharing;
         overdue.expire(now, |it| {
             let flow = flows.get_mut(&it.flow);
             let flow = flow.filter(|flow| flow.established && flow.upstream() == it.ix);
-            flow.is_some_and(|flow| flow.unanswered_since == Some(it.sent_at))
+            let waiting = flow.filter(|flow| flow.unanswered_since == Some(it.sent_at));
+            if let Some(flow) = waiting.filter(|flow| !flow.overdue) {
+                flow.overdue = true;
+                states[it.ix.0 as usize].load.overdue += 1;
+            }
         });
-        overdue.settle(waiting);
-        sampler.sample(now, |ix| overdue.in_progress(ix, waiting(ix)));
+        sampler.sample(now, |ix| states.get(ix.0 as usize).map_or(0, |it| it.load.in_progress()));
     }
 
     fn report_load(&mut self, now: Millis, interval: Millis, collector: Option<HostId>) {
--- a/crates/pomelorun-core/src/direct/load.rs
+++ b/crates/pomelorun-core/src/direct/load.rs
@@ -13,6 +13,8 @@
     opens: DecayingSum,
     /// Number of requests that wait for a response.
     pub waiting: u32,
+    /// Of these, those whose time-out has passed.
+    pub(crate) overdue: u32,
     /// When the upstream was last a candidate for a new flow.
     pub(crate) last_candidate: Option<Millis>,
     /// When more requests last waited than the upstream runs concurrently.
@@ -38,6 +40,17 @@
         self.queued_at.is_some_and(|it| it >= sent_at)
     }
 
+    /// Subtracts a request that ends without an answer.
+    pub(crate) fn release(&mut self, overdue: bool) {
+        self.waiting = self.waiting.saturating_sub(1);
+        self.overdue = self.overdue.saturating_sub(u32::from(overdue));
+    }
+
+    /// Returns the number of requests that wait for a response and are not overdue.
+    pub(crate) fn in_progress(&self) -> u32 {
+        self.waiting.saturating_sub(self.overdue)
+    }
+
     /// Records an opened flow.
     pub fn record_open(&mut self, now: Millis) {
         self.opens.add(now, OPENS_HALF_LIFE_MS, 1.0);
--- a/crates/pomelorun-core/src/direct/observed_flows.rs
+++ b/crates/pomelorun-core/src/direct/observed_flows.rs
@@ -42,6 +42,8 @@
     pub unanswered_seq: u32,
     /// When the opening packet or the data without a response was forwarded.
     pub unanswered_since: Option<Millis>,
+    /// `true` while a request waits whose time-out has passed.
+    pub(crate) overdue: bool,
     /// The last request, until its response is assessed.
     pub(crate) unassessed_request: Option<Request>,
     /// `true` once a request of the flow has failed.
--- a/crates/pomelorun-core/src/direct/overdue_requests.rs
+++ b/crates/pomelorun-core/src/direct/overdue_requests.rs
@@ -1,4 +1,4 @@
-//! Requests that have no answer although their time-out has passed.
+//! Requests that have no answer when their time-out passes.
 
 use std::collections::VecDeque;
 
@@ -22,7 +22,7 @@
     pub(crate) flow: FlowKey,
 }
 
-/// Requests that count as in progress until their time-out, by time-out.
+/// Requests that count as in progress until their time-out.
 ///
 /// The flow table may keep a request that nobody will answer for minutes.
 #[derive(Debug, Default)]
@@ -30,8 +30,6 @@
     /// Requests by time-out, sorted; those of each time-out oldest first.
     watched: Vec<(Millis, VecDeque<WatchedRequest>)>,
     len: usize,
-    /// Number of overdue requests by upstream, sorted.
-    overdue: Vec<(UpstreamIx, u32)>,
 }
 
 impl OverdueRequests {
@@ -51,47 +49,14 @@
         self.len += 1;
     }
 
-    /// Counts the requests whose time-out has expired and that `is_waiting` says are unanswered.
-    pub(crate) fn expire(
-        &mut self,
-        now: Millis,
-        mut is_waiting: impl FnMut(&WatchedRequest) -> bool,
-    ) {
+    /// Passes the requests whose time-out has expired to `expired`.
+    pub(crate) fn expire(&mut self, now: Millis, mut expired: impl FnMut(&WatchedRequest)) {
         for (timeout, requests) in &mut self.watched {
             while let Some(it) = requests.pop_front_if(|it| now.since(it.sent_at) >= *timeout) {
                 self.len -= 1;
-                let ix = it.ix;
-                if !is_waiting(&it) {
-                    continue;
-                }
-                match self.overdue.binary_search_by_key(&ix, |it| it.0) {
-                    Ok(at) => self.overdue[at].1 += 1,
-                    Err(at) => self.overdue.insert(at, (ix, 1)),
-                }
+                expired(&it);
             }
         }
         self.watched.retain(|it| !it.1.is_empty());
     }
-
-    /// Returns how many of an upstream's waiting requests are not overdue.
-    pub(crate) fn in_progress(&self, ix: UpstreamIx, waiting: u32) -> u32 {
-        let overdue = self.overdue.binary_search_by_key(&ix, |it| it.0);
-        waiting.saturating_sub(overdue.map_or(0, |at| self.overdue[at].1))
-    }
-
-    /// Forgets an overdue request that was answered after all.
-    pub(crate) fn record_late_answer(&mut self, ix: UpstreamIx) {
-        if let Ok(at) = self.overdue.binary_search_by_key(&ix, |it| it.0) {
-            self.overdue[at].1 = self.overdue[at].1.saturating_sub(1);
-        }
-    }
-
-    /// Forgets overdue requests that have ended since. One that ends in another way than by its
-    /// answer is forgotten once nothing else waits at the upstream.
-    pub(crate) fn settle(&mut self, waiting: impl Fn(UpstreamIx) -> u32) {
-        self.overdue.retain_mut(|it| {
-            it.1 = it.1.min(waiting(it.0));
-            it.1 > 0
-        });
-    }
 }
--- a/crates/pomelorun-core/tests/core/direct/load_sharing.rs
+++ b/crates/pomelorun-core/tests/core/direct/load_sharing.rs
@@ -8,7 +8,8 @@
     direct::{
         DirectEvent, DirectHost, DirectSettings, DirectoryState, DirectoryUpdate, Disabled,
         FleetMsg, ImplausibleLoad, LoadMessage, LoadReport, LoadSummary, Mechanism, RequestClass,
-        RouteReport, Routing, Token, UpstreamReport, UpstreamSum, UpstreamView,
+        RouteReport, Routing, Segment, SegmentKind, Token, UpstreamReport, UpstreamSum,
+        UpstreamView,
     },
 };
 use pomelorun_wire::{FlowKey, HostId, ZoneId, encode};
@@ -242,6 +243,53 @@
     assert_near(mesh.in_progress(1, 2), 1.0, 0.5);
 }
 
+/// Lets `flows` become overdue at upstream 2 and end by `end`, while one request is always in progress
+/// there. Returns the number in progress afterwards, as another host sees it.
+fn seen_after_overdue(ms: u64, end: impl Fn(&mut Mesh, FlowKey)) -> f64 {
+    let mut mesh = Mesh::new(4, 2, 4);
+    let class = RequestClass { timeout: Millis(2_000), ..RequestClass::default() };
+    for it in &mut mesh.hosts {
+        it.apply_update(mesh.now, &routing(2, class));
+    }
+    for number in 0..4 {
+        mesh.request(0, 2, flow(number));
+    }
+    let run_busy = |mesh: &mut Mesh, seconds: u64, first: u32| {
+        mesh.request(0, 2, flow(first));
+        for number in (first..).take(seconds as usize) {
+            mesh.run(1_000);
+            mesh.request(0, 2, flow(number + 1));
+            mesh.answer(0, 2, flow(number));
+        }
+    };
+    run_busy(&mut mesh, 3, 100);
+    for number in 0..4 {
+        end(&mut mesh, flow(number));
+    }
+    mesh.answer(0, 2, flow(103));
+    run_busy(&mut mesh, ms / 1_000, 200);
+    mesh.in_progress(1, 2).expect("the load is shared")
+}
+
+#[test]
+fn overdue_requests_are_forgotten_however_they_end() {
+    let aborted = seen_after_overdue(6_000, |mesh, flow| {
+        let segment = Segment {
+            kind: SegmentKind::Abort,
+            ..data_segment(flow, Token::of(key(2)), 11, 100, 0)
+        };
+        mesh.hosts[0].handle_packet(mesh.now, &segment);
+    });
+    let opened_again = seen_after_overdue(6_000, |mesh, flow| {
+        mesh.now = mesh.now + Millis(1_000);
+        mesh.hosts[0].handle_packet(mesh.now, &open_segment(flow, 0));
+    });
+    let idle = seen_after_overdue(66_000, |_, _| {});
+    for seen in [aborted, opened_again, idle] {
+        assert_near(Some(seen), 1.0, 0.1);
+    }
+}
+
 /// Returns the mean number of requests in progress at the only upstream as host 0 sees it, while a
 /// flow with one request is opened through each of the `busy` hosts every 100 ms, which is answered
 /// after a number of ticks.
