Tell the rates of all addresses in turn, and bound what is told of speeds

Addresses whose rates did not fit into a message read as without requests. They are now told in turn, those that were told the longest time ago first, each counts for 30 s, and the rate of an address of which no zone tells is unknown.

First rates were near zero, because requests were counted from the start of the clock. A host that no longer collects drops what it has collected. Speeds outside 10 to 400 percent, more than 4,096 answers of an upstream in a report, and mean times that no answers give are not believed.

--- a/crates/pomelorun-core/src/direct/host/load_sharing.rs
+++ b/crates/pomelorun-core/src/direct/host/load_sharing.rs
@@ -11,7 +11,7 @@
         event::{DirectEvent, ImplausibleLoad},
         host::DirectHost,
         load_collector::{LoadCollector, SummaryScope, UpstreamHint},
-        load_report::{IN_PROGRESS_UNIT, LoadReport, LoadSummary},
+        load_report::{IN_PROGRESS_UNIT, LoadReport, LoadSummary, MAX_SPEED_SAMPLES},
         load_sampler::LoadSampler,
         mechanism::Mechanism,
         overdue_requests::OverdueRequests,
@@ -41,8 +41,10 @@
 const MAX_ZONE_HOSTS: usize = 4_096;
 /// Highest rate of one address, in tenths of a request per second.
 const MAX_RATE_TENTHS: u32 = 100_000_000;
-/// Largest mean logarithm of a relative time, in thousandths: a thousand times the usual time.
-const MAX_SLOWNESS_MILLI: u64 = 6_908;
+/// Least and largest mean logarithm of a relative time, in thousandths: those of one answer.
+const SLOWNESS_BOUNDS_MILLI: (i64, i64) = (-1_800, 2_500);
+/// Least and largest speed, in percent.
+const SPEED_BOUNDS_PERCENT: (u16, u16) = (10, 400);
 /// Longest interval and age in a message, in milliseconds.
 const MAX_AGE_MS: u32 = 60_000;
 /// Least time between two events about messages that were not believed.
@@ -212,6 +214,7 @@
         if collector != Some(me) {
             self.load_sharing.is_serving = false;
             self.load_sharing.ranks_first_since = None;
+            self.load_sharing.collector.clear();
             return;
         }
         let since = *self.load_sharing.ranks_first_since.get_or_insert(now);
@@ -386,8 +389,10 @@
             if f64::from(it.in_progress) * IN_PROGRESS_UNIT > self.max_in_progress(it.token) {
                 return Err(ImplausibleLoad::InProgress { token: it.token });
             }
-            let slowness = u64::from(it.slowness_milli.unsigned_abs());
-            if slowness > u64::from(it.speed_samples) * MAX_SLOWNESS_MILLI {
+            let (slowness, count) = (i64::from(it.slowness_milli), i64::from(it.speed_samples));
+            let (least, most) = SLOWNESS_BOUNDS_MILLI;
+            let is_possible = (least * count..=most * count).contains(&slowness);
+            if !is_possible || it.speed_samples > MAX_SPEED_SAMPLES {
                 return Err(ImplausibleLoad::Speed { token: it.token });
             }
         }
@@ -412,7 +417,8 @@
             if f64::from(it.in_progress) * IN_PROGRESS_UNIT > most {
                 return Err(ImplausibleLoad::InProgress { token: it.token });
             }
-            if it.speed_percent == 0 {
+            let (least, most) = SPEED_BOUNDS_PERCENT;
+            if !(least..=most).contains(&it.speed_percent) {
                 return Err(ImplausibleLoad::Speed { token: it.token });
             }
         }
--- a/crates/pomelorun-core/src/direct/load_collector.rs
+++ b/crates/pomelorun-core/src/direct/load_collector.rs
@@ -4,15 +4,17 @@
 //! only values that have changed by more than a quantum are sent. In a shortage, when all change all
 //! the time, it sends the largest changes that fit into a bounded message.
 
+use std::cmp::Reverse;
+
 use pomelorun_wire::{HostId, ServiceAddr, ZoneId};
 
 use crate::{
     direct::{
         load_report::{
             ByteBudget, IN_PROGRESS_UNIT, LoadReport, LoadSummary, MAX_ROUTE_BYTES, MAX_ROW_BYTES,
-            ROUTES_EVERY, RouteReport, UpstreamSum, fit_routes,
+            ROUTES_EVERY, ROUTES_TTL, RouteReport, UpstreamSum, fit_routes,
         },
-        shared_load::{USUAL_SPEED_PERCENT, mean_service_time_us},
+        shared_load::{USUAL_SPEED_PERCENT, mean_service_time_us, merge_routes},
         token::Token,
         upstream_speed::{SpeedEstimate, SpeedSamples},
     },
@@ -36,8 +38,6 @@
 const LOADED_PER_SLOT: f64 = 0.75;
 /// Most upstreams that count of one host's report, in all its parts.
 const MAX_HOST_ROWS: usize = 512;
-/// Time after which the rate of an address no longer counts.
-const ROUTES_TTL: Millis = Millis(10_000);
 /// Number of answers that the speed counts as which a predecessor has told.
 const KNOWN_SPEED_ANSWERS: u16 = 64;
 /// Time after which an upstream without samples is forgotten.
@@ -50,8 +50,8 @@
     received_at: Millis,
     /// Requests in progress by upstream, sorted.
     in_progress: Vec<(Token, u16)>,
-    routes: Vec<RouteReport>,
-    routes_at: Millis,
+    /// With the time when each was told, sorted by address.
+    routes: Vec<(RouteReport, Millis)>,
 }
 
 /// Values that were sent last, of an upstream for which they are not the usual ones.
@@ -92,6 +92,8 @@
     speeds: Vec<(Token, SpeedEstimate, Millis)>,
     /// Sorted by token.
     sent: Vec<SentSum>,
+    /// When the rates of addresses were sent last, sorted by address.
+    sent_routes: Vec<(ServiceAddr, Millis)>,
     incarnation: u64,
     seq: u32,
 }
@@ -111,13 +113,7 @@
             Ok(at) => at,
             Err(at) => {
                 let (in_progress, routes) = (Vec::new(), Vec::new());
-                let new = HostReport {
-                    host: from,
-                    received_at: now,
-                    in_progress,
-                    routes,
-                    routes_at: now,
-                };
+                let new = HostReport { host: from, received_at: now, in_progress, routes };
                 self.reports.insert(at, new);
                 at
             }
@@ -135,10 +131,7 @@
                 Err(at) => it.in_progress.insert(at, (row.token, row.in_progress)),
             }
         }
-        if !report.routes.is_empty() {
-            it.routes.clone_from(&report.routes);
-            it.routes_at = now;
-        }
+        merge_routes(&mut it.routes, now, &report.routes);
         for it in rows().filter(|it| it.speed_samples > 0) {
             let samples =
                 SpeedSamples { count: it.speed_samples, slowness_milli: it.slowness_milli };
@@ -181,6 +174,11 @@
         }
     }
 
+    /// Forgets the reports and what was made of them, as another host is the collector.
+    pub(crate) fn clear(&mut self) {
+        *self = LoadCollector { incarnation: self.incarnation, ..LoadCollector::default() };
+    }
+
     /// Returns the term.
     pub(crate) fn incarnation(&self) -> u64 {
         self.incarnation
@@ -190,6 +188,7 @@
     pub(crate) fn expire(&mut self, now: Millis, recent_for: Millis) {
         self.reports.retain(|it| now.since(it.received_at) < recent_for);
         self.speeds.retain(|it| now.since(it.2) < SPEED_TTL);
+        self.sent_routes.retain(|it| now.since(it.1) < ROUTES_TTL);
     }
 
     /// Returns the next summary: what has changed, and some of the rest.
@@ -213,6 +212,12 @@
             self.mark_sent(now, *it);
         }
         let routes = fit_routes(routes, ByteBudget(MAX_ROUTE_BYTES / zones));
+        for it in &routes {
+            match self.sent_routes.binary_search_by_key(&it.addr, |it| it.0) {
+                Ok(at) => self.sent_routes[at].1 = now,
+                Err(at) => self.sent_routes.insert(at, (it.addr, now)),
+            }
+        }
         LoadSummary { upstreams: due, routes, ..self.header(now, scope) }
     }
 
@@ -310,9 +315,11 @@
         }
     }
 
+    /// Returns the rates of all addresses, those that were sent the longest time ago first.
     fn sum_routes(&self, now: Millis) -> Vec<RouteReport> {
-        let recent = self.reports.iter().filter(|it| now.since(it.routes_at) < ROUTES_TTL);
-        let mut rows: Vec<RouteReport> = recent.flat_map(|it| it.routes.iter().copied()).collect();
+        let routes = self.reports.iter().flat_map(|it| &it.routes);
+        let recent = routes.filter(|it| now.since(it.1) < ROUTES_TTL);
+        let mut rows: Vec<RouteReport> = recent.map(|it| it.0).collect();
         rows.sort_by_key(|it| it.addr);
         let sum = |rows: &[RouteReport]| {
             let addr: ServiceAddr = rows[0].addr;
@@ -323,7 +330,13 @@
                 service_time_us: mean_service_time_us(rows.iter()),
             }
         };
-        rows.chunk_by(|a, b| a.addr == b.addr).map(sum).collect()
+        let mut sums: Vec<RouteReport> = rows.chunk_by(|a, b| a.addr == b.addr).map(sum).collect();
+        let sent_at = |addr: ServiceAddr| {
+            let at = self.sent_routes.binary_search_by_key(&addr, |it| it.0).ok()?;
+            Some(self.sent_routes[at].1)
+        };
+        sums.sort_by_key(|it| (sent_at(it.addr), Reverse(it.requests_per_s_tenths)));
+        sums
     }
 }
 
--- a/crates/pomelorun-core/src/direct/load_report.rs
+++ b/crates/pomelorun-core/src/direct/load_report.rs
@@ -8,7 +8,7 @@
 use pomelorun_wire::{ServiceAddr, ZoneId};
 use serde::{Deserialize, Serialize};
 
-use crate::direct::token::Token;
+use crate::{direct::token::Token, time::Millis};
 
 /// Fixed-point unit of a number of requests in progress.
 pub const IN_PROGRESS_UNIT: f64 = 1.0 / 16.0;
@@ -16,6 +16,11 @@
 pub(crate) const MAX_ROW_BYTES: usize = 1_100;
 /// Most bytes that the rows of routes may take of that.
 pub(crate) const MAX_ROUTE_BYTES: usize = 400;
+/// Time for which the rate of an address counts that is not confirmed: if they do not all fit, they
+/// are told in turn.
+pub(crate) const ROUTES_TTL: Millis = Millis(30_000);
+/// Most answers of one upstream in a report.
+pub(crate) const MAX_SPEED_SAMPLES: u16 = 4_096;
 /// Number of messages of which one carries the routes.
 pub(crate) const ROUTES_EVERY: u32 = 4;
 
@@ -85,7 +90,7 @@
     pub interval_ms: u32,
     /// Upstreams with requests in progress or answers, the most loaded first.
     pub upstreams: Vec<UpstreamReport>,
-    /// Addresses with requests, sorted; left out of most reports, and then as before.
+    /// Addresses with requests, sorted; those that are not listed are as before.
     pub routes: Vec<RouteReport>,
 }
 
@@ -145,7 +150,7 @@
     pub age_ms: u32,
     /// Changed upstreams; those that are not listed are as before.
     pub upstreams: Vec<UpstreamSum>,
-    /// All addresses with requests, sorted; left out of most summaries, and then as before.
+    /// Addresses with requests, sorted; those that are not listed are as before.
     pub routes: Vec<RouteReport>,
 }
 
@@ -207,9 +212,8 @@
     }
 }
 
-/// Keeps the routes with the highest rates that fit, sorted by address.
+/// Keeps the first routes that fit, sorted by address.
 pub(crate) fn fit_routes(mut routes: Vec<RouteReport>, mut left: ByteBudget) -> Vec<RouteReport> {
-    routes.sort_by_key(|it| std::cmp::Reverse(it.requests_per_s_tenths));
     routes.retain(|it| {
         let (ip, port) = (u64::from(it.addr.ip), u64::from(it.addr.port));
         let (rate, time) = (u64::from(it.requests_per_s_tenths), u64::from(it.service_time_us));
--- a/crates/pomelorun-core/src/direct/load_sampler.rs
+++ b/crates/pomelorun-core/src/direct/load_sampler.rs
@@ -5,8 +5,8 @@
 use crate::{
     direct::{
         load_report::{
-            ByteBudget, IN_PROGRESS_UNIT, LoadReport, MAX_ROUTE_BYTES, MAX_ROW_BYTES, ROUTES_EVERY,
-            RouteReport, UpstreamReport, fit_routes,
+            ByteBudget, IN_PROGRESS_UNIT, LoadReport, MAX_ROUTE_BYTES, MAX_ROW_BYTES,
+            MAX_SPEED_SAMPLES, ROUTES_EVERY, RouteReport, UpstreamReport, fit_routes,
         },
         registry::UpstreamIx,
         token::Token,
@@ -39,15 +39,25 @@
     left_out: u8,
 }
 
+/// Requests to one address since it was last reported.
+#[derive(Debug, Clone, Copy)]
+struct RequestCount {
+    addr: ServiceAddr,
+    count: u32,
+    /// When it was last reported.
+    since: Option<Millis>,
+}
+
 /// Observations of this host; only upstreams and addresses with any take room.
 #[derive(Debug, Default)]
 pub(crate) struct LoadSampler {
     last_sample: Option<Millis>,
     /// Sorted by position.
     upstreams: Vec<UpstreamSample>,
-    /// Number of requests by address, sorted.
-    requests: Vec<(ServiceAddr, u32)>,
-    counted_since: Millis,
+    /// Sorted by address.
+    requests: Vec<RequestCount>,
+    /// Since when the requests to an address count that has not been reported yet.
+    counted_since: Option<Millis>,
     reports: u32,
 }
 
@@ -55,16 +65,16 @@
     /// Records a forwarded request.
     pub(crate) fn count_request(&mut self, ix: UpstreamIx, addr: ServiceAddr) {
         self.upstream(ix);
-        match self.requests.binary_search_by_key(&addr, |it| it.0) {
-            Ok(at) => self.requests[at].1 = self.requests[at].1.saturating_add(1),
-            Err(at) => self.requests.insert(at, (addr, 1)),
+        match self.requests.binary_search_by_key(&addr, |it| it.addr) {
+            Ok(at) => self.requests[at].count = self.requests[at].count.saturating_add(1),
+            Err(at) => self.requests.insert(at, RequestCount { addr, count: 1, since: None }),
         }
     }
 
     /// Records an answer that shows how fast an upstream is.
     pub(crate) fn record_speed(&mut self, ix: UpstreamIx, slowness_milli: i32) {
         let speed = &mut self.upstream(ix).speed;
-        if speed.count < u16::MAX {
+        if speed.count < MAX_SPEED_SAMPLES {
             speed.count += 1;
             speed.slowness_milli = speed.slowness_milli.saturating_add(slowness_milli);
         }
@@ -74,6 +84,7 @@
     pub(crate) fn sample(&mut self, now: Millis, in_progress: impl Fn(UpstreamIx) -> u32) {
         let took = now.since(self.last_sample.unwrap_or(now)).0.min(MAX_SAMPLE.0);
         self.last_sample = Some(now);
+        self.counted_since.get_or_insert(now);
         self.upstreams.retain_mut(|it| {
             let in_progress = in_progress(it.ix);
             it.request_ms += u64::from(in_progress) * took;
@@ -156,23 +167,38 @@
         parts
     }
 
+    /// Takes the addresses that were reported the longest time ago. One without requests is reported
+    /// once more, and then left out.
     fn take_routes(
         &mut self,
         now: Millis,
         service_time_ms: impl Fn(ServiceAddr) -> Option<f64>,
     ) -> Vec<RouteReport> {
-        let seconds = now.since(self.counted_since).0.max(1) as f64 / 1_000.0;
-        self.counted_since = now;
-        let routes = std::mem::take(&mut self.requests).into_iter().map(|(addr, count)| {
-            let micros = service_time_ms(addr).unwrap_or(0.0) * 1_000.0;
-            let tenths = f64::from(count) * 10.0 / seconds;
+        let first = self.counted_since.replace(now).unwrap_or(now);
+        let since = |it: &RequestCount| it.since.unwrap_or(first);
+        let mut due = self.requests.clone();
+        due.sort_by_key(|it| (since(it), std::cmp::Reverse(it.count)));
+        let rows = due.iter().map(|it| {
+            let seconds = now.since(since(it)).0.max(1) as f64 / 1_000.0;
+            let micros = service_time_ms(it.addr).unwrap_or(0.0) * 1_000.0;
             RouteReport {
-                addr,
-                requests_per_s_tenths: tenths.round() as u32,
+                addr: it.addr,
+                requests_per_s_tenths: (f64::from(it.count) * 10.0 / seconds).round() as u32,
                 service_time_us: micros.round() as u32,
             }
         });
-        fit_routes(routes.collect(), ByteBudget(MAX_ROUTE_BYTES))
+        let rows = fit_routes(rows.collect(), ByteBudget(MAX_ROUTE_BYTES));
+        self.requests.retain_mut(|it| {
+            let is_taken = rows.binary_search_by_key(&it.addr, |it| it.addr).is_ok();
+            let is_over = is_taken && it.count == 0;
+            if is_taken {
+                (it.count, it.since) = (0, Some(now));
+            } else {
+                it.since.get_or_insert(first);
+            }
+            !is_over
+        });
+        rows
     }
 
     fn upstream(&mut self, ix: UpstreamIx) -> &mut UpstreamSample {
--- a/crates/pomelorun-core/src/direct/shared_load.rs
+++ b/crates/pomelorun-core/src/direct/shared_load.rs
@@ -11,7 +11,7 @@
     direct::{
         load_report::{
             ByteBudget, IN_PROGRESS_UNIT, LoadReport, LoadSummary, MAX_ROUTE_BYTES, MAX_ROW_BYTES,
-            RouteReport, UpstreamSum,
+            ROUTES_TTL, RouteReport, UpstreamSum, fit_routes,
         },
         token::Token,
     },
@@ -29,8 +29,6 @@
 /// Time for which speeds count of a zone that is silent: longer than a collector's successor takes
 /// to tell them again.
 const SILENT_ZONE_TTL: Millis = Millis(10_000);
-/// Time for which the rate of an address counts that is not confirmed.
-const ROUTES_TTL: Millis = Millis(10_000);
 /// Speed of an upstream of which nothing is known, in percent.
 pub(crate) const USUAL_SPEED_PERCENT: u16 = 100;
 
@@ -68,9 +66,8 @@
     age_ms: u32,
     /// Sorted by token.
     upstreams: Vec<UpstreamEntry>,
-    /// Sorted by address.
-    routes: Vec<RouteReport>,
-    routes_at: Millis,
+    /// With the time when each was told, sorted by address.
+    routes: Vec<(RouteReport, Millis)>,
 }
 
 impl ZoneLoad {
@@ -100,11 +97,9 @@
     }
 
     fn route(&self, now: Millis, addr: ServiceAddr) -> Option<&RouteReport> {
-        if now.since(self.routes_at) >= ROUTES_TTL {
-            return None;
-        }
-        let at = self.routes.binary_search_by_key(&addr, |it| it.addr).ok()?;
-        Some(&self.routes[at])
+        let at = self.routes.binary_search_by_key(&addr, |it| it.0.addr).ok()?;
+        let (route, told_at) = &self.routes[at];
+        (now.since(*told_at) < ROUTES_TTL && !self.is_silent(now)).then_some(route)
     }
 
     fn apply(&mut self, now: Millis, summary: &LoadSummary, recent_for: Millis) {
@@ -128,13 +123,7 @@
                 || (has_speed && now.since(it.confirmed_at) < SPEED_TTL)
         };
         self.upstreams.retain(is_kept);
-        if !summary.routes.is_empty() {
-            self.routes.clone_from(&summary.routes);
-            self.routes.sort_by_key(|it| it.addr);
-            self.routes_at = now;
-        } else if now.since(self.routes_at) >= ROUTES_TTL {
-            self.routes.clear();
-        }
+        merge_routes(&mut self.routes, now, &summary.routes);
     }
 }
 
@@ -180,11 +169,11 @@
     }
 
     /// Returns the requests per second to an address over all hosts, or `None` while no recent summary
-    /// tells.
+    /// tells of it.
     pub(crate) fn requests_per_s(&self, now: Millis, addr: ServiceAddr) -> Option<f64> {
         self.own_recent(now)?;
         let rates = self.recent(now).filter_map(|it| it.route(now, addr));
-        Some(rates.map(|it| f64::from(it.requests_per_s_tenths) / 10.0).sum())
+        rates.map(|it| f64::from(it.requests_per_s_tenths) / 10.0).reduce(|sum, it| sum + it)
     }
 
     /// Returns the usual time to an answer at an upstream without a queue, in milliseconds.
@@ -224,7 +213,7 @@
 
     /// Returns the addresses whose rates are known, sorted.
     pub(crate) fn addresses(&self) -> Vec<ServiceAddr> {
-        let routes = self.zones.iter().flat_map(|it| it.routes.iter().map(|it| it.addr));
+        let routes = self.zones.iter().flat_map(|it| it.routes.iter().map(|it| it.0.addr));
         let mut addrs: Vec<ServiceAddr> = routes.collect();
         addrs.sort_unstable();
         addrs.dedup();
@@ -261,7 +250,6 @@
                         age_ms: 0,
                         upstreams: Vec::new(),
                         routes: Vec::new(),
-                        routes_at: now,
                     },
                 );
                 at
@@ -319,9 +307,27 @@
             hosts: self.hosts,
             age_ms: self.age_ms.saturating_add(waited),
             upstreams: self.upstreams.iter().map(|it| it.sum).collect(),
-            routes: self.routes.clone(),
+            routes: fit_routes(
+                self.routes.iter().map(|it| it.0).collect(),
+                ByteBudget(MAX_ROUTE_BYTES),
+            ),
+        }
+    }
+}
+
+/// Replaces the rates of the addresses that are told, and drops those that no longer count.
+pub(crate) fn merge_routes(
+    known: &mut Vec<(RouteReport, Millis)>,
+    now: Millis,
+    told: &[RouteReport],
+) {
+    for it in told {
+        match known.binary_search_by_key(&it.addr, |it| it.0.addr) {
+            Ok(at) => known[at] = (*it, now),
+            Err(at) => known.insert(at, (*it, now)),
         }
     }
+    known.retain(|it| now.since(it.1) < ROUTES_TTL);
 }
 
 /// Splits a summary into messages that fit into a datagram each; the first one has the routes.
--- a/crates/pomelorun-core/tests/core/direct/load_sharing.rs
+++ b/crates/pomelorun-core/tests/core/direct/load_sharing.rs
@@ -12,7 +12,7 @@
         UpstreamView,
     },
 };
-use pomelorun_wire::{FlowKey, HostId, ZoneId, encode};
+use pomelorun_wire::{FlowKey, HostId, ServiceAddr, ZoneId, encode};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -340,6 +340,56 @@
     assert!((60.0..=100.0).contains(&rate), "{rate} instead of 80 requests per second");
 }
 
+#[test]
+fn routes_that_do_not_fit_are_told_in_turn() {
+    const ROUTES: u16 = 60;
+    let addr = |at: u16| ServiceAddr { port: SERVICE.port + at, ..SERVICE };
+    let routes = (0..ROUTES).map(|at| route(addr(at), "feed")).collect();
+    let all = Arc::new(Routing::new(2, routes, vec![], Millis(60_000)));
+    let mut mesh = Mesh::new(4, 2, 1);
+    for it in &mut mesh.hosts {
+        it.apply_update(mesh.now, &DirectoryUpdate::Routing(Arc::clone(&all)));
+    }
+    let token = Token::of(key(1));
+    for step in 0..600 {
+        for at in (0..ROUTES).filter(|_| step % 4 == 0) {
+            let flow = FlowKey { service: addr(at), ..flow(step) };
+            let host = usize::from(at) % 4;
+            mesh.hosts[host].handle_packet(mesh.now, &data_segment(flow, token, 1, 100, 10));
+            mesh.hosts[host].handle_packet(mesh.now, &data_segment(flow, token, 11, 200, 0));
+        }
+        mesh.step();
+    }
+    let mut told = [0; ROUTES as usize];
+    for _ in 0..600 {
+        mesh.step();
+        let shared = mesh.hosts[0].view(mesh.now).shared_load.unwrap();
+        for it in &shared.routes {
+            let at = usize::from(it.address.port() - SERVICE.port);
+            told[at] += 1;
+        }
+    }
+    assert!(told.iter().all(|it| *it > 0), "{told:?}");
+}
+
+#[test]
+fn first_rates_are_those_since_the_start() {
+    let mut mesh = Mesh::new(2, 1, 1);
+    mesh.now = Millis(500_000_000);
+    for number in 0..60 {
+        mesh.request(0, 1, flow(number));
+        mesh.answer(0, 1, flow(number));
+        mesh.run(50);
+        if let Some(shared) = mesh.hosts[1].view(mesh.now).shared_load
+            && let Some(it) = shared.routes.first()
+        {
+            assert!((14.0..=26.0).contains(&it.requests_per_s), "{} of 20", it.requests_per_s);
+            return;
+        }
+    }
+    panic!("no rate was told");
+}
+
 #[test]
 fn nothing_is_sent_or_believed_with_the_mechanism_off() {
     let mut mesh = loaded_mesh();
@@ -642,6 +692,21 @@
             upstreams: vec![UpstreamReport { in_progress: 1, slowness_milli: 9_000, ..row }],
             routes: vec![],
         },
+        LoadReport {
+            interval_ms: 500,
+            upstreams: vec![UpstreamReport {
+                in_progress: 1,
+                speed_samples: 1,
+                slowness_milli: 2_600,
+                ..row
+            }],
+            routes: vec![],
+        },
+        LoadReport {
+            interval_ms: 500,
+            upstreams: vec![UpstreamReport { in_progress: 1, speed_samples: u16::MAX, ..row }],
+            routes: vec![],
+        },
         LoadReport {
             interval_ms: 500,
             upstreams: vec![],
@@ -656,7 +721,7 @@
     for it in &impossible {
         mesh.hosts[collector].apply_load_report(mesh.now, from, it);
     }
-    assert_eq!(mesh.hosts[collector].stats().load_rejected, 4);
+    assert_eq!(mesh.hosts[collector].stats().load_rejected, 6);
     let is_rejection = |it: &DirectEvent| matches!(it, DirectEvent::LoadRejected { .. });
     let events = mesh.hosts[collector].take_events();
     let rejections: Vec<&DirectEvent> = events.iter().filter(|it| is_rejection(it)).collect();
@@ -672,6 +737,8 @@
     let (zone, from) = mesh.ids[2];
     let upstreams =
         vec![UpstreamSum { token: Token::of(key(1)), in_progress: 60_000, speed_percent: 100 }];
+    let with_speed =
+        |speed_percent| UpstreamSum { token: Token::of(key(1)), in_progress: 0, speed_percent };
     let good = LoadSummary {
         zone,
         incarnation: u64::MAX,
@@ -685,11 +752,14 @@
         LoadSummary { upstreams, ..good.clone() },
         LoadSummary { hosts: 5_000, ..good.clone() },
         LoadSummary { age_ms: u32::MAX, ..good.clone() },
+        LoadSummary { upstreams: vec![with_speed(9)], ..good.clone() },
+        LoadSummary { upstreams: vec![with_speed(401)], ..good.clone() },
+        LoadSummary { upstreams: vec![with_speed(100); 2], ..good.clone() },
     ];
     for it in &impossible {
         mesh.hosts[0].apply_load_summary(mesh.now, from, it);
     }
-    assert_eq!(mesh.hosts[0].stats().load_rejected, 3);
+    assert_eq!(mesh.hosts[0].stats().load_rejected, 6);
     // Nobody else speaks for a zone, and no stranger does.
     mesh.hosts[0].apply_load_summary(mesh.now, HostId(99), &good);
     mesh.run(1_000);
