--- a/crates/pomelorun-core/src/direct/host/load_sharing.rs
+++ b/crates/pomelorun-core/src/direct/host/load_sharing.rs
@@ -11,7 +11,7 @@
         event::{DirectEvent, ImplausibleLoad},
         host::DirectHost,
         load_collector::{LoadCollector, SummaryScope, UpstreamHint},
-        load_report::{IN_PROGRESS_UNIT, LoadReport, LoadSummary},
+        load_report::{IN_PROGRESS_UNIT, LoadReport, LoadSummary, MAX_SPEED_SAMPLES},
         load_sampler::LoadSampler,
         mechanism::Mechanism,
         overdue_requests::OverdueRequests,
@@ -41,8 +41,10 @@
 const MAX_ZONE_HOSTS: usize = 4_096;
 /// Highest rate of one address, in tenths of a request per second.
 const MAX_RATE_TENTHS: u32 = 100_000_000;
-/// Largest mean logarithm of a relative time, in thousandths: a thousand times the usual time.
-const MAX_SLOWNESS_MILLI: u64 = 6_908;
+/// Least and largest mean logarithm of a relative time, in thousandths: those of one answer.
+const SLOWNESS_BOUNDS_MILLI: (i64, i64) = (-1_800, 2_500);
+/// Least and largest speed, in percent.
+const SPEED_BOUNDS_PERCENT: (u16, u16) = (10, 400);
 /// Longest interval and age in a message, in milliseconds.
 const MAX_AGE_MS: u32 = 60_000;
 /// Least time between two events about messages that were not believed.
@@ -212,6 +214,7 @@
         if collector != Some(me) {
             self.load_sharing.is_serving = false;
             self.load_sharing.ranks_first_since = None;
+            self.load_sharing.collector.clear();
             return;
         }
         let since = *self.load_sharing.ranks_first_since.get_or_insert(now);
@@ -242,8 +245,7 @@
 
     /// Returns the number of requests in progress at an upstream through this host.
     fn own_in_progress(&self, ix: UpstreamIx) -> u32 {
-        let waiting = self.upstream_states.get(ix.0 as usize).map_or(0, |it| it.load.waiting);
-        self.load_sharing.overdue.in_progress(ix, waiting)
+        self.upstream_states.get(ix.0 as usize).map_or(0, |it| it.load.in_progress())
     }
 
     /// Records how long an upstream took to answer a request.
@@ -253,10 +255,6 @@
         ix: UpstreamIx,
         sample: &AnswerSample,
     ) {
-        let timeout = self.routing.route(sample.route).map(|it| it.class.timeout);
-        if timeout.is_some_and(|it| sample.took >= it) {
-            self.load_sharing.overdue.record_late_answer(ix);
-        }
         let slowness = self.service_times.record(now, sample);
         if let Some(slowness) = slowness.filter(|_| self.shares_load()) {
             self.load_sharing.sampler.record_speed(ix, slowness);
@@ -277,16 +275,18 @@
     }
 
     fn sample_load(&mut self, now: Millis) {
-        let (flows, states) = (&mut self.flows, &self.upstream_states);
-        let waiting = |ix: UpstreamIx| states.get(ix.0 as usize).map_or(0, |it| it.load.waiting);
+        let (flows, states) = (&mut self.flows, &mut self.upstream_states);
         let LoadSharing { sampler, overdue, .. } = &mut self.load_sharing;
         overdue.expire(now, |it| {
             let flow = flows.get_mut(&it.flow);
             let flow = flow.filter(|flow| flow.established && flow.upstream() == it.ix);
-            flow.is_some_and(|flow| flow.unanswered_since == Some(it.sent_at))
+            let waiting = flow.filter(|flow| flow.unanswered_since == Some(it.sent_at));
+            if let Some(flow) = waiting.filter(|flow| !flow.overdue) {
+                flow.overdue = true;
+                states[it.ix.0 as usize].load.overdue += 1;
+            }
         });
-        overdue.settle(waiting);
-        sampler.sample(now, |ix| overdue.in_progress(ix, waiting(ix)));
+        sampler.sample(now, |ix| states.get(ix.0 as usize).map_or(0, |it| it.load.in_progress()));
     }
 
     fn report_load(&mut self, now: Millis, interval: Millis, collector: Option<HostId>) {
@@ -389,8 +389,10 @@
             if f64::from(it.in_progress) * IN_PROGRESS_UNIT > self.max_in_progress(it.token) {
                 return Err(ImplausibleLoad::InProgress { token: it.token });
             }
-            let slowness = u64::from(it.slowness_milli.unsigned_abs());
-            if slowness > u64::from(it.speed_samples) * MAX_SLOWNESS_MILLI {
+            let (slowness, count) = (i64::from(it.slowness_milli), i64::from(it.speed_samples));
+            let (least, most) = SLOWNESS_BOUNDS_MILLI;
+            let is_possible = (least * count..=most * count).contains(&slowness);
+            if !is_possible || it.speed_samples > MAX_SPEED_SAMPLES {
                 return Err(ImplausibleLoad::Speed { token: it.token });
             }
         }
@@ -415,7 +417,8 @@
             if f64::from(it.in_progress) * IN_PROGRESS_UNIT > most {
                 return Err(ImplausibleLoad::InProgress { token: it.token });
             }
-            if it.speed_percent == 0 {
+            let (least, most) = SPEED_BOUNDS_PERCENT;
+            if !(least..=most).contains(&it.speed_percent) {
                 return Err(ImplausibleLoad::Speed { token: it.token });
             }
         }
