Count a speed as different only if chance cannot explain it

A speed now differs from 1 once its mean slowness is four standard errors away, from at least three answers, and until it is within two.

The mean over zones, which counts only zones that differ, is in shared_load.rs and not changed here.

--- a/crates/pomelorun-core/src/direct/upstream_speed.rs
+++ b/crates/pomelorun-core/src/direct/upstream_speed.rs
@@ -167,9 +167,17 @@
 /// Distance of the recent mean from the lasting one, times the root of the number of its answers,
 /// from which on the speed has changed.
 const CHANGE_DISTANCE: f64 = 3.0;
-/// Mean slowness up to which an upstream counts as an average one: a difference that chance alone
-/// seldom gives.
+/// Mean slowness up to which an upstream counts as an average one: a difference that is not worth
+/// other decisions.
 const DEAD_BAND: f64 = 0.2;
+/// Standard deviation of the logarithms of answers' relative times: routes with log-normal work and
+/// some requests that take several times as long.
+const SPREAD: f64 = 0.6;
+/// Standard errors of the mean slowness from which on a speed differs, and down to which it then
+/// does: among hundreds of equal upstreams, chance alone seldom gives the first.
+const DIFFERENCE: (f64, f64) = (4.0, 2.0);
+/// Least number of answers of which some may be long requests.
+const MIN_ANSWERS: f64 = 3.0;
 /// Step of a speed.
 const SPEED_STEP: f64 = 0.05;
 /// Minimum and maximum speed.
@@ -198,6 +206,11 @@
     fn value(self, prior: f64) -> f64 {
         self.sum / (self.answers + prior).max(f64::MIN_POSITIVE)
     }
+
+    /// Returns the distance of the mean from that of an average upstream, in standard errors.
+    fn difference(self) -> f64 {
+        self.value(0.0).abs() * self.answers.sqrt() / SPREAD
+    }
 }
 
 /// Speed of one upstream, kept by the collector of a zone.
@@ -206,6 +219,8 @@
     lasting: SlownessMean,
     recent: SlownessMean,
     updated_at: Millis,
+    /// `true` once the speed differs by more than chance gives.
+    differs: bool,
 }
 
 impl SpeedEstimate {
@@ -226,6 +241,11 @@
         if distance * self.recent.answers.sqrt() > CHANGE_DISTANCE {
             self.lasting = self.recent;
         }
+        let has_enough = self.lasting.answers >= MIN_ANSWERS;
+        self.differs = match self.differs {
+            false => has_enough && self.lasting.difference() >= DIFFERENCE.0,
+            true => self.lasting.difference() >= DIFFERENCE.1,
+        };
     }
 
     /// Returns the speed relative to the service, 1 if too little is known or the difference may be
@@ -233,7 +253,7 @@
     pub fn speed(&self, now: Millis) -> f64 {
         let gap = now.since(self.updated_at);
         let slowness = self.lasting.decayed(gap, LASTING_HALF_LIFE_MS).value(PRIOR_ANSWERS);
-        if slowness.abs() <= DEAD_BAND {
+        if !self.differs || slowness.abs() <= DEAD_BAND {
             return 1.0;
         }
         let speed = ((-slowness).exp() / SPEED_STEP).round() * SPEED_STEP;
--- a/crates/pomelorun-core/tests/core/direct/upstream_speed.rs
+++ b/crates/pomelorun-core/tests/core/direct/upstream_speed.rs
@@ -231,3 +231,22 @@
     let usual = times.get(route(0)).unwrap();
     assert!((usual / 8.0 - 1.0).abs() < 0.1, "{usual}");
 }
+
+#[test]
+fn equal_upstreams_with_few_answers_change_no_decision() {
+    // Any upstream whose speed is not 1 changes how all flows are placed.
+    for per_s in [0.5, 1.5, ANSWERS_PER_S] {
+        let (mut changed, mut total) = (0, 0);
+        for seed in 0..4 {
+            let mut zone = Zone::new(seed, 120);
+            zone.answers_per_s = per_s;
+            zone.run(60, &[1.0; 120]);
+            for _ in 0..360 {
+                zone.report(&[1.0; 120]);
+                changed += usize::from((0..120).any(|at| zone.speed(at) != 1.0));
+                total += 1;
+            }
+        }
+        assert!(changed * 100 <= total, "{per_s} a second: {changed} of {total}");
+    }
+}
