Learn no speed from cold upstreams, and state the targets of the tests

The field of a sample is now `is_delayed`, by a queue or a cold start.

The property test of the old rule covers shared loads up to the number of slots. Bounds that came from measured figures are restated from targets, none looser: load per capacity within 1.25 of the mean (callers' response-time goals), a slow upstream's flows lost within a caller's patience of 8 s, and the share of an upstream that looks idle at most 4.5 times (was 5) for a target of four.

Remove a doubled condition.

--- a/crates/pomelorun-core/src/direct/host/failure_detection.rs
+++ b/crates/pomelorun-core/src/direct/host/failure_detection.rs
@@ -162,6 +162,7 @@
         let Some(it) = self.registry.get(ix) else { return };
         let (zone, slots) = (it.announcement.zone, it.announcement.slots);
         let shared = self.shared_in_progress(now, it);
+        let was_cold = sent_at < it.cold_until;
         let load = &mut self.upstream_states[ix.0 as usize].load;
         let has_queued = load.remove_waiting(now, sent_at, slots);
         let Some(route) = route else { return };
@@ -169,7 +170,9 @@
             route,
             took: now.since(sent_at),
             round_trip: self.opening_times.mean(zone).unwrap_or(Millis(0)),
-            may_have_queued: has_queued || shared.is_some_and(|it| it >= f64::from(slots.max(1))),
+            is_delayed: has_queued
+                || was_cold
+                || shared.is_some_and(|it| it >= f64::from(slots.max(1))),
         };
         self.record_answer_time(now, ix, &sample);
     }
@@ -206,8 +209,6 @@
         if inserted && has_data {
             self.record_request(now, ix, seg);
             self.count_request(now, ix, seg);
-        }
-        if inserted && has_data {
             self.add_waiting(now, ix);
         }
     }
--- a/crates/pomelorun-core/src/direct/upstream_speed.rs
+++ b/crates/pomelorun-core/src/direct/upstream_speed.rs
@@ -19,8 +19,8 @@
     pub took: Millis,
     /// Usual time for a packet's way to the upstream and back.
     pub round_trip: Millis,
-    /// `true` if the request may have waited for another one at the upstream.
-    pub may_have_queued: bool,
+    /// `true` if a queue or a cold start of the upstream may have delayed the answer.
+    pub is_delayed: bool,
 }
 
 /// What this host has seen of the speed of one upstream since its last report.
@@ -121,7 +121,7 @@
     /// Records an answer and returns the logarithm of its relative time in thousandths, or `None` if
     /// it shows nothing about the upstream.
     pub fn record(&mut self, now: Millis, sample: &AnswerSample) -> Option<i32> {
-        if sample.may_have_queued {
+        if sample.is_delayed {
             return None;
         }
         let (took_ms, way_ms) = (sample.took.0 as f64, sample.round_trip.0 as f64);
--- a/crates/pomelorun-core/tests/core/direct/placement.rs
+++ b/crates/pomelorun-core/tests/core/direct/placement.rs
@@ -21,6 +21,8 @@
 const SPEEDS: [f64; 3] = [0.6, 1.0, 1.6];
 /// Median work of a request, in milliseconds.
 const WORK_MS: f64 = 19.0;
+/// Load per capacity of slow upstreams up to which callers reach their response-time goal, in means.
+const MAX_BUSY: f64 = 1.25;
 
 fn candidate(at: usize, flow: u64) -> Candidate {
     Candidate {
@@ -64,7 +66,8 @@
 fn any_candidate() -> impl Strategy<Value = Candidate> {
     let choice = prop_oneof![Just(Choice::Good), Just(Choice::Cold), Just(Choice::Suspect)];
     let flags = (any::<bool>(), prop::bool::weighted(0.1));
-    let shared = prop::option::of(0.0..1.0);
+    // Up to a request in every slot, in shares of the slots.
+    let shared = prop::option::of(prop_oneof![3 => 0.0..1.0, 1 => Just(1.0)]);
     let load = (0..4u32, 0.0..3.0, 0.1..1.0, 1..4u32);
     (choice, flags, load, shared, prop_oneof![Just(0.0), Just(4.0)], 0..20u64).prop_map(
         |(choice, flags, load, shared, penalty, tie)| Candidate {
@@ -75,7 +78,7 @@
             recent_opens: if load.1 < 1.0 { 0.0 } else { load.1 },
             load_share: load.2,
             slots: load.3,
-            shared_in_progress: shared,
+            shared_in_progress: shared.map(|it| it * f64::from(load.3)),
             penalty,
             tie_break: tie,
             ..candidate(0, 0)
@@ -277,7 +280,7 @@
         for known in [Known::Speed, Known::SpeedAndLoad] {
             let run = Run::new(1, traffic, known, traffic.short_ms());
             let found = run.flows_by_speed();
-            assert!(found.iter().all(|it| (0.8..=1.25).contains(it)), "{found:.2?}");
+            assert!(found.iter().all(|it| (1.0 / MAX_BUSY..=MAX_BUSY).contains(it)), "{found:.2?}");
         }
     }
     let flows = flows(|at, it| it.speed = speed(at));
@@ -295,7 +298,7 @@
             let ratios = (without.peak_ratio(), with.peak_ratio());
             let means = (without.peak.1, with.peak.1);
             assert!(ratios.1 <= ratios.0 * 1.2, "{traffic:?}: max/mean {ratios:.2?}");
-            assert!(means.1 <= means.0 * 1.25, "{traffic:?}: {means:.1?}");
+            assert!(means.1 <= means.0 * MAX_BUSY, "{traffic:?}: {means:.1?}");
         }
     }
 }
@@ -310,10 +313,12 @@
 
 #[test]
 fn upstream_that_looks_idle_beside_full_ones_gets_few_times_its_share() {
+    // Four times, with chance, still leaves most flows to the others in the second that the picture
+    // takes to show them.
     for full in [8.0, 10.0, 12.0] {
         let flows = flows(|at, it| it.shared_in_progress = Some(if at == 0 { 0.0 } else { full }));
         let share = f64::from(flows[0]) * UPSTREAMS as f64 / 4_000.0;
-        assert!((2.0..=5.0).contains(&share), "{share:.1} times the mean beside {full}");
+        assert!((2.0..=4.5).contains(&share), "{share:.1} times the mean beside {full}");
     }
 }
 
--- a/crates/pomelorun-core/tests/core/direct/upstream_speed.rs
+++ b/crates/pomelorun-core/tests/core/direct/upstream_speed.rs
@@ -2,12 +2,19 @@
 
 use pomelorun_core::{
     Millis,
-    direct::{AnswerSample, ServiceTimes, SpeedEstimate, SpeedSamples},
+    direct::{
+        Announcement, AnswerSample, DirectoryUpdate, LoadMessage, ServiceTimes, SpeedEstimate,
+        SpeedSamples, Token,
+    },
 };
-use pomelorun_wire::ServiceAddr;
+use pomelorun_wire::{HostId, ServiceAddr};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use crate::direct::fixtures::{
+    LOCAL_HOST, LOCAL_ZONE, announcement, data_segment, flow, host, key,
+};
+
 /// Median work of two routes to one service, in milliseconds.
 const WORK_MS: [f64; 2] = [19.0, 25.0];
 const ROUND_TRIP: Millis = Millis(2);
@@ -16,6 +23,9 @@
 const HOSTS: usize = 22;
 /// Answers per second of one upstream that the hosts of a zone see.
 const ANSWERS_PER_S: f64 = 4.5;
+/// Time that callers usually wait before they give up: an upstream that has turned slow must have
+/// lost nearly all new flows by then, and half of them in three quarters of it.
+const PATIENCE_MS: u64 = 8_000;
 
 /// Logarithm of a request's work relative to the median: spread 0.5, 3% take seven times as long.
 pub(crate) fn ln_work(rng: &mut ChaCha8Rng) -> f64 {
@@ -30,7 +40,7 @@
 
 fn sample(at: usize, took_ms: f64) -> AnswerSample {
     let took = Millis(took_ms.round() as u64) + ROUND_TRIP;
-    AnswerSample { route: route(at), took, round_trip: ROUND_TRIP, may_have_queued: false }
+    AnswerSample { route: route(at), took, round_trip: ROUND_TRIP, is_delayed: false }
 }
 
 /// Hosts of a zone with one collector.
@@ -149,7 +159,7 @@
     times.iter_mut().for_each(|it| it.sort_unstable());
     let slowest = times.map(|it| it[19]);
     assert!(
-        slowest[0] <= 6_000 && slowest[1] <= 8_000 && slowest[2] <= 15_000,
+        slowest[0] <= PATIENCE_MS * 3 / 4 && slowest[1] <= PATIENCE_MS && slowest[2] <= 15_000,
         "half, nearly all flows lost, regained after {slowest:?} ms"
     );
 }
@@ -173,7 +183,7 @@
     assert!(found[..20].iter().all(Option::is_none) && found[20..].iter().all(Option::is_some));
     let usual = times.get(route(0)).unwrap();
     assert!((usual - 20.0).abs() < 0.1, "{usual}");
-    let queued = AnswerSample { may_have_queued: true, ..sample(0, 90.0) };
+    let queued = AnswerSample { is_delayed: true, ..sample(0, 90.0) };
     assert_eq!(times.record(Millis(0), &queued), None);
     assert_eq!(times.record(Millis(0), &sample(0, 0.0)), None);
     assert_eq!(times.get(route(1)), None);
@@ -250,3 +260,36 @@
         assert!(changed * 100 <= total, "{per_s} a second: {changed} of {total}");
     }
 }
+
+/// Returns the speed samples that a host reports when an upstream answers, cold for a while or not.
+fn reported_samples(cold_left: Millis) -> u64 {
+    let mut it = host(&[announcement(1, LOCAL_ZONE)]);
+    let cold = Announcement { cold_left, key: key(2), ..announcement(2, LOCAL_ZONE) };
+    // Of so many hosts another one is the collector, to which this one reports.
+    it.set_hosts_by_zone((0..20).map(|at| (LOCAL_ZONE, HostId(LOCAL_HOST.0 + at))).collect());
+    let mut samples = 0;
+    for number in 0..400u64 {
+        let now = Millis(100 + number * 25);
+        if number == 100 {
+            it.apply_update(now, &DirectoryUpdate::Upstream(cold.clone()));
+        }
+        let upstream = if number < 100 { 1 } else { 2 };
+        let token = Token::of(key(upstream));
+        it.handle_packet(now, &data_segment(flow(number as u32), token, 1, 100, 10));
+        it.handle_packet(now + Millis(20), &data_segment(flow(number as u32), token, 11, 200, 0));
+        it.tick(now + Millis(20));
+        for (_, msg) in it.take_load_messages() {
+            let LoadMessage::Report(report) = msg else { continue };
+            let of = report.upstreams.iter().filter(|it| it.token == Token::of(key(2)));
+            samples += of.map(|it| u64::from(it.speed_samples)).sum::<u64>();
+        }
+    }
+    samples
+}
+
+#[test]
+fn answers_of_a_cold_upstream_show_no_speed() {
+    let (warm, cold) = (reported_samples(Millis(0)), reported_samples(Millis(60_000)));
+    assert!(warm > 200, "{warm}");
+    assert_eq!(cold, 0);
+}
