Find dead upstreams by openings alone

Cause: with openings only, a silent probe never was a verdict, nor were other hosts asked. Callers of a dead service or of a zone that is cut off were never rejected, and idle flows there never reset.

Change: two silent probes in a row, without a response to any host that was asked, take an upstream out of the choice for openings and have the other upstreams of its zone probed; its flows go on. After at least a second of silence towards as many hosts as the zone has, its idle flows are reset too.

--- a/crates/pomelorun-core/src/direct/host/failure_detection.rs
+++ b/crates/pomelorun-core/src/direct/host/failure_detection.rs
@@ -41,7 +41,9 @@
             Reachability::Unreachable { since } => since,
             Reachability::Answering | Reachability::Suspect => now,
         };
+        let was_silent = liveness.is_silent();
         let effect = liveness.record_probe(now, result, rule);
+        let fell_silent = !was_silent && liveness.is_silent();
         match effect {
             ProbeEffect::Unchanged => {}
             ProbeEffect::Recovered => self.record_recovery(now, key, since),
@@ -57,12 +59,15 @@
                 self.stats.kept_by_peers += u64::from(reason == KeepReason::AnsweredPeer);
                 self.mark_unhealthy(ix);
                 self.emit(DirectEvent::Kept { upstream: key, reason, waited });
+                if fell_silent {
+                    self.probe_silent_zone(now, ix, waited, Liveness::start_zone_probe);
+                }
             }
             ProbeEffect::Unreachable => {
                 let waited_ms = u32::try_from(waited.0).unwrap_or(u32::MAX);
                 self.peer_update.unreachable.push((key.id, key.started_at, waited_ms));
                 self.mark_unreachable(now, ix, waited, false);
-                self.probe_silent_zone(now, ix, waited);
+                self.probe_silent_zone(now, ix, waited, Liveness::record_zone_silence);
             }
             ProbeEffect::Ended => {
                 self.registry.mark_ended(ix);
@@ -356,11 +361,17 @@
     }
 
     /// Probes all upstreams of another zone that has not responded since a caller of the `lost`
-    /// upstream began to wait.
+    /// upstream began to wait, and for which `start` returns `true`.
     ///
     /// The path to the whole zone may be cut. Probing at once is faster than waiting until callers
     /// retransmit to each upstream in turn.
-    pub(super) fn probe_silent_zone(&mut self, now: Millis, lost: UpstreamIx, waited: Millis) {
+    pub(super) fn probe_silent_zone(
+        &mut self,
+        now: Millis,
+        lost: UpstreamIx,
+        waited: Millis,
+        start: fn(&mut Liveness, Millis, Millis) -> bool,
+    ) {
         let Some(zone) = self.registry.get(lost).map(|it| it.announcement.zone) else { return };
         let silent_since = now - waited;
         let response = self.zone_responses.binary_search_by_key(&zone, |it| it.0);
@@ -376,7 +387,7 @@
             .collect();
         let candidates = self.reference_candidates(now);
         for ix in zone_upstreams {
-            if self.upstream_states[ix.0 as usize].liveness.record_zone_silence(now, silent_since) {
+            if start(&mut self.upstream_states[ix.0 as usize].liveness, now, silent_since) {
                 self.mark_unhealthy(ix);
                 self.send_probe_with_reference(ix, ProbeKind::Connect, candidates);
             }
--- a/crates/pomelorun-core/src/direct/host/flow_placement.rs
+++ b/crates/pomelorun-core/src/direct/host/flow_placement.rs
@@ -263,6 +263,7 @@
         Ok(match state.liveness.reachability() {
             Reachability::Answering => usable,
             Reachability::Suspect if !self.is_enabled(Mechanism::Suspicion) => usable,
+            Reachability::Suspect if state.liveness.is_silent() => Choice::Unreachable,
             Reachability::Suspect => Choice::Suspect,
             Reachability::Unreachable { .. } => Choice::Unreachable,
         })
--- a/crates/pomelorun-core/src/direct/host/peer_evidence.rs
+++ b/crates/pomelorun-core/src/direct/host/peer_evidence.rs
@@ -76,7 +76,7 @@
         let tokens = late.iter().filter_map(|it| self.registry.get(*it)).map(|it| it.token);
         let query = LivenessQuery { seq, tokens: tokens.collect() };
         for ix in late {
-            self.upstream_states[ix.0 as usize].liveness.record_asked(now);
+            self.upstream_states[ix.0 as usize].liveness.record_asked(now, hosts.len());
         }
         let to_each = |it| (it, LivenessMessage::Query(query.clone()));
         self.liveness_messages.extend(hosts.into_iter().map(to_each));
@@ -101,7 +101,7 @@
         let asked = self.upstream_states[ix.0 as usize].liveness.peers_asked_at();
         self.is_enabled(Mechanism::VerdictEvidence).then(|| EvidenceRule {
             usual_wait,
-            has_peers: self.zone_hosts.len() > 1,
+            peers: self.zone_hosts.len().saturating_sub(1),
             peers_replied: asked.is_some_and(|it| self.liveness_queries.is_answered(it)),
         })
     }
--- a/crates/pomelorun-core/src/direct/liveness.rs
+++ b/crates/pomelorun-core/src/direct/liveness.rs
@@ -61,6 +61,13 @@
 const STALLED_PROBE: Millis = Millis(250);
 /// Time after which the result of a probe is no longer awaited.
 const PROBE_LOST: Millis = Millis(2_000);
+/// Silent probes in a row, without a response to any host in between, after which callers that open
+/// flows are told at once that the upstream is unreachable.
+const MIN_SILENT_PROBES: u32 = 2;
+/// Minimum time without a response to any host after which idle flows are reset too.
+const MIN_SILENCE: Millis = Millis(1_000);
+/// The same, in times within which almost all requests are answered, queues included.
+const MIN_SILENCE_ANSWERS: u64 = 3;
 /// Maximum delay before a silent probe is repeated.
 const REPEAT_BACKOFF_MAX: Millis = Millis(2_000);
 /// Delay before a silent probe is repeated, doubled after each further one.
@@ -179,6 +186,10 @@
     probe: Option<ProbeInFlight>,
     /// Probes that timed out without a verdict since the upstream last accepted a flow or a probe.
     silent_probes: u32,
+    /// The time since the first of them, while nothing has responded to any host.
+    silence: Option<Silence>,
+    /// When the last probe was sent.
+    last_probe: Millis,
     /// When to judge the probe again that has timed out, if requests have waited too little yet.
     judge_at: Option<Millis>,
     /// When to send the next probe although no packet calls for it.
@@ -204,13 +215,26 @@
     asked: Option<Millis>,
 }
 
+/// A time without a response to any host of the zone, as far as known.
+#[derive(Debug, Clone, Copy)]
+struct Silence {
+    /// When the first silent probe was sent.
+    since: Millis,
+    /// Number of silent probes.
+    probes: u32,
+    /// Number of hosts asked, counted anew for each query.
+    hosts_asked: usize,
+    /// `true` if the last silent probe ended with the replies of other hosts, or there are none.
+    is_confirmed: bool,
+}
+
 /// What the evidence for a verdict is measured by.
 #[derive(Clone, Copy)]
 pub(crate) struct EvidenceRule<'a> {
     /// Time that a full queue may take to answer a request of a flow, as far as observed.
     pub(crate) usual_wait: &'a dyn Fn(&FlowKey) -> Option<Millis>,
-    /// `true` if the zone has other hosts.
-    pub(crate) has_peers: bool,
+    /// Number of other hosts of the zone.
+    pub(crate) peers: usize,
     /// `true` if at least half of the hosts asked last have replied.
     pub(crate) peers_replied: bool,
 }
@@ -282,6 +306,12 @@
         self.last_response
     }
 
+    /// Returns `true` if several probes stayed without a response and no host of the zone has had
+    /// one meanwhile, so that the upstream gets no flows. Its open flows are not affected.
+    pub(crate) fn is_silent(&self) -> bool {
+        self.silence.is_some_and(|it| it.is_confirmed && it.probes >= MIN_SILENT_PROBES)
+    }
+
     /// Records a response to a request and returns `true` if the upstream was unreachable.
     ///
     /// It does not show that the upstream has room for new flows.
@@ -339,6 +369,7 @@
             return false;
         }
         self.probe = Some(ProbeInFlight { sent: now, asked: None });
+        self.last_probe = now;
         self.repeat_at = None;
         true
     }
@@ -353,6 +384,13 @@
         self.start_probe(now)
     }
 
+    /// Returns `true` if the upstream is to be probed because another one of its zone gets no flows,
+    /// and notes that it is.
+    pub(crate) fn start_zone_probe(&mut self, now: Millis, silent_since: Millis) -> bool {
+        let is_known = self.unreachable.is_some() || self.silent_probes > 0;
+        !is_known && self.last_response <= silent_since && self.start_probe(now)
+    }
+
     /// Records the result of a probe and returns its effect. Without a `rule`, each silent probe of a
     /// suspect upstream is a verdict.
     pub(crate) fn record_probe(
@@ -414,7 +452,8 @@
         if self.zone_silent_since.is_none() {
             let mut requests = self.unanswered.iter().filter(|it| it.established).peekable();
             if requests.peek().is_none() {
-                return Some(KeepReason::OpeningsOnly);
+                let is_gone = self.is_silent_long(now, rule) && self.is_heard(now, probe, rule);
+                return (!is_gone).then_some(KeepReason::OpeningsOnly);
             }
             if !requests.any(|it| now.since(it.sent) >= required_age(it, rule)) {
                 return Some(KeepReason::TooEarly);
@@ -423,11 +462,40 @@
         if self.peer_response > sent - PEER_RESPONSE_WINDOW {
             return Some(KeepReason::AnsweredPeer);
         }
+        (!self.is_heard(now, probe, rule)).then_some(KeepReason::PeersPending)
+    }
+
+    /// Returns `true` if other hosts have replied, or had time to do so.
+    fn is_heard(&self, now: Millis, probe: Option<ProbeInFlight>, rule: &EvidenceRule<'_>) -> bool {
         let asked = probe.and_then(|it| it.asked);
         let asked_in_time = asked.is_some_and(|it| now.since(it) >= PEER_REPLY_TIME);
         // Hosts that have not replied by the second probe may be gone.
-        let heard = !rule.has_peers || asked_in_time && (rule.peers_replied || self.peers_late);
-        (!heard).then_some(KeepReason::PeersPending)
+        rule.peers == 0 || asked_in_time && (rule.peers_replied || self.peers_late)
+    }
+
+    /// Returns `true` if the upstream has been silent for so long that idle flows are reset. A full
+    /// one answers some host meanwhile. A host without others to ask sees too little for that.
+    fn is_silent_long(&self, now: Millis, rule: &EvidenceRule<'_>) -> bool {
+        let Some(it) = self.silence.filter(|_| self.is_silent()) else { return false };
+        let usual = self.unanswered.first().and_then(|it| (rule.usual_wait)(&it.flow));
+        let usual = usual.unwrap_or(MAX_REQUEST_AGE);
+        let required = Millis(usual.0 * MIN_SILENCE_ANSWERS).max(MIN_SILENCE);
+        rule.peers > 0 && it.hosts_asked >= rule.peers && now.since(it.since) >= required
+    }
+
+    /// Counts a silent probe.
+    fn add_silence(
+        &mut self,
+        now: Millis,
+        probe: Option<ProbeInFlight>,
+        rule: Option<EvidenceRule<'_>>,
+    ) {
+        let is_confirmed = rule.is_some_and(|it| self.is_heard(now, probe, &it));
+        let since = probe.map_or(now, |it| it.sent);
+        let first = Silence { since, probes: 0, hosts_asked: 0, is_confirmed };
+        let it = self.silence.get_or_insert(first);
+        it.probes = it.probes.saturating_add(1);
+        it.is_confirmed = is_confirmed;
     }
 
     /// Keeps the upstream and schedules the next probe.
@@ -452,14 +520,26 @@
             self.judge_at = Some(at);
             return ProbeEffect::Unchanged;
         }
-        let were_late = std::mem::replace(&mut self.peers_late, reason == KeepReason::PeersPending);
+        if reason == KeepReason::AnsweredPeer {
+            self.silence = None;
+        } else {
+            self.add_silence(now, probe, rule);
+        }
+        let asked = probe.is_some_and(|it| it.asked.is_some());
+        let late = match reason {
+            KeepReason::OpeningsOnly => asked && self.silence.is_some_and(|it| !it.is_confirmed),
+            reason => reason == KeepReason::PeersPending,
+        };
+        let were_late = std::mem::replace(&mut self.peers_late, late);
         self.silent_probes = self.silent_probes.saturating_add(1);
         let backoff = now + self.repeat_delay();
         self.repeat_at = Some(match (reason, self.ripe_at(rule)) {
             // The next probe ends when the requests have waited long enough.
             (KeepReason::TooEarly, Some(at)) => (at - PROBE_TIMEOUT).min(backoff),
             (KeepReason::PeersPending, _) if !were_late => now,
-            (KeepReason::AnsweredPeer, _) if self.silent_probes == 1 => now,
+            (KeepReason::AnsweredPeer | KeepReason::OpeningsOnly, _) if self.silent_probes == 1 => {
+                now
+            }
             _ => backoff,
         });
         ProbeEffect::Kept(reason)
@@ -515,7 +595,9 @@
             .is_some_and(|it| it.asked.is_none() && now.since(it.sent) >= ASK_PEERS_AFTER);
         late && self.unreachable.is_none()
             && self.probe.is_some_and(|it| self.last_response <= it.sent)
-            && (self.zone_silent_since.is_some() || self.unanswered.iter().any(|it| it.established))
+            && (self.zone_silent_since.is_some()
+                || self.silent_probes > 0
+                || self.unanswered.iter().any(|it| it.established))
     }
 
     /// Returns when other hosts were asked about the probe in flight.
@@ -532,21 +614,26 @@
     }
 
     /// Notes that other hosts were asked.
-    pub(crate) fn record_asked(&mut self, now: Millis) {
+    pub(crate) fn record_asked(&mut self, now: Millis, hosts: usize) {
         if let Some(it) = &mut self.probe {
             it.asked = Some(now);
         }
+        if let Some(it) = &mut self.silence {
+            it.hosts_asked += hosts;
+        }
     }
 
     /// Records the time of a response to another host of the zone.
     pub(crate) fn record_peer_response(&mut self, at: Millis) {
         self.peer_response = self.peer_response.max(at);
+        self.silence = self.silence.filter(|it| it.since >= at);
     }
 
     /// Records a response of either kind and returns `true` if the upstream was unreachable.
     fn mark_responding(&mut self, now: Millis) -> bool {
         self.last_response = now;
         self.unanswered.clear();
+        self.silence = None;
         self.peers_late = false;
         self.zone_silent_since = None;
         if self.silent_probes > 0 && self.repeat_at.is_none() {
@@ -568,6 +655,7 @@
     pub fn mark_unreachable(&mut self, now: Millis) {
         self.unanswered.clear();
         self.silent_probes = 0;
+        self.silence = None;
         self.peers_late = false;
         self.repeat_at = None;
         self.zone_silent_since = None;
@@ -594,9 +682,12 @@
         true
     }
 
-    /// Brings the next probe of an unreachable upstream forward, because callers have no other
-    /// upstream.
+    /// Brings the next probe of an unreachable or silent upstream forward, because callers have no
+    /// other upstream.
     pub(crate) fn expedite_probe(&mut self, now: Millis) {
+        if let Some(at) = &mut self.repeat_at {
+            *at = (*at).min(now.max(self.last_probe + EXPEDITED_PROBE_INTERVAL));
+        }
         if let Some(it) = &mut self.unreachable {
             it.next_probe = it.next_probe.min(now.max(it.last_probe + EXPEDITED_PROBE_INTERVAL));
         }
--- a/crates/pomelorun-core/tests/core/direct/full_upstreams.rs
+++ b/crates/pomelorun-core/tests/core/direct/full_upstreams.rs
@@ -6,15 +6,15 @@
     Millis,
     direct::{
         DirectHost, Disabled, FleetMsg, LivenessMessage, LivenessQuery, LivenessReply, Mechanism,
-        ProbeResult, Reachability, Token,
+        ProbeResult, Reachability, Token, UpstreamKey, Verdict,
     },
 };
-use pomelorun_wire::{HostId, encode};
+use pomelorun_wire::{HostId, ZoneId, encode};
 
 use crate::direct::{
     fixtures::{
-        LOCAL_HOST, LOCAL_ZONE, announcement, data_segment, flow, host, key, open_flow,
-        open_segment, settings,
+        LOCAL_HOST, LOCAL_ZONE, REMOTE_ZONE, announcement, data_segment, flow, host, key,
+        open_flow, open_segment, settings,
     },
     simulation::{Health, OutlierScope, Simulation, SimulationConfig},
 };
@@ -332,3 +332,124 @@
     assert!(resets_without > 0, "the load shows nothing");
     assert!(late <= late_without, "{late} openings are late, {late_without} without the rule");
 }
+
+/// Hosts of a zone whose upstreams accept no flows.
+struct SilentZone {
+    host: DirectHost,
+    peer: DirectHost,
+    upstreams: Vec<u64>,
+    /// Upstream of each idle flow.
+    flows: Vec<u64>,
+    probes: VecDeque<(u64, UpstreamKey)>,
+    resets: usize,
+    /// Upstreams that leave probes without a response, and those that answer the peer's requests.
+    silent: Vec<u64>,
+    answering_peer: Vec<u64>,
+}
+
+impl SilentZone {
+    fn new(upstreams: &[(u64, ZoneId)]) -> SilentZone {
+        let all: Vec<_> = upstreams.iter().map(|it| announcement(it.0, it.1)).collect();
+        let mut first = host(&all);
+        let open = |it| open_flow(&mut first, Millis(500), flow(it)).0;
+        let flows = (0..60).map(open).collect();
+        first.set_zone_peers(vec![PEER]);
+        SilentZone {
+            host: first,
+            peer: host(&all),
+            upstreams: upstreams.iter().map(|it| it.0).collect(),
+            flows,
+            probes: VecDeque::new(),
+            resets: 0,
+            silent: Vec::new(),
+            answering_peer: Vec::new(),
+        }
+    }
+
+    /// Runs timer events, probes and queries, with an opening every 10 ms, from 1,000 ms on, and returns
+    /// when the first opening was rejected.
+    fn run(&mut self, until: u64) -> Option<u64> {
+        let mut rejected = None;
+        for now in (1_000..until).step_by(10) {
+            let verdict =
+                self.host.handle_packet(Millis(now), &open_segment(flow(now as u32 + 5_000), 0));
+            if let Verdict::Forward { id, token, .. } = verdict
+                && !self.silent.contains(&id)
+            {
+                let accepted = data_segment(flow(now as u32 + 5_000), token, 1, 100, 0);
+                self.host.handle_packet(Millis(now + 3), &accepted);
+            }
+            if matches!(verdict, Verdict::Reset(_)) {
+                rejected = rejected.or(Some(now));
+            }
+            for &id in &self.answering_peer {
+                let step = (now / 10) as u32;
+                let it = data_segment(flow(id as u32), Token::of(key(id)), step, step, 50);
+                self.peer.handle_packet(Millis(now), &it);
+            }
+            self.host.retry_openings(Millis(now + 5));
+            if now % 50 == 0 {
+                self.host.tick(Millis(now + 6));
+            }
+            for (_, query) in queries(&mut self.host) {
+                let reply = self.peer.answer_liveness_query(Millis(now + 7), &query);
+                self.host.apply_liveness_reply(PEER, &reply);
+            }
+            for it in self.host.take_probes() {
+                if self.silent.contains(&it.upstream.id) {
+                    self.probes.push_back((now + PROBE_TIMEOUT, it.upstream));
+                } else {
+                    self.host.apply_probe_result(
+                        Millis(now + 8),
+                        it.upstream,
+                        ProbeResult::Answered,
+                    );
+                }
+            }
+            while let Some((_, it)) = self.probes.pop_front_if(|it| it.0 <= now) {
+                self.host.apply_probe_result(Millis(now + 9), it, ProbeResult::NoResponse);
+            }
+            self.resets += self.host.take_resets().len();
+        }
+        rejected
+    }
+
+    fn unreachable(&self) -> Vec<u64> {
+        let is_unreachable = |it: &u64| {
+            let ix = self.host.registry().by_id(*it).unwrap();
+            matches!(self.host.reachability(ix), Reachability::Unreachable { .. })
+        };
+        self.upstreams.iter().copied().filter(is_unreachable).collect()
+    }
+}
+
+#[test]
+fn callers_of_a_silent_service_are_rejected_within_a_second_and_its_idle_flows_reset() {
+    let mut zone = SilentZone::new(&[1, 2, 3, 4, 5, 6].map(|it| (it, LOCAL_ZONE)));
+    zone.silent = zone.upstreams.clone();
+    let rejected = zone.run(8_000);
+    assert!(rejected.is_some_and(|it| it <= 2_000), "{rejected:?}");
+    assert_eq!((zone.resets, zone.unreachable().len()), (60, 6));
+}
+
+#[test]
+fn zone_that_is_cut_off_is_found_by_openings_and_its_idle_flows_reset() {
+    let ids = [1, 2, 3, 4, 5, 6];
+    let mut zone =
+        SilentZone::new(&ids.map(|it| (it, if it <= 3 { LOCAL_ZONE } else { REMOTE_ZONE })));
+    zone.silent = vec![4, 5, 6];
+    zone.run(8_000);
+    assert_eq!(zone.unreachable(), vec![4, 5, 6]);
+    let lost = zone.flows.iter().filter(|it| **it > 3).count();
+    assert!(lost > 0);
+    assert_eq!(zone.resets, lost);
+}
+
+#[test]
+fn full_upstreams_that_answer_another_host_get_openings_and_keep_their_flows() {
+    let mut zone = SilentZone::new(&[1, 2, 3].map(|it| (it, LOCAL_ZONE)));
+    zone.silent = zone.upstreams.clone();
+    zone.answering_peer = zone.upstreams.clone();
+    assert_eq!(zone.run(10_000), None);
+    assert_eq!((zone.resets, zone.unreachable().len()), (0, 0));
+}
