Repeat the probe when a stall delays its judgement

Cause: a postponed judgement was applied at whatever timer event came next, also after a stall of this host, before the answers that waited in the socket were read. All flows of a living upstream (41 in the test) were reset.

Change: a judgement that is 100 ms late is dropped and the probe repeated.

--- a/crates/pomelorun-core/src/direct/host.rs
+++ b/crates/pomelorun-core/src/direct/host.rs
@@ -28,7 +28,7 @@
         flow_lifetimes::FlowLifetimes,
         host::load_sharing::LoadSharing,
         latency::LatencyHistogram,
-        liveness::{Liveness, MIN_RETRANSMIT_GAP, ProbeKind, ProbeResult, Reachability},
+        liveness::{Liveness, MIN_RETRANSMIT_GAP, ProbeKind, Reachability},
         load::Load,
         mechanism::{Disabled, Mechanism},
         observed_flows::{Attempts, Flow, ObservedFlows},
@@ -479,10 +479,8 @@
                 self.send_probe(now, ix, ProbeKind::Identify);
             } else if liveness.take_due_repeat(now) {
                 self.send_probe(now, ix, ProbeKind::Connect);
-            } else if liveness.is_judgement_due(now)
-                && let Some(it) = self.registry.get(ix)
-            {
-                self.apply_probe_result(now, it.announcement.key, ProbeResult::NoResponse);
+            } else {
+                self.judge_postponed(now, ix);
             }
             if self.upstream_states[ix.0 as usize].liveness.is_watched() {
                 self.mark_unhealthy(ix);
--- a/crates/pomelorun-core/src/direct/host/failure_detection.rs
+++ b/crates/pomelorun-core/src/direct/host/failure_detection.rs
@@ -9,8 +9,8 @@
         event::{DirectEvent, LifecycleChange, ResetReason},
         host::{DirectHost, Probe, ResetPacket, release_load},
         liveness::{
-            KeepReason, Liveness, MIN_RETRANSMIT_GAP, ProbeEffect, ProbeKind, ProbeResult,
-            Reachability, UnansweredPacket,
+            Judgement, KeepReason, Liveness, MIN_RETRANSMIT_GAP, ProbeEffect, ProbeKind,
+            ProbeResult, Reachability, UnansweredPacket,
         },
         mechanism::Mechanism,
         observed_flows::{Attempts, Flow},
@@ -76,6 +76,19 @@
         }
     }
 
+    /// Judges a probe whose judgement was postponed and is due, or repeats it.
+    pub(super) fn judge_postponed(&mut self, now: Millis, ix: UpstreamIx) {
+        match self.upstream_states[ix.0 as usize].liveness.take_judgement(now) {
+            Judgement::NotDue => {}
+            Judgement::Due => {
+                if let Some(it) = self.registry.get(ix) {
+                    self.apply_probe_result(now, it.announcement.key, ProbeResult::NoResponse);
+                }
+            }
+            Judgement::Outdated => self.send_probe(now, ix, ProbeKind::Connect),
+        }
+    }
+
     /// Applies an update from another host of this zone.
     pub fn apply_peer_update(&mut self, now: Millis, update: &PeerUpdate) {
         let shared = self.is_enabled(Mechanism::SharedFailures);
--- a/crates/pomelorun-core/src/direct/liveness.rs
+++ b/crates/pomelorun-core/src/direct/liveness.rs
@@ -57,6 +57,8 @@
 const PEER_REPLY_TIME: Millis = Millis(40);
 /// Time-out of a probe that connects.
 const PROBE_TIMEOUT: Millis = Millis(150);
+/// Delay of a postponed judgement after which this host was stalled: responses may wait unread.
+const STALLED_JUDGEMENT: Millis = Millis(100);
 /// Time that a probe takes only on a host that was stalled.
 const STALLED_PROBE: Millis = Millis(250);
 /// Time after which the result of a probe is no longer awaited.
@@ -254,6 +256,17 @@
     AnsweredPeer,
 }
 
+/// What to do about a probe whose judgement was postponed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Judgement {
+    /// Nothing now.
+    NotDue,
+    /// Judge the probe.
+    Due,
+    /// Repeat the probe, because its evidence is outdated.
+    Outdated,
+}
+
 /// Effect of a probe's result on the reachability of the upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ProbeEffect {
@@ -582,9 +595,17 @@
         due && self.start_probe(now)
     }
 
-    /// Returns `true` if the probe that has timed out is to be judged again.
-    pub(crate) fn is_judgement_due(&self, now: Millis) -> bool {
-        self.judge_at.is_some_and(|it| it <= now)
+    /// Returns what to do about the probe that has timed out. If it is to be repeated, notes that it is
+    /// sent.
+    pub(crate) fn take_judgement(&mut self, now: Millis) -> Judgement {
+        let Some(at) = self.judge_at.filter(|it| *it <= now) else { return Judgement::NotDue };
+        if now.since(at) < STALLED_JUDGEMENT {
+            return Judgement::Due;
+        }
+        self.judge_at = None;
+        self.probe = None;
+        self.start_probe(now);
+        Judgement::Outdated
     }
 
     /// Returns `true` if other hosts of the zone are to be asked now whether the upstream responds to
--- a/crates/pomelorun-core/tests/core/direct/full_upstreams.rs
+++ b/crates/pomelorun-core/tests/core/direct/full_upstreams.rs
@@ -453,3 +453,38 @@
     assert_eq!(zone.run(10_000), None);
     assert_eq!((zone.resets, zone.unreachable().len()), (0, 0));
 }
+
+/// Returns a host whose answers take 500 ms, and which has postponed its judgement of upstream 1 until
+/// 2,520 ms.
+fn host_with_postponed_judgement() -> DirectHost {
+    let mut host = host(&[announcement(1, LOCAL_ZONE), announcement(2, LOCAL_ZONE)]);
+    let token = Token::of(key(1));
+    for (start, seq, ack, len) in [(1_000, 1, 100, 50), (1_500, 51, 200, 0)] {
+        for number in 0..40 {
+            let at = Millis(start + 10 * u64::from(number));
+            host.handle_packet(at, &data_segment(flow(number), token, seq, ack, len));
+        }
+    }
+    for at in [2_000, 2_200] {
+        host.handle_packet(Millis(at), &data_segment(flow(50), token, 1, 100, 50));
+    }
+    assert_eq!(host.take_probes().len(), 1);
+    host.apply_probe_result(Millis(2_380), key(1), ProbeResult::NoResponse);
+    assert_eq!(host.take_resets(), vec![]);
+    host
+}
+
+#[test]
+fn judgement_is_repeated_with_a_new_probe_after_a_stall_of_this_host() {
+    let mut host = host_with_postponed_judgement();
+    host.tick(Millis(2_550));
+    assert!(!host.take_resets().is_empty());
+    let mut host = host_with_postponed_judgement();
+    // Answers have arrived meanwhile, and are read after the timer event.
+    host.tick(Millis(3_400));
+    assert_eq!((host.take_resets().len(), host.take_probes().len()), (0, 1));
+    let answered = data_segment(flow(50), Token::of(key(1)), 51, 200, 0);
+    host.handle_packet(Millis(3_401), &answered);
+    host.apply_probe_result(Millis(3_550), key(1), ProbeResult::NoResponse);
+    assert_eq!(host.take_resets(), vec![]);
+}
