Keep urgent requests at the kept upstreams while queues fill, and size these by capacity

Urgent flows now stay at the kept upstreams up to one and a half times the target; the kept share counts capacity instead of upstreams, since a slow one serves less; answers that take twice the usual time show a rise before the picture does. Tried and not kept: half of the urgent flows at the kept upstreams also in calm, and no zone preference among them (no fewer shed).

--- a/crates/pomelorun-core/src/direct/host/failure_detection.rs
+++ b/crates/pomelorun-core/src/direct/host/failure_detection.rs
@@ -197,6 +197,7 @@
                 || shared.is_some_and(|it| it >= f64::from(slots.max(1))),
         };
         self.record_answer_time(now, ix, &sample);
+        self.record_answer_delay(now, ix, &sample);
     }
 
     fn add_waiting(&mut self, now: Millis, ix: UpstreamIx) {
--- a/crates/pomelorun-core/src/direct/host/overload_control.rs
+++ b/crates/pomelorun-core/src/direct/host/overload_control.rs
@@ -16,6 +16,7 @@
         registry::{Upstream, UpstreamIx},
         routing::DirectRoute,
         segment::Segment,
+        upstream_speed::AnswerSample,
     },
     time::Millis,
 };
@@ -54,6 +55,21 @@
         admission
     }
 
+    /// Records how long an upstream took to answer a request.
+    pub(super) fn record_answer_delay(
+        &mut self,
+        now: Millis,
+        ix: UpstreamIx,
+        sample: &AnswerSample,
+    ) {
+        let Some(usual_ms) = self.service_times.get(sample.route) else { return };
+        let Some(it) = self.registry.get(ix) else { return };
+        if let Some(entry) = self.overload.get_mut(&it.announcement.service) {
+            let took = sample.took.since(sample.round_trip);
+            entry.state.record_answer(now, took.0 as f64, usual_ms);
+        }
+    }
+
     /// Removes the candidates that a flow which was admitted as told has to avoid, unless no good
     /// one would be left.
     pub(super) fn restrict_candidates(
--- a/crates/pomelorun-core/src/direct/overload.rs
+++ b/crates/pomelorun-core/src/direct/overload.rs
@@ -6,6 +6,7 @@
 //! hosts' load, or where all routes of a service have the same priority.
 
 mod admission;
+mod answer_delay;
 mod reserve;
 mod room;
 
@@ -15,6 +16,7 @@
     direct::{
         overload::{
             admission::{OpeningRate, RateInput, is_always_admitted},
+            answer_delay::AnswerDelay,
             reserve::{ReserveShare, mark_reserved},
             room::Room,
         },
@@ -42,6 +44,9 @@
 /// Free part of the room of the kept upstreams below which urgent requests go to others too: a queue
 /// may fill before the next picture shows it.
 const RESERVE_FREE_SHARE: f64 = 0.25;
+/// Target of the kept upstreams relative to that of the others. Urgent requests rather wait there than
+/// at an upstream whose room is gone before the next picture shows it.
+const RESERVE_TARGET: f64 = 1.5;
 /// Usual service time while it is unknown, in milliseconds.
 const UNKNOWN_SERVICE_TIME_MS: f64 = 100.0;
 
@@ -142,6 +147,7 @@
     target: f64,
     /// `true` if the kept upstreams have room for urgent requests.
     reserve_has_room: bool,
+    answer_delay: AnswerDelay,
     /// Time until which urgent flows go to the kept upstreams.
     busy_until: Millis,
     limit: Option<OpeningRate>,
@@ -175,7 +181,7 @@
         }
         load.rooms.sort_unstable_by_key(|it| it.ix);
         let room = Room::of(&load.rooms, load.target, false);
-        let reserve = Room::of(&load.rooms, load.target, true);
+        let reserve = Room::of(&load.rooms, load.target * RESERVE_TARGET, true);
         self.reserve_has_room = reserve.free_share() > RESERVE_FREE_SHARE
             && load.urgent_slots.is_none_or(|it| it <= reserve.capacity);
         let service_time_ms = load.service_time_ms.unwrap_or(UNKNOWN_SERVICE_TIME_MS).max(1.0);
@@ -218,6 +224,13 @@
         }
     }
 
+    /// Records how long an answer took, and how long answers usually take without a queue.
+    pub fn record_answer(&mut self, now: Millis, took_ms: f64, usual_ms: f64) {
+        if self.answer_delay.record(took_ms, usual_ms) {
+            self.busy_until = now + BUSY_HOLD;
+        }
+    }
+
     /// Decides whether a flow may be opened.
     pub fn admit(&mut self, now: Millis, opening: &Opening) -> Admission {
         if self.rooms.is_empty() || opening.urgency == Urgency::Only {
@@ -257,7 +270,8 @@
             Admission::AdmitUnreserved => !self.rooms[at].reserved,
             Admission::AdmitWithRoom => {
                 let it = &self.rooms[at];
-                it.free(self.target) > 0.0 && (it.reserved || !self.reserve_has_room)
+                let target = self.target * if it.reserved { RESERVE_TARGET } else { 1.0 };
+                it.free(target) > 0.0 && (it.reserved || !self.reserve_has_room)
             }
             Admission::Reject => false,
         }
@@ -323,6 +337,12 @@
         Some(&self.services[at].1)
     }
 
+    /// Returns the state of a service to change it, if there is one.
+    pub(crate) fn get_mut(&mut self, service: &str) -> Option<&mut ServiceEntry> {
+        let at = self.services.binary_search_by(|it| it.0.as_str().cmp(service)).ok()?;
+        Some(&mut self.services[at].1)
+    }
+
     /// Returns the state of a service.
     pub(crate) fn entry(&mut self, service: &str) -> &mut ServiceEntry {
         let at = match self.services.binary_search_by(|it| it.0.as_str().cmp(service)) {
--- a/crates/pomelorun-core/src/direct/overload/reserve.rs
+++ b/crates/pomelorun-core/src/direct/overload/reserve.rs
@@ -46,15 +46,21 @@
     }
 }
 
-/// Marks a share of the upstreams of each zone as kept, and never more than half of them.
+/// Part of an average upstream's capacity that may be missing from the kept share.
+const MAX_MISSING: f64 = 0.25;
+
+/// Marks upstreams of each zone with a share of its capacity as kept, and never more than half of them.
 pub(crate) fn mark_reserved(rooms: &mut [UpstreamRoom], salt: u64, share: f64) {
     // Sorted by zone and rank, which is the same at all hosts.
     rooms.sort_unstable_by_key(|it| (it.zone, rendezvous_score(salt, it.id)));
     for zone in rooms.chunk_by_mut(|a, b| a.zone == b.zone) {
-        let count = (zone.len() as f64 * share).round() as usize;
-        let kept = count.min(zone.len() / 2);
+        let capacity: f64 = zone.iter().map(UpstreamRoom::capacity).sum();
+        let wanted = capacity * share - capacity / zone.len() as f64 * MAX_MISSING;
+        let most = zone.len() / 2;
+        let mut kept = 0.0;
         for (at, it) in zone.iter_mut().enumerate() {
-            it.reserved = at < kept;
+            it.reserved = at < most && kept < wanted;
+            kept += it.capacity();
         }
     }
 }
