Keep the backoff of silent probes while openings wait

Cause: each overdue opening started a probe at once and cleared the time of the repeat, and a response during a probe repeated it without delay while a packet waited.

Change: an opening calls for no probe before the repeat is due.

--- a/crates/pomelorun-core/src/direct/liveness.rs
+++ b/crates/pomelorun-core/src/direct/liveness.rs
@@ -196,6 +196,8 @@
     judge_at: Option<Millis>,
     /// When to send the next probe although no packet calls for it.
     repeat_at: Option<Millis>,
+    /// When a packet may call for a probe again.
+    probe_allowed_at: Millis,
     /// When the upstream last accepted a flow.
     accepted_at: Millis,
     /// `true` if too few hosts of the zone have replied by the end of the last silent probe.
@@ -351,7 +353,8 @@
         }
         self.expire_unanswered(now);
         self.add_unanswered(it);
-        if !self.start_probe(now) {
+        let backs_off = !it.established && self.repeat_at.is_some_and(|it| it > now);
+        if backs_off || now < self.probe_allowed_at || !self.start_probe(now) {
             return None;
         }
         Some(if self.probe_succeeded_at.is_some() {
@@ -519,12 +522,16 @@
         probe: Option<ProbeInFlight>,
         rule: Option<EvidenceRule<'_>>,
     ) -> ProbeEffect {
+        if matches!(reason, KeepReason::AnsweredSince | KeepReason::AnsweredPeer) {
+            self.probe_allowed_at = now + REPEAT_BACKOFF_MIN;
+        }
         if reason == KeepReason::AnsweredSince {
             self.zone_silent_since = None;
             let accepted = probe.is_some_and(|it| self.accepted_at > it.sent);
             self.silent_probes = self.silent_probes.saturating_add(u32::from(!accepted));
+            let requests = self.unanswered.iter().any(|it| it.established);
+            let delay = if requests { REPEAT_BACKOFF_MIN } else { self.repeat_delay() };
             let waits = !self.unanswered.is_empty();
-            let delay = if waits { Millis(0) } else { self.repeat_delay() };
             self.repeat_at = (waits || !accepted).then_some(now + delay);
             return ProbeEffect::Kept(reason);
         }
--- a/crates/pomelorun-core/tests/core/direct/full_upstreams.rs
+++ b/crates/pomelorun-core/tests/core/direct/full_upstreams.rs
@@ -342,9 +342,13 @@
     flows: Vec<u64>,
     probes: VecDeque<(u64, UpstreamKey)>,
     resets: usize,
+    /// Number of probes that had no response.
+    silent_probes: usize,
     /// Upstreams that leave probes without a response, and those that answer the peer's requests.
     silent: Vec<u64>,
     answering_peer: Vec<u64>,
+    /// Upstreams that answer this host's requests.
+    answering: Vec<u64>,
 }
 
 impl SilentZone {
@@ -361,8 +365,10 @@
             flows,
             probes: VecDeque::new(),
             resets: 0,
+            silent_probes: 0,
             silent: Vec::new(),
             answering_peer: Vec::new(),
+            answering: Vec::new(),
         }
     }
 
@@ -382,6 +388,11 @@
             if matches!(verdict, Verdict::Reset(_)) {
                 rejected = rejected.or(Some(now));
             }
+            for &id in self.answering.iter().filter(|_| now % 100 == 0) {
+                let step = (now / 100) as u32;
+                let it = data_segment(flow(900 + id as u32), Token::of(key(id)), step, step, 50);
+                self.host.handle_packet(Millis(now), &it);
+            }
             for &id in &self.answering_peer {
                 let step = (now / 10) as u32;
                 let it = data_segment(flow(id as u32), Token::of(key(id)), step, step, 50);
@@ -407,6 +418,7 @@
                 }
             }
             while let Some((_, it)) = self.probes.pop_front_if(|it| it.0 <= now) {
+                self.silent_probes += 1;
                 self.host.apply_probe_result(Millis(now + 9), it, ProbeResult::NoResponse);
             }
             self.resets += self.host.take_resets().len();
@@ -488,3 +500,22 @@
     host.apply_probe_result(Millis(3_550), key(1), ProbeResult::NoResponse);
     assert_eq!(host.take_resets(), vec![]);
 }
+
+#[test]
+fn openings_call_for_no_more_probes_than_the_backoff_allows() {
+    let mut zone = SilentZone::new(&[1, 2, 3].map(|it| (it, LOCAL_ZONE)));
+    zone.silent = zone.upstreams.clone();
+    zone.answering_peer = zone.upstreams.clone();
+    zone.run(11_000);
+    assert!(zone.silent_probes <= 3 * 11, "{} probes in ten seconds", zone.silent_probes);
+}
+
+#[test]
+fn answers_to_open_flows_do_not_end_the_backoff() {
+    let mut zone = SilentZone::new(&[1, 2, 3].map(|it| (it, LOCAL_ZONE)));
+    zone.silent = zone.upstreams.clone();
+    zone.answering = zone.upstreams.clone();
+    zone.run(11_000);
+    assert!(zone.silent_probes <= 3 * 11, "{} probes in ten seconds", zone.silent_probes);
+    assert_eq!(zone.resets, 0);
+}
