Reset flows at a host whose own path to an upstream is cut

Cause: while other hosts had responses, an upstream was kept at a host that cannot reach it, and its open flows there hung until their callers gave up.

Change: after three silent probes, two requests of different open flows that have waited for a second without a response are a verdict for this host alone. A retransmitted request does not expire two seconds after its first transmission; one whose caller has closed the flow does not count.

--- a/crates/pomelorun-core/src/direct/host.rs
+++ b/crates/pomelorun-core/src/direct/host.rs
@@ -584,6 +584,9 @@
             self.remove_broken_flow(&seg.flow);
             return Verdict::Reset(self.make_reset(now, Some(ix), seg.flow, seg.ack, reason));
         }
+        if matches!(seg.kind, SegmentKind::Abort | SegmentKind::Finish) {
+            self.upstream_states[ix.0 as usize].liveness.record_given_up(&seg.flow);
+        }
         if seg.kind == SegmentKind::Abort {
             self.remove_flow(&seg.flow);
             return self.forward(ix);
--- a/crates/pomelorun-core/src/direct/host/failure_detection.rs
+++ b/crates/pomelorun-core/src/direct/host/failure_detection.rs
@@ -47,7 +47,7 @@
         match effect {
             ProbeEffect::Unchanged => {}
             ProbeEffect::Recovered => self.record_recovery(now, key, since),
-            ProbeEffect::Unreachable
+            ProbeEffect::Unreachable | ProbeEffect::CutOff
                 if self.is_enabled(Mechanism::LocalFault) && self.is_local_fault(now) =>
             {
                 self.stats.local_faults += 1;
@@ -69,6 +69,7 @@
                 self.mark_unreachable(now, ix, waited, false);
                 self.probe_silent_zone(now, ix, waited, Liveness::record_zone_silence);
             }
+            ProbeEffect::CutOff => self.mark_unreachable(now, ix, waited, false),
             ProbeEffect::Ended => {
                 self.registry.mark_ended(ix);
                 self.reset_flows_of_ended(now);
--- a/crates/pomelorun-core/src/direct/liveness.rs
+++ b/crates/pomelorun-core/src/direct/liveness.rs
@@ -32,8 +32,8 @@
 pub(crate) const MIN_RETRANSMIT_GAP: Millis = Millis(150);
 /// Maximum number of flows for which an unanswered packet is held.
 const MAX_UNANSWERED: usize = 4;
-/// Age at which an unanswered packet no longer counts: the longest time between two transmissions
-/// of a packet.
+/// Time since its last transmission, or for opening packets since the first one, at which an unanswered
+/// packet no longer counts: the longest time between two transmissions of a packet.
 const UNANSWERED_MAX_AGE: Millis = Millis(2_000);
 /// Delay before an unreachable upstream is probed again, doubled after each probe.
 const PROBE_BACKOFF_MIN: Millis = Millis(500);
@@ -70,6 +70,10 @@
 const MIN_SILENCE: Millis = Millis(1_000);
 /// The same, in times within which almost all requests are answered, queues included.
 const MIN_SILENCE_ANSWERS: u64 = 3;
+/// Number of silent probes after which requests that wait at this host alone count.
+const MIN_CUT_PROBES: u32 = 3;
+/// Number of such requests, each of another flow, that show that this host's path is cut.
+const MIN_CUT_REQUESTS: usize = 2;
 /// Maximum delay before a silent probe is repeated.
 const REPEAT_BACKOFF_MAX: Millis = Millis(2_000);
 /// Delay before a silent probe is repeated, doubled after each further one.
@@ -86,6 +90,19 @@
     pub sent: Millis,
 }
 
+/// An unanswered packet as it is held.
+#[derive(Debug, Clone, Copy)]
+struct Unanswered {
+    flow: FlowKey,
+    established: bool,
+    /// When the packet was first forwarded.
+    sent: Millis,
+    /// When it last counted as unanswered.
+    last_seen: Millis,
+    /// `true` if its caller has closed the flow.
+    is_given_up: bool,
+}
+
 /// Kind of a probe.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ProbeKind {
@@ -182,7 +199,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct Liveness {
     last_response: Millis,
-    unanswered: SmallVec<[UnansweredPacket; MAX_UNANSWERED]>,
+    unanswered: SmallVec<[Unanswered; MAX_UNANSWERED]>,
     unreachable: Option<ProbeBackoff>,
     /// The probe in flight.
     probe: Option<ProbeInFlight>,
@@ -278,6 +295,8 @@
     Recovered,
     /// The upstream is to be marked unreachable.
     Unreachable,
+    /// The upstream is to be marked unreachable for this host alone, because others have responses.
+    CutOff,
     /// The upstream has ended.
     Ended,
     /// The probe timed out, but the upstream is kept.
@@ -352,7 +371,7 @@
             return None;
         }
         self.expire_unanswered(now);
-        self.add_unanswered(it);
+        self.add_unanswered(now, it);
         let backs_off = !it.established && self.repeat_at.is_some_and(|it| it > now);
         if backs_off || now < self.probe_allowed_at || !self.start_probe(now) {
             return None;
@@ -366,19 +385,28 @@
 
     /// Adds a packet. Requests of open flows, which are the better evidence, take the place of opening
     /// packets.
-    fn add_unanswered(&mut self, it: UnansweredPacket) {
-        if let Some(at) = self.unanswered.iter().position(|other| other.flow == it.flow) {
-            let sent = self.unanswered[at].sent.min(it.sent);
-            self.unanswered[at] = UnansweredPacket { sent, ..it };
+    fn add_unanswered(&mut self, now: Millis, it: UnansweredPacket) {
+        let UnansweredPacket { flow, established, sent } = it;
+        let it = Unanswered { flow, established, sent, last_seen: now, is_given_up: false };
+        if let Some(other) = self.unanswered.iter_mut().find(|other| other.flow == flow) {
+            let (sent, is_given_up) = (other.sent.min(sent), other.is_given_up);
+            *other = Unanswered { sent, is_given_up, ..it };
         } else if self.unanswered.len() < MAX_UNANSWERED {
             self.unanswered.push(it);
         } else if let Some(other) = self.unanswered.iter_mut().find(|other| !other.established)
-            && it.established
+            && established
         {
             *other = it;
         }
     }
 
+    /// Records that the caller of a flow has closed it. Its request may be answered, and nobody tells.
+    pub(crate) fn record_given_up(&mut self, flow: &FlowKey) {
+        for it in self.unanswered.iter_mut().filter(|it| it.flow == *flow) {
+            it.is_given_up = true;
+        }
+    }
+
     /// Notes that a probe is sent now. Returns `false` if one is in flight.
     fn start_probe(&mut self, now: Millis) -> bool {
         if self.probe.is_some_and(|it| now.since(it.sent) < PROBE_LOST) {
@@ -437,6 +465,9 @@
                 if is_suspect || self.silent_probes > 0 || rule.is_some() && probe.is_some() =>
             {
                 match rule.and_then(|it| self.reason_to_keep(now, probe, &it)) {
+                    Some(KeepReason::AnsweredPeer) if self.is_cut_off(now, rule) => {
+                        ProbeEffect::CutOff
+                    }
                     Some(reason) => self.keep(now, reason, probe, rule),
                     None => ProbeEffect::Unreachable,
                 }
@@ -499,6 +530,18 @@
         rule.peers > 0 && it.hosts_asked >= rule.peers && now.since(it.since) >= required
     }
 
+    /// Returns `true` if requests wait at this host for so long that its own path is cut, although
+    /// other hosts have responses. A queue is no slower to one host than to others.
+    fn is_cut_off(&self, now: Millis, rule: Option<EvidenceRule<'_>>) -> bool {
+        let waits_long = |it: &&Unanswered| {
+            let usual = rule.and_then(|rule| (rule.usual_wait)(&it.flow)).unwrap_or_default();
+            let is_open = it.established && !it.is_given_up;
+            is_open && now.since(it.sent) >= MAX_REQUEST_AGE.max(usual)
+        };
+        self.silent_probes + 1 >= MIN_CUT_PROBES
+            && self.unanswered.iter().filter(waits_long).count() >= MIN_CUT_REQUESTS
+    }
+
     /// Counts a silent probe.
     fn add_silence(
         &mut self,
@@ -724,11 +767,12 @@
     /// Removes unanswered packets older than [`UNANSWERED_MAX_AGE`], so that a suspect upstream
     /// gets new flows again.
     pub(crate) fn expire_unanswered(&mut self, now: Millis) {
-        self.unanswered.retain(|it| now.since(it.sent) < UNANSWERED_MAX_AGE);
+        let counted_from = |it: &Unanswered| if it.established { it.last_seen } else { it.sent };
+        self.unanswered.retain(|it| now.since(counted_from(it)) < UNANSWERED_MAX_AGE);
     }
 }
 
 /// Returns how long a request must have waited to show more than a full queue does.
-fn required_age(it: &UnansweredPacket, rule: &EvidenceRule<'_>) -> Millis {
+fn required_age(it: &Unanswered, rule: &EvidenceRule<'_>) -> Millis {
     (rule.usual_wait)(&it.flow).unwrap_or_default().clamp(MIN_REQUEST_AGE, MAX_REQUEST_AGE)
 }
--- a/crates/pomelorun-core/tests/core/direct/full_upstreams.rs
+++ b/crates/pomelorun-core/tests/core/direct/full_upstreams.rs
@@ -6,7 +6,7 @@
     Millis,
     direct::{
         DirectHost, Disabled, FleetMsg, LivenessMessage, LivenessQuery, LivenessReply, Mechanism,
-        ProbeResult, Reachability, Token, UpstreamKey, Verdict,
+        ProbeResult, Reachability, Segment, SegmentKind, Token, UpstreamKey, Verdict,
     },
 };
 use pomelorun_wire::{HostId, ZoneId, encode};
@@ -519,3 +519,55 @@
     assert!(zone.silent_probes <= 3 * 11, "{} probes in ten seconds", zone.silent_probes);
     assert_eq!(zone.resets, 0);
 }
+
+/// Runs a host whose requests on the given number of flows wait at upstream 1 while a peer's are answered,
+/// and returns it with the time of the first reset. The callers close their flows after `given_up`.
+fn run_cut_off(requests: u32, given_up: u64) -> (DirectHost, Option<u64>) {
+    let mut host = host_with_flows().0;
+    host.set_zone_peers(vec![PEER]);
+    let token = Token::of(key(1));
+    let mut in_flight = None;
+    for now in (1_000..5_000).step_by(10) {
+        if [1_000, 1_200, 1_600, 2_400, 4_000].contains(&now) && now < 1_000 + given_up {
+            for number in 0..requests {
+                let it = data_segment(flow(900 + number), token, 1, 100, 50);
+                host.handle_packet(Millis(now), &it);
+            }
+        }
+        if now == 1_000 + given_up {
+            for number in 0..requests {
+                let it = data_segment(flow(900 + number), token, 51, 100, 0);
+                let it = Segment { kind: SegmentKind::Finish, ..it };
+                host.handle_packet(Millis(now), &it);
+            }
+        }
+        host.tick(Millis(now + 1));
+        for (_, query) in queries(&mut host) {
+            let responses = query.tokens.iter().map(|it| (*it, 0)).collect();
+            host.apply_liveness_reply(PEER, &LivenessReply { seq: query.seq, responses });
+        }
+        if let Some(ended) = in_flight.take_if(|it| *it <= now) {
+            host.apply_probe_result(Millis(ended), key(1), ProbeResult::NoResponse);
+        }
+        if host.take_probes().iter().any(|it| it.upstream == key(1)) {
+            in_flight = Some(now + PROBE_TIMEOUT);
+        }
+        if !host.take_resets().is_empty() {
+            return (host, Some(now));
+        }
+    }
+    (host, None)
+}
+
+#[test]
+fn flows_are_reset_at_a_host_whose_own_path_is_cut() {
+    let (mut host, reset_at) = run_cut_off(2, 4_000);
+    assert!(reset_at.is_some_and(|it| it <= 3_000), "{reset_at:?}");
+    assert_eq!(host.take_peer_update().unreachable, vec![], "others reach the upstream");
+}
+
+#[test]
+fn requests_that_their_callers_gave_up_show_no_cut_path() {
+    assert_eq!(run_cut_off(1, 4_000).1, None, "one request may be slow");
+    assert_eq!(run_cut_off(4, 500).1, None);
+}
