Let requests of slow services wait for as long as a full queue takes

Cause: a request counted after 300 ms, unless answers were observed to take longer. The queue of a service whose answers take 100 ms needs more when it fills up suddenly.

With fewer than eight answers on an address, the slowest other address stands in. A second for unknown times was tried; it contradicts a test of detection after one answer, which stays as it is.

In the tests, upstreams whose answers take 10 and 55 ms are found after 350 ms as before, 100 ms after 500 to 600 and 300 ms after 1,000 to 1,100.

--- a/crates/pomelorun-core/src/direct/answer_times.rs
+++ b/crates/pomelorun-core/src/direct/answer_times.rs
@@ -34,6 +34,13 @@
         self.0[at].1.timeout()
     }
 
+    /// Returns the time within which almost all requests are answered. If too few were observed, that of
+    /// the slowest other address stands in.
+    pub(crate) fn timeout_or_slowest(&self, addr: ServiceAddr) -> Option<Millis> {
+        let slowest = || self.0.iter().filter_map(|it| it.1.timeout()).max();
+        self.timeout(addr).or_else(slowest)
+    }
+
     /// Removes the addresses without a route in the active revision.
     pub(crate) fn retain(&mut self, routing: &Routing) {
         self.0.retain(|it| routing.route(it.0).is_some());
--- a/crates/pomelorun-core/src/direct/host/failure_detection.rs
+++ b/crates/pomelorun-core/src/direct/host/failure_detection.rs
@@ -1,6 +1,8 @@
 //! Failure detection: finds upstreams that do not respond, from callers' packets and from probes,
 //! and resets their flows.
 
+use std::sync::Arc;
+
 use pomelorun_wire::{FlowKey, ServiceAddr};
 use smallvec::SmallVec;
 
@@ -25,6 +27,9 @@
 
 /// Minimum number of suspect upstreams in this host's zone for a local fault to be assumed.
 const MIN_LOCAL_FAULT_SUSPECTS: usize = 3;
+/// Time that a request takes through a full queue, in usual times without a queue: upstreams hold about
+/// five requests per slot.
+const FULL_QUEUE_ANSWERS: f64 = 5.0;
 /// Time since its last response within which an upstream counts as recently active.
 const RECENT_ACTIVITY: Millis = Millis(3_000);
 
@@ -32,8 +37,14 @@
     /// Applies the result of a probe.
     pub fn apply_probe_result(&mut self, now: Millis, key: UpstreamKey, result: ProbeResult) {
         let Some(ix) = self.registry.by_key(key) else { return };
-        let times = &self.answer_times;
-        let usual_wait = |it: &FlowKey| times.timeout(it.service);
+        let (times, service_times) = (&self.answer_times, &self.service_times);
+        let routing = Arc::clone(&self.routing);
+        let usual_wait = |it: &FlowKey| {
+            let route = routing.route(it.service).map(|it| it.addr);
+            let service_ms = route.and_then(|it| service_times.get(it));
+            let queue = service_ms.map(|it| Millis((it * FULL_QUEUE_ANSWERS) as u64));
+            times.timeout_or_slowest(it.service).max(queue)
+        };
         let rule = self.evidence_rule(ix, &usual_wait);
         let liveness = &mut self.upstream_states[ix.0 as usize].liveness;
         let waited = liveness.silent_for(now);
--- a/crates/pomelorun-core/tests/core/direct/full_upstreams.rs
+++ b/crates/pomelorun-core/tests/core/direct/full_upstreams.rs
@@ -571,3 +571,45 @@
     assert_eq!(run_cut_off(1, 4_000).1, None, "one request may be slow");
     assert_eq!(run_cut_off(4, 500).1, None);
 }
+
+/// Returns how long a request at upstream 1 waits until its flow is reset, after some answers that took
+/// `service` each, one after another.
+fn wait_until_reset(service: u64, answers: u32) -> u64 {
+    let mut host = host(&[announcement(1, LOCAL_ZONE), announcement(2, LOCAL_ZONE)]);
+    let token = Token::of(key(1));
+    let mut now = 1_000;
+    for number in 0..answers {
+        host.handle_packet(Millis(now), &data_segment(flow(number), token, 1, 100, 50));
+        now += service;
+        host.handle_packet(Millis(now), &data_segment(flow(number), token, 51, 200, 0));
+        now += 50;
+    }
+    let start = now.next_multiple_of(50);
+    let mut in_flight = None;
+    for now in (start..start + 3_000).step_by(10) {
+        if [0, 200, 600, 1_400].contains(&(now - start)) {
+            host.handle_packet(Millis(now), &data_segment(flow(900), token, 1, 100, 50));
+        }
+        if let Some(ended) = in_flight.take_if(|it| *it <= now) {
+            host.apply_probe_result(Millis(ended), key(1), ProbeResult::NoResponse);
+        }
+        if now % 50 == 0 {
+            host.tick(Millis(now));
+        }
+        if !host.take_probes().is_empty() {
+            in_flight = Some(now + PROBE_TIMEOUT);
+        }
+        if !host.take_resets().is_empty() {
+            return now - start;
+        }
+    }
+    panic!("the upstream is not found")
+}
+
+#[test]
+fn request_of_a_slow_service_counts_once_a_full_queue_would_have_served_it() {
+    assert_eq!(wait_until_reset(10, 100), 350);
+    assert_eq!(wait_until_reset(55, 100), 350);
+    assert!((500..=600).contains(&wait_until_reset(100, 100)));
+    assert!((1_000..=1_100).contains(&wait_until_reset(300, 100)));
+}
