Replace a repeated probe whose result is lost

Cause: if the result of a repeated probe was lost, the upstream stayed suspect, and no further probe was sent without a packet that called for it.

--- a/crates/pomelorun-core/src/direct/liveness.rs
+++ b/crates/pomelorun-core/src/direct/liveness.rs
@@ -639,10 +639,15 @@
         Millis((REPEAT_BACKOFF_MIN.0 << doublings).min(REPEAT_BACKOFF_MAX.0))
     }
 
-    /// Returns `true` if a silent probe is to be repeated, and notes that it is sent.
+    /// Returns `true` if a silent probe is to be repeated, or the result of its repetition is lost, and
+    /// notes that it is sent.
     pub(crate) fn take_due_repeat(&mut self, now: Millis) -> bool {
-        let due = self.unreachable.is_none() && self.repeat_at.is_some_and(|it| it <= now);
-        due && self.start_probe(now)
+        let is_lost = self.probe.is_some_and(|it| now.since(it.sent) >= PROBE_LOST);
+        let due = match self.repeat_at {
+            Some(at) => at <= now,
+            None => self.silent_probes > 0 && self.judge_at.is_none() && is_lost,
+        };
+        due && self.unreachable.is_none() && self.start_probe(now)
     }
 
     /// Returns what to do about the probe that has timed out. If it is to be repeated, notes that it is
--- a/crates/pomelorun-core/tests/core/direct/full_upstreams.rs
+++ b/crates/pomelorun-core/tests/core/direct/full_upstreams.rs
@@ -613,3 +613,15 @@
     assert!((500..=600).contains(&wait_until_reset(100, 100)));
     assert!((1_000..=1_100).contains(&wait_until_reset(300, 100)));
 }
+
+#[test]
+fn lost_result_of_a_repeated_probe_is_replaced_by_another_probe() {
+    let mut host = host_with_flows().0;
+    let probed_at = suspect_by_opening(&mut host, 1_000);
+    host.apply_probe_result(Millis(probed_at + PROBE_TIMEOUT), key(1), ProbeResult::NoResponse);
+    let sent = (probed_at..probed_at + 6_000).step_by(50).filter(|now| {
+        host.tick(Millis(*now));
+        host.take_probes().iter().any(|it| it.upstream == key(1))
+    });
+    assert!(sent.count() >= 2);
+}
