--- a/crates/pomelorun-core/tests/core/direct/full_upstreams.rs
+++ b/crates/pomelorun-core/tests/core/direct/full_upstreams.rs
@@ -6,7 +6,7 @@
     Millis,
     direct::{
         DirectHost, Disabled, FleetMsg, LivenessMessage, LivenessQuery, LivenessReply, Mechanism,
-        ProbeResult, Reachability, Token, UpstreamKey, Verdict,
+        ProbeResult, Reachability, Segment, SegmentKind, Token, UpstreamKey, Verdict,
     },
 };
 use pomelorun_wire::{HostId, ZoneId, encode};
@@ -342,9 +342,13 @@
     flows: Vec<u64>,
     probes: VecDeque<(u64, UpstreamKey)>,
     resets: usize,
+    /// Number of probes that had no response.
+    silent_probes: usize,
     /// Upstreams that leave probes without a response, and those that answer the peer's requests.
     silent: Vec<u64>,
     answering_peer: Vec<u64>,
+    /// Upstreams that answer this host's requests.
+    answering: Vec<u64>,
 }
 
 impl SilentZone {
@@ -361,8 +365,10 @@
             flows,
             probes: VecDeque::new(),
             resets: 0,
+            silent_probes: 0,
             silent: Vec::new(),
             answering_peer: Vec::new(),
+            answering: Vec::new(),
         }
     }
 
@@ -382,6 +388,11 @@
             if matches!(verdict, Verdict::Reset(_)) {
                 rejected = rejected.or(Some(now));
             }
+            for &id in self.answering.iter().filter(|_| now % 100 == 0) {
+                let step = (now / 100) as u32;
+                let it = data_segment(flow(900 + id as u32), Token::of(key(id)), step, step, 50);
+                self.host.handle_packet(Millis(now), &it);
+            }
             for &id in &self.answering_peer {
                 let step = (now / 10) as u32;
                 let it = data_segment(flow(id as u32), Token::of(key(id)), step, step, 50);
@@ -407,6 +418,7 @@
                 }
             }
             while let Some((_, it)) = self.probes.pop_front_if(|it| it.0 <= now) {
+                self.silent_probes += 1;
                 self.host.apply_probe_result(Millis(now + 9), it, ProbeResult::NoResponse);
             }
             self.resets += self.host.take_resets().len();
@@ -488,3 +500,128 @@
     host.apply_probe_result(Millis(3_550), key(1), ProbeResult::NoResponse);
     assert_eq!(host.take_resets(), vec![]);
 }
+
+#[test]
+fn openings_call_for_no_more_probes_than_the_backoff_allows() {
+    let mut zone = SilentZone::new(&[1, 2, 3].map(|it| (it, LOCAL_ZONE)));
+    zone.silent = zone.upstreams.clone();
+    zone.answering_peer = zone.upstreams.clone();
+    zone.run(11_000);
+    assert!(zone.silent_probes <= 3 * 11, "{} probes in ten seconds", zone.silent_probes);
+}
+
+#[test]
+fn answers_to_open_flows_do_not_end_the_backoff() {
+    let mut zone = SilentZone::new(&[1, 2, 3].map(|it| (it, LOCAL_ZONE)));
+    zone.silent = zone.upstreams.clone();
+    zone.answering = zone.upstreams.clone();
+    zone.run(11_000);
+    assert!(zone.silent_probes <= 3 * 11, "{} probes in ten seconds", zone.silent_probes);
+    assert_eq!(zone.resets, 0);
+}
+
+/// Runs a host whose requests on the given number of flows wait at upstream 1 while a peer's are answered,
+/// and returns it with the time of the first reset. The callers close their flows after `given_up`.
+fn run_cut_off(requests: u32, given_up: u64) -> (DirectHost, Option<u64>) {
+    let mut host = host_with_flows().0;
+    host.set_zone_peers(vec![PEER]);
+    let token = Token::of(key(1));
+    let mut in_flight = None;
+    for now in (1_000..5_000).step_by(10) {
+        if [1_000, 1_200, 1_600, 2_400, 4_000].contains(&now) && now < 1_000 + given_up {
+            for number in 0..requests {
+                let it = data_segment(flow(900 + number), token, 1, 100, 50);
+                host.handle_packet(Millis(now), &it);
+            }
+        }
+        if now == 1_000 + given_up {
+            for number in 0..requests {
+                let it = data_segment(flow(900 + number), token, 51, 100, 0);
+                let it = Segment { kind: SegmentKind::Finish, ..it };
+                host.handle_packet(Millis(now), &it);
+            }
+        }
+        host.tick(Millis(now + 1));
+        for (_, query) in queries(&mut host) {
+            let responses = query.tokens.iter().map(|it| (*it, 0)).collect();
+            host.apply_liveness_reply(PEER, &LivenessReply { seq: query.seq, responses });
+        }
+        if let Some(ended) = in_flight.take_if(|it| *it <= now) {
+            host.apply_probe_result(Millis(ended), key(1), ProbeResult::NoResponse);
+        }
+        if host.take_probes().iter().any(|it| it.upstream == key(1)) {
+            in_flight = Some(now + PROBE_TIMEOUT);
+        }
+        if !host.take_resets().is_empty() {
+            return (host, Some(now));
+        }
+    }
+    (host, None)
+}
+
+#[test]
+fn flows_are_reset_at_a_host_whose_own_path_is_cut() {
+    let (mut host, reset_at) = run_cut_off(2, 4_000);
+    assert!(reset_at.is_some_and(|it| it <= 3_000), "{reset_at:?}");
+    assert_eq!(host.take_peer_update().unreachable, vec![], "others reach the upstream");
+}
+
+#[test]
+fn requests_that_their_callers_gave_up_show_no_cut_path() {
+    assert_eq!(run_cut_off(1, 4_000).1, None, "one request may be slow");
+    assert_eq!(run_cut_off(4, 500).1, None);
+}
+
+/// Returns how long a request at upstream 1 waits until its flow is reset, after some answers that took
+/// `service` each, one after another.
+fn wait_until_reset(service: u64, answers: u32) -> u64 {
+    let mut host = host(&[announcement(1, LOCAL_ZONE), announcement(2, LOCAL_ZONE)]);
+    let token = Token::of(key(1));
+    let mut now = 1_000;
+    for number in 0..answers {
+        host.handle_packet(Millis(now), &data_segment(flow(number), token, 1, 100, 50));
+        now += service;
+        host.handle_packet(Millis(now), &data_segment(flow(number), token, 51, 200, 0));
+        now += 50;
+    }
+    let start = now.next_multiple_of(50);
+    let mut in_flight = None;
+    for now in (start..start + 3_000).step_by(10) {
+        if [0, 200, 600, 1_400].contains(&(now - start)) {
+            host.handle_packet(Millis(now), &data_segment(flow(900), token, 1, 100, 50));
+        }
+        if let Some(ended) = in_flight.take_if(|it| *it <= now) {
+            host.apply_probe_result(Millis(ended), key(1), ProbeResult::NoResponse);
+        }
+        if now % 50 == 0 {
+            host.tick(Millis(now));
+        }
+        if !host.take_probes().is_empty() {
+            in_flight = Some(now + PROBE_TIMEOUT);
+        }
+        if !host.take_resets().is_empty() {
+            return now - start;
+        }
+    }
+    panic!("the upstream is not found")
+}
+
+#[test]
+fn request_of_a_slow_service_counts_once_a_full_queue_would_have_served_it() {
+    assert_eq!(wait_until_reset(10, 100), 350);
+    assert_eq!(wait_until_reset(55, 100), 350);
+    assert!((500..=600).contains(&wait_until_reset(100, 100)));
+    assert!((1_000..=1_100).contains(&wait_until_reset(300, 100)));
+}
+
+#[test]
+fn lost_result_of_a_repeated_probe_is_replaced_by_another_probe() {
+    let mut host = host_with_flows().0;
+    let probed_at = suspect_by_opening(&mut host, 1_000);
+    host.apply_probe_result(Millis(probed_at + PROBE_TIMEOUT), key(1), ProbeResult::NoResponse);
+    let sent = (probed_at..probed_at + 6_000).step_by(50).filter(|now| {
+        host.tick(Millis(*now));
+        host.take_probes().iter().any(|it| it.upstream == key(1))
+    });
+    assert!(sent.count() >= 2);
+}
