Let urgent requests queue longer at the kept upstreams only while the load is high

Cause: after a flood of urgent requests these went on to queue at the kept upstreams for ten seconds while others were idle (hard_load::flood_of_urgent_requests_does_not_starve_the_others). The longer target now ends 1.5 s after the last sign of a high load.

--- a/crates/pomelorun-core/src/direct/overload.rs
+++ b/crates/pomelorun-core/src/direct/overload.rs
@@ -39,12 +39,14 @@
 const MIN_OWN_IN_PROGRESS: f64 = 3.0;
 /// Time for which urgent flows still go there: load that has risen may rise again.
 const BUSY_HOLD: Millis = Millis(10_000);
+/// Time after a sign of a high load for which a picture may not show it yet.
+const PICTURE_DELAY: Millis = Millis(1_500);
 /// Time between two reports that the room of a service became short.
 const REPORT_GAP: Millis = Millis(5_000);
 /// Free part of the room of the kept upstreams below which urgent requests go to others too: a queue
 /// may fill before the next picture shows it.
 const RESERVE_FREE_SHARE: f64 = 0.25;
-/// Target of the kept upstreams relative to that of the others. Urgent requests rather wait there than
+/// Target of the kept upstreams relative to that of the others while the load is high. Urgent requests rather wait there than
 /// at an upstream whose room is gone before the next picture shows it.
 const RESERVE_TARGET: f64 = 1.5;
 /// Usual service time while it is unknown, in milliseconds.
@@ -145,11 +147,14 @@
     /// Sorted by position in the registry; empty without a recent picture.
     rooms: Vec<UpstreamRoom>,
     target: f64,
+    reserve_target: f64,
     /// `true` if the kept upstreams have room for urgent requests.
     reserve_has_room: bool,
     answer_delay: AnswerDelay,
     /// Time until which urgent flows go to the kept upstreams.
     busy_until: Millis,
+    /// Time until which queues may have filled that no picture shows yet.
+    rising_until: Millis,
     limit: Option<OpeningRate>,
     rejected: u64,
     /// When a shortage was last reported.
@@ -181,7 +186,8 @@
         }
         load.rooms.sort_unstable_by_key(|it| it.ix);
         let room = Room::of(&load.rooms, load.target, false);
-        let reserve = Room::of(&load.rooms, load.target * RESERVE_TARGET, true);
+        let reserve_target = load.target * self.reserve_factor(now);
+        let reserve = Room::of(&load.rooms, reserve_target, true);
         self.reserve_has_room = reserve.free_share() > RESERVE_FREE_SHARE
             && load.urgent_slots.is_none_or(|it| it <= reserve.capacity);
         let service_time_ms = load.service_time_ms.unwrap_or(UNKNOWN_SERVICE_TIME_MS).max(1.0);
@@ -195,9 +201,10 @@
         let is_rising = load.own_in_progress >= MIN_OWN_IN_PROGRESS
             && projected > (room.total + reserve.total) * (1.0 - BUSY_FREE_SHARE);
         if input.free_share < BUSY_FREE_SHARE || is_rising {
-            self.busy_until = now + BUSY_HOLD;
+            self.note_high_load(now);
         }
-        (self.rooms, self.target) = (load.rooms, load.target);
+        (self.target, self.reserve_target) = (load.target, reserve_target);
+        self.rooms = load.rooms;
         let report = ShortageReport {
             is_short: true,
             free_share: input.free_share,
@@ -227,10 +234,15 @@
     /// Records how long an answer took, and how long answers usually take without a queue.
     pub fn record_answer(&mut self, now: Millis, took_ms: f64, usual_ms: f64) {
         if self.answer_delay.record(took_ms, usual_ms) {
-            self.busy_until = now + BUSY_HOLD;
+            self.note_high_load(now);
         }
     }
 
+    fn note_high_load(&mut self, now: Millis) {
+        self.busy_until = now + BUSY_HOLD;
+        self.rising_until = now + PICTURE_DELAY;
+    }
+
     /// Decides whether a flow may be opened.
     pub fn admit(&mut self, now: Millis, opening: &Opening) -> Admission {
         if self.rooms.is_empty() || opening.urgency == Urgency::Only {
@@ -270,13 +282,18 @@
             Admission::AdmitUnreserved => !self.rooms[at].reserved,
             Admission::AdmitWithRoom => {
                 let it = &self.rooms[at];
-                let target = self.target * if it.reserved { RESERVE_TARGET } else { 1.0 };
+                let target = if it.reserved { self.reserve_target } else { self.target };
                 it.free(target) > 0.0 && (it.reserved || !self.reserve_has_room)
             }
             Admission::Reject => false,
         }
     }
 
+    /// Returns the target of the kept upstreams relative to that of the others.
+    fn reserve_factor(&self, now: Millis) -> f64 {
+        if self.is_short() || now < self.rising_until { RESERVE_TARGET } else { 1.0 }
+    }
+
     /// Returns `true` if a request would wait longer than its time-out everywhere.
     fn is_too_late(&self, opening: &Opening, is_urgent: bool) -> bool {
         let Some(service_time_ms) = opening.service_time_ms else { return false };
