--- a/crates/pomelorun-core/src/direct/host.rs
+++ b/crates/pomelorun-core/src/direct/host.rs
@@ -472,6 +472,7 @@
 
     /// Handles a timer event: queues due probes, reports and queries, and removes expired state.
     pub fn tick(&mut self, now: Millis) {
+        self.ask_peers(now);
         for ix in std::mem::take(&mut self.unhealthy) {
             let liveness = &mut self.upstream_states[ix.0 as usize].liveness;
             liveness.expire_unanswered(now);
@@ -486,7 +487,6 @@
                 self.mark_unhealthy(ix);
             }
         }
-        self.ask_peers(now);
         self.assess_timed_out_requests(now);
         self.share_load(now);
         if now.since(self.last_report) >= REPORT_INTERVAL {
--- a/crates/pomelorun-core/tests/core/direct/full_upstreams.rs
+++ b/crates/pomelorun-core/tests/core/direct/full_upstreams.rs
@@ -625,3 +625,17 @@
     });
     assert!(sent.count() >= 2);
 }
+
+#[test]
+fn other_hosts_are_asked_before_a_late_probe_is_judged() {
+    let mut host = host_with_flows().0;
+    host.set_zone_peers(vec![PEER]);
+    for at in [1_000, 1_200] {
+        host.handle_packet(Millis(at), &data_segment(flow(900), Token::of(key(1)), 1, 100, 50));
+    }
+    host.apply_probe_result(Millis(1_420), key(1), ProbeResult::NoResponse);
+    // The judgement that is due now ends the probe.
+    host.tick(Millis(1_510));
+    assert_eq!(queries(&mut host).len(), 1);
+    assert_eq!(host.take_resets(), vec![]);
+}
