Drop the evidence of silent probes when its mechanism is off

Cause: after VerdictEvidence or FailureDetection was switched off at run time, silent probes were repeated, and counted against the upstream. A request of an open flow was held for longer also where no probe had been silent.

Change: timer events forget the silent probes of suspect upstreams then. Only after a silent probe does the time of a request's last transmission count.

--- a/crates/pomelorun-core/src/direct/host.rs
+++ b/crates/pomelorun-core/src/direct/host.rs
@@ -473,9 +473,14 @@
     /// Handles a timer event: queues due probes, reports and queries, and removes expired state.
     pub fn tick(&mut self, now: Millis) {
         self.ask_peers(now);
+        let detects = self.is_enabled(Mechanism::FailureDetection);
+        let needs_evidence = self.is_enabled(Mechanism::VerdictEvidence);
         for ix in std::mem::take(&mut self.unhealthy) {
             let liveness = &mut self.upstream_states[ix.0 as usize].liveness;
             liveness.expire_unanswered(now);
+            if !detects || !needs_evidence {
+                liveness.discard_evidence();
+            }
             if liveness.take_due_probe(now) {
                 self.send_probe(now, ix, ProbeKind::Identify);
             } else if liveness.take_due_repeat(now) {
--- a/crates/pomelorun-core/src/direct/liveness.rs
+++ b/crates/pomelorun-core/src/direct/liveness.rs
@@ -32,8 +32,8 @@
 pub(crate) const MIN_RETRANSMIT_GAP: Millis = Millis(150);
 /// Maximum number of flows for which an unanswered packet is held.
 const MAX_UNANSWERED: usize = 4;
-/// Time since its last transmission, or for opening packets since the first one, at which an unanswered
-/// packet no longer counts: the longest time between two transmissions of a packet.
+/// Age at which an unanswered packet no longer counts: the longest time between two transmissions of a
+/// packet. After a silent probe, a request of an open flow counts for as long since its last one.
 const UNANSWERED_MAX_AGE: Millis = Millis(2_000);
 /// Delay before an unreachable upstream is probed again, doubled after each probe.
 const PROBE_BACKOFF_MIN: Millis = Millis(500);
@@ -769,10 +769,23 @@
         }
     }
 
+    /// Forgets the silent probes, because the rule for evidence has been switched off.
+    pub(crate) fn discard_evidence(&mut self) {
+        self.silent_probes = 0;
+        self.silence = None;
+        self.peers_late = false;
+        self.repeat_at = None;
+        self.probe_allowed_at = Millis(0);
+        if self.judge_at.take().is_some() {
+            self.probe = None;
+        }
+    }
+
     /// Removes unanswered packets older than [`UNANSWERED_MAX_AGE`], so that a suspect upstream
     /// gets new flows again.
     pub(crate) fn expire_unanswered(&mut self, now: Millis) {
-        let counted_from = |it: &Unanswered| if it.established { it.last_seen } else { it.sent };
+        let is_evidence = |it: &Unanswered| it.established && self.silent_probes > 0;
+        let counted_from = |it: &Unanswered| if is_evidence(it) { it.last_seen } else { it.sent };
         self.unanswered.retain(|it| now.since(counted_from(it)) < UNANSWERED_MAX_AGE);
     }
 }
--- a/crates/pomelorun-core/tests/core/direct/full_upstreams.rs
+++ b/crates/pomelorun-core/tests/core/direct/full_upstreams.rs
@@ -639,3 +639,23 @@
     assert_eq!(queries(&mut host).len(), 1);
     assert_eq!(host.take_resets(), vec![]);
 }
+
+#[test]
+fn evidence_is_dropped_when_its_mechanism_is_switched_off() {
+    for mechanism in [Mechanism::VerdictEvidence, Mechanism::FailureDetection] {
+        let mut host = host_with_flows().0;
+        let probed_at = suspect_by_opening(&mut host, 1_000);
+        let ended = probed_at + PROBE_TIMEOUT;
+        host.apply_probe_result(Millis(ended), key(1), ProbeResult::NoResponse);
+        let mut cfg = settings(LOCAL_ZONE);
+        cfg.disabled = Disabled::new(vec![mechanism]);
+        host.update_settings(cfg);
+        host.take_probes().clear();
+        for now in (ended..ended + 3_000).step_by(50) {
+            host.tick(Millis(now));
+        }
+        assert_eq!(host.take_probes(), vec![], "{mechanism:?}");
+        let ix = host.registry().by_id(1).unwrap();
+        assert_eq!(host.reachability(ix), Reachability::Answering, "{mechanism:?}");
+    }
+}
