--- a/crates/pomelorun-core/src/direct/host/overload_control.rs
+++ b/crates/pomelorun-core/src/direct/host/overload_control.rs
@@ -10,7 +10,8 @@
         mechanism::Mechanism,
         observed_flows::Attempts,
         overload::{
-            Admission, Opening, ServiceLoad, UpstreamRoom, Urgency, service_salt, target_per_slot,
+            Admission, Opening, ServiceLoad, ServiceOverload, UpstreamRoom, Urgency, service_salt,
+            target_per_slot,
         },
         placement::{Candidate, Choice},
         registry::{Upstream, UpstreamIx},
@@ -44,7 +45,9 @@
             flow_hash: seg.flow.stable_hash(),
             timeout: route.class.timeout,
             service_time_ms: self.shared_load.service_time_ms(now, route.addr),
-            was_sent: !attempts.upstreams.is_empty()
+            // Another host may have sent an earlier transmission, which this packet counts.
+            was_sent: seg.ack > 0
+                || !attempts.upstreams.is_empty()
                 || !self.is_enabled(Mechanism::OverloadRejection),
         };
         let admission = self.overload.entry(service).state.admit(now, &opening);
@@ -106,6 +109,9 @@
             let entry = self.overload.entry(service);
             (entry.revision, entry.priorities) = (Some(revision), (most, least));
             entry.refreshed = None;
+            if most == least {
+                entry.state = ServiceOverload::default();
+            }
         }
         let (most, least) = self.overload.entry(service).priorities;
         Urgency::of(route.class.priority, most, least)
@@ -167,16 +173,34 @@
             Some(slots) => Some(sum.unwrap_or(0.0) + slots),
             None => sum,
         });
-        // Of the least urgent routes, the one with the strictest goal.
-        let targets = routes().filter(|it| it.class.priority == least).map(|it| {
-            let service_time_ms = shared.service_time_ms(now, it.addr);
-            (target_per_slot(it.answer_within, service_time_ms), service_time_ms)
-        });
-        let (target, service_time_ms) = targets.min_by(|a, b| a.0.total_cmp(&b.0))?;
+        let least_urgent = || routes().filter(|it| it.class.priority == least);
+        let service_time_ms = self.mean_service_time_ms(now, least_urgent());
+        // Of the least urgent routes in use, the one with the strictest goal; of all, if none is.
+        let targets = |is_any: bool| {
+            let times = least_urgent().map(|it| (it, shared.service_time_ms(now, it.addr)));
+            let used = times.filter(move |it| is_any || it.1.is_some());
+            used.map(|(it, time)| target_per_slot(it.answer_within, time)).min_by(f64::total_cmp)
+        };
+        let target = targets(false).or_else(|| targets(true))?;
         let hosts = shared.hosts(now);
         Some(ServiceLoad { rooms, own_in_progress, urgent_slots, target, service_time_ms, hosts })
     }
 
+    /// Returns the usual time to an answer of routes, weighted by their requests.
+    fn mean_service_time_ms<'a>(
+        &self,
+        now: Millis,
+        routes: impl Iterator<Item = &'a DirectRoute>,
+    ) -> Option<f64> {
+        let shared = &self.shared_load;
+        let (sum, weight) = routes.fold((0.0, 0.0), |(sum, weight), it| {
+            let Some(time) = shared.service_time_ms(now, it.addr) else { return (sum, weight) };
+            let rate = shared.requests_per_s(now, it.addr).unwrap_or(0.0).max(0.1);
+            (sum + rate * time, weight + rate)
+        });
+        (weight > 0.0).then(|| sum / weight)
+    }
+
     /// Returns `true` if an upstream takes new flows of some host.
     fn takes_flows(&self, now: Millis, ix: UpstreamIx, it: &Upstream) -> bool {
         it.is_eligible()
--- a/crates/pomelorun-core/src/direct/overload/admission.rs
+++ b/crates/pomelorun-core/src/direct/overload/admission.rs
@@ -14,6 +14,8 @@
 /// Bounds of the rate relative to the capacity: from the least one it can grow again, and the largest
 /// one fills no queue before the next picture.
 const RATE_BOUNDS: (f64, f64) = (1.0 / 16.0, 1.125);
+/// Free part of the room above which one host may admit more than its share.
+const MUCH_FREE_SHARE: f64 = 0.3;
 /// Openings that may come at once, in seconds of the rate.
 const BURST_S: f64 = 0.2;
 /// One of so many openings is admitted however little room there is, so that no caller starves.
@@ -65,10 +67,20 @@
         let error = (input.free_share / FREE_SHARE_GOAL - 1.0).clamp(-1.0, 1.0);
         let max = input.capacity_per_s / input.hosts.max(1.0);
         let rate = self.sustained * (error * CHANGE_PER_S * elapsed_s.min(1.0)).exp();
-        self.sustained = rate.clamp(max * RATE_BOUNDS.0, max * RATE_BOUNDS.1);
+        // While much room is free, a host that has more than its share of the openings may admit them.
+        let most = if input.free_share > MUCH_FREE_SHARE {
+            input.capacity_per_s
+        } else {
+            self.sustained.max(max * RATE_BOUNDS.1)
+        };
+        self.sustained = rate.clamp(max * RATE_BOUNDS.0, most);
         // By Little's law, requests that fill the room are served at the rate of the capacity.
         let spare_share = (input.free_share - FREE_SHARE_GOAL) / (1.0 - FREE_SHARE_GOAL);
-        self.served_by_room = max * spare_share.max(0.0);
+        self.served_by_room = if input.free_share > MUCH_FREE_SHARE {
+            input.capacity_per_s
+        } else {
+            max * spare_share.max(0.0)
+        };
     }
 
     /// Returns `true` if an opening is within the rate, and counts it.
