--- a/crates/pomelorun-core/src/direct/overload/reserve.rs
+++ b/crates/pomelorun-core/src/direct/overload/reserve.rs
@@ -7,8 +7,10 @@
 
 use crate::{direct::overload::room::UpstreamRoom, selection::rendezvous_score, time::Millis};
 
-/// Share of a service's upstreams that is kept while the urgent demand is low or unknown.
+/// Share of a service's capacity that is kept while the urgent demand is unknown.
 const DEFAULT_SHARE: f64 = 0.125;
+/// Least share that is kept.
+const MIN_SHARE: f64 = 1.0 / 32.0;
 /// Largest share that is kept; the less urgent requests keep the rest.
 const MAX_SHARE: f64 = 0.5;
 /// Capacity that is kept, relative to what the urgent demand needs with all slots busy.
@@ -16,7 +18,7 @@
 /// Step in which the share changes.
 const STEP: f64 = 1.0 / 64.0;
 /// Time between two steps down: flows that were opened elsewhere meanwhile stay there.
-const STEP_DOWN_INTERVAL: Millis = Millis(5_000);
+const STEP_DOWN_INTERVAL: Millis = Millis(1_000);
 
 /// Share of a service's upstreams that is kept.
 #[derive(Debug, Clone, Copy)]
@@ -35,8 +37,8 @@
     /// Follows the part of the service's slots that urgent requests keep busy, if it is known: up at
     /// once, and down in steps.
     pub(crate) fn follow(&mut self, now: Millis, urgent_part: Option<f64>) -> f64 {
-        let needed = urgent_part.unwrap_or(0.0) * HEADROOM;
-        let needed = ((needed / STEP).ceil() * STEP).clamp(DEFAULT_SHARE, MAX_SHARE);
+        let needed = urgent_part.map_or(DEFAULT_SHARE, |it| it * HEADROOM);
+        let needed = ((needed / STEP).ceil() * STEP).clamp(MIN_SHARE, MAX_SHARE);
         if needed >= self.share {
             (self.share, self.changed) = (needed, now);
         } else if now.since(self.changed) >= STEP_DOWN_INTERVAL {
