--- a/crates/pomelorun-core/src/direct/overload.rs
+++ b/crates/pomelorun-core/src/direct/overload.rs
@@ -35,20 +35,20 @@
 /// Free part of the room below which urgent flows go to the kept upstreams: at this load, queues can
 /// fill before a picture shows it.
 const BUSY_FREE_SHARE: f64 = 0.5;
-/// Least number of requests in progress through one host from which those through all are projected.
-const MIN_OWN_IN_PROGRESS: f64 = 3.0;
-/// Time for which urgent flows still go there: load that has risen may rise again.
+/// Time for which urgent flows still go to the kept upstreams: load that has risen may rise again.
 const BUSY_HOLD: Millis = Millis(10_000);
+/// Least number of requests in progress through this host from which those through all hosts are
+/// projected.
+const MIN_OWN_IN_PROGRESS: f64 = 3.0;
 /// Time after a sign of a high load for which a picture may not show it yet.
 const PICTURE_DELAY: Millis = Millis(1_500);
+/// Target of the kept upstreams relative to that of the others while the load is high. Urgent requests
+/// rather wait there than at an upstream whose room is gone before the next picture shows it.
+const RESERVE_TARGET: f64 = 1.5;
+/// Free part of the room of the kept upstreams below which urgent requests go to others too.
+const RESERVE_FREE_SHARE: f64 = 0.25;
 /// Time between two reports that the room of a service became short.
 const REPORT_GAP: Millis = Millis(5_000);
-/// Free part of the room of the kept upstreams below which urgent requests go to others too: a queue
-/// may fill before the next picture shows it.
-const RESERVE_FREE_SHARE: f64 = 0.25;
-/// Target of the kept upstreams relative to that of the others while the load is high. Urgent requests rather wait there than
-/// at an upstream whose room is gone before the next picture shows it.
-const RESERVE_TARGET: f64 = 1.5;
 /// Usual service time while it is unknown, in milliseconds.
 const UNKNOWN_SERVICE_TIME_MS: f64 = 100.0;
 
--- a/crates/pomelorun-core/src/direct/overload/reserve.rs
+++ b/crates/pomelorun-core/src/direct/overload/reserve.rs
@@ -17,6 +17,8 @@
 const HEADROOM: f64 = 1.25;
 /// Step in which the share changes.
 const STEP: f64 = 1.0 / 64.0;
+/// Part of an average upstream's capacity that may be missing from the kept share.
+const MAX_MISSING: f64 = 0.25;
 /// Time between two steps down: flows that were opened elsewhere meanwhile stay there.
 const STEP_DOWN_INTERVAL: Millis = Millis(1_000);
 
@@ -48,9 +50,6 @@
     }
 }
 
-/// Part of an average upstream's capacity that may be missing from the kept share.
-const MAX_MISSING: f64 = 0.25;
-
 /// Marks upstreams of each zone with a share of its capacity as kept, and never more than half of them.
 pub(crate) fn mark_reserved(rooms: &mut [UpstreamRoom], salt: u64, share: f64) {
     // Sorted by zone and rank, which is the same at all hosts.
