Keep an upstream that resets a probe's connection

A probe that ended 1 ms after it was sent made its upstream unreachable in the whole zone. A trial that logged the errors of probes shows ConnectionReset there: upstreams at their limit of connections reset them, and the daemon took that for a refusal.

Change: a reset connection shows a process that listens. The upstream is kept, stays suspect and is probed again after 500 ms.

Two tests failed while a reset counted as a refusal.

--- a/crates/pomelorun-core/src/direct/liveness.rs
+++ b/crates/pomelorun-core/src/direct/liveness.rs
@@ -14,7 +14,9 @@
 //! an open flow that has waited longer than a full queue takes, and only if neither this host has seen
 //! a response since the probe was sent nor another host of the zone one shortly before. Until then
 //! the upstream stays suspect, and the probe is repeated. A response to a request does not end this,
-//! because it does not show that the upstream has room for new flows.
+//! because it does not show that the upstream has room for new flows. An upstream at its limit of
+//! connections may also reset a probe's connection. Only a process that listens does that, so this is no
+//! evidence against it, unlike a refusal.
 //!
 //! The first probe only connects, because a busy upstream accepts a connection as fast as an idle
 //! one. A connection does not show which process accepted it. An upstream that accepts connections
@@ -76,6 +78,8 @@
 const MIN_CUT_REQUESTS: usize = 2;
 /// Maximum delay before a silent probe is repeated.
 const REPEAT_BACKOFF_MAX: Millis = Millis(2_000);
+/// Delay before a probe is repeated whose connection the upstream reset.
+const REPEAT_AT_LIMIT: Millis = Millis(500);
 /// Delay before a silent probe is repeated, doubled after each further one.
 const REPEAT_BACKOFF_MIN: Millis = Millis(150);
 
@@ -121,6 +125,8 @@
     NoResponse,
     /// The address responded, but no process listens there.
     Refused,
+    /// A process listens at the address and reset the connection, as one at its limit of connections does.
+    Reset,
     /// Another upstream responded at the address, so the probed one has ended.
     OtherUpstream,
     /// The probe shows nothing about the upstream.
@@ -134,6 +140,8 @@
     Accepted,
     /// The address responded, but no process listens there.
     Refused,
+    /// A process listens there and reset the connection.
+    Reset,
     /// The attempt timed out, or the network or host is unreachable.
     NoResponse,
     /// The attempt failed on this host, for example for lack of file descriptors.
@@ -155,11 +163,16 @@
     if attempts.contains(&ConnectAttempt::Refused) {
         return ProbeResult::NoResponse;
     }
+    if attempts.contains(&ConnectAttempt::Reset) {
+        return ProbeResult::Reset;
+    }
     if attempts.contains(&ConnectAttempt::LocalError) {
         return ProbeResult::Inconclusive;
     }
     match reference {
-        None | Some(ConnectAttempt::Accepted | ConnectAttempt::Refused) => ProbeResult::NoResponse,
+        None | Some(ConnectAttempt::Accepted | ConnectAttempt::Refused | ConnectAttempt::Reset) => {
+            ProbeResult::NoResponse
+        }
         Some(ConnectAttempt::NoResponse | ConnectAttempt::LocalError) => ProbeResult::Inconclusive,
     }
 }
@@ -273,6 +286,8 @@
     PeersPending,
     /// The upstream has responded to another host of the zone.
     AnsweredPeer,
+    /// A process listens at its address and resets connections, as at its limit of connections.
+    AtLimit,
 }
 
 /// What to do about a probe whose judgement was postponed.
@@ -458,9 +473,12 @@
                 }
             }
             ProbeResult::OtherUpstream => ProbeEffect::Ended,
-            ProbeResult::NoResponse | ProbeResult::Refused if self.unreachable.is_some() => {
+            ProbeResult::NoResponse | ProbeResult::Refused | ProbeResult::Reset
+                if self.unreachable.is_some() =>
+            {
                 ProbeEffect::Unchanged
             }
+            ProbeResult::Reset => self.keep_at_limit(now, is_suspect),
             ProbeResult::NoResponse
                 if is_suspect || self.silent_probes > 0 || rule.is_some() && probe.is_some() =>
             {
@@ -557,6 +575,21 @@
         it.is_confirmed = is_confirmed;
     }
 
+    /// Keeps an upstream that is at its limit of connections. It lives, and gets no new flows until it
+    /// accepts one or a probe.
+    fn keep_at_limit(&mut self, now: Millis, is_suspect: bool) -> ProbeEffect {
+        self.zone_silent_since = None;
+        self.silence = None;
+        if !is_suspect && self.silent_probes == 0 {
+            return ProbeEffect::Unchanged;
+        }
+        // The silent probes before this one were no silence in a row.
+        self.silent_probes = 1;
+        self.probe_allowed_at = now + REPEAT_AT_LIMIT;
+        self.repeat_at = Some(self.probe_allowed_at);
+        ProbeEffect::Kept(KeepReason::AtLimit)
+    }
+
     /// Keeps the upstream and schedules the next probe.
     fn keep(
         &mut self,
--- a/crates/pomelorun-core/tests/core/direct/full_upstreams.rs
+++ b/crates/pomelorun-core/tests/core/direct/full_upstreams.rs
@@ -5,8 +5,9 @@
 use pomelorun_core::{
     Millis,
     direct::{
-        DirectHost, Disabled, FleetMsg, LivenessMessage, LivenessQuery, LivenessReply, Mechanism,
-        ProbeResult, Reachability, Segment, SegmentKind, Token, UpstreamKey, Verdict,
+        ConnectAttempt, DirectHost, Disabled, FleetMsg, LivenessMessage, LivenessQuery,
+        LivenessReply, Mechanism, ProbeResult, Reachability, Segment, SegmentKind, Token,
+        UpstreamKey, Verdict, conclude_connect,
     },
 };
 use pomelorun_wire::{HostId, ZoneId, encode};
@@ -221,6 +222,34 @@
     assert_eq!(host.stats().kept_by_peers, 0);
 }
 
+#[test]
+fn flows_of_an_upstream_at_its_limit_of_connections_are_kept() {
+    let mut host = host_with_flows().0;
+    host.set_zone_peers(vec![PEER]);
+    let requests = [flow(900), flow(901)].map(|it| data_segment(it, Token::of(key(1)), 1, 100, 50));
+    let mut probes = 0;
+    // Its requests wait for seconds, and no other host tells of a response.
+    for now in (1_000..6_000).step_by(50) {
+        host.tick(Millis(now));
+        if now % 200 == 0 {
+            for it in &requests {
+                host.handle_packet(Millis(now), it);
+            }
+        }
+        for _ in host.take_probes().iter().filter(|it| it.upstream == key(1)) {
+            probes += 1;
+            let result = conclude_connect([ConnectAttempt::Reset; 2], None, Millis(1));
+            host.apply_probe_result(Millis(now + 1), key(1), result);
+        }
+        let ix = host.registry().by_id(1).unwrap();
+        let expected = if probes == 0 { Reachability::Answering } else { Reachability::Suspect };
+        assert_eq!(host.reachability(ix), expected, "gets no new flows, at {now} ms");
+    }
+    assert!((5..=20).contains(&probes), "{probes} probes in 5 s");
+    assert_eq!(host.take_resets(), vec![]);
+    assert_eq!(host.stats().kept, probes);
+}
+
 #[test]
 fn refused_connection_is_sufficient_evidence_at_once() {
     let (mut host, tokens) = host_with_flows();
--- a/crates/pomelorun-core/tests/core/direct/probing.rs
+++ b/crates/pomelorun-core/tests/core/direct/probing.rs
@@ -5,7 +5,7 @@
     direct::{ConnectAttempt, ProbeResult, conclude_attempts, conclude_connect},
 };
 
-use ConnectAttempt::{Accepted, LocalError, NoResponse, Refused};
+use ConnectAttempt::{Accepted, LocalError, NoResponse, Refused, Reset};
 
 #[test]
 fn one_accepted_attempt_shows_that_the_upstream_lives() {
@@ -48,3 +48,14 @@
         assert_eq!(conclude(Accepted, took), ProbeResult::Answered);
     }
 }
+
+#[test]
+fn connection_that_is_reset_is_no_refusal() {
+    let conclude = |attempts| conclude_connect(attempts, None, Millis(1));
+    assert_eq!(conclude([Reset; 2]), ProbeResult::Reset);
+    assert_eq!(conclude([NoResponse, Reset]), ProbeResult::Reset);
+    assert_eq!(conclude([Reset, LocalError]), ProbeResult::Reset);
+    assert_eq!(conclude([Reset, Accepted]), ProbeResult::Answered);
+    assert_eq!(conclude([Reset, Refused]), ProbeResult::Refused);
+    assert_eq!(conclude_attempts([NoResponse; 2], Some(Reset)), ProbeResult::NoResponse);
+}
--- a/crates/pomelorun-wire/src/code.rs
+++ b/crates/pomelorun-wire/src/code.rs
@@ -133,6 +133,6 @@
     PEER_MESSAGE_UNREADABLE = 436, "peer_message_unreadable", "a datagram of another host cannot be decoded; it was ignored", "none during an upgrade; otherwise look at the host that the line names";
     ROOM_SHORT = 437, "room_short", "the upstreams of a service have too little room; less urgent flows are admitted at a limited rate", "add upstreams, or reduce the demand of the less urgent routes";
     ROOM_REGAINED = 438, "room_regained", "the upstreams of a service have room again, or no recent picture of their load exists", "none";
-    UPSTREAM_KEPT = 439, "upstream_kept", "an upstream was kept although its probe timed out: load alone may explain that", "check whether the upstream is overloaded";
+    UPSTREAM_KEPT = 439, "upstream_kept", "an upstream was kept although its probe timed out or was reset: load alone may explain that", "check whether the upstream is overloaded";
     UPSTREAM_KEPT_BY_PEER = 440, "upstream_kept_by_peer", "another host of the zone has had a response from an upstream whose probe timed out, which is therefore kept", "check whether the upstream is overloaded";
 }
--- a/crates/pomelorun/src/direct/event_log.rs
+++ b/crates/pomelorun/src/direct/event_log.rs
@@ -239,6 +239,7 @@
         KeepReason::TooEarly => (Code::UPSTREAM_KEPT, "a full queue may take longer"),
         KeepReason::AnsweredSince => (Code::UPSTREAM_KEPT, "it has answered meanwhile"),
         KeepReason::PeersPending => (Code::UPSTREAM_KEPT, "other hosts have not replied yet"),
+        KeepReason::AtLimit => (Code::UPSTREAM_KEPT, "it is at its limit of connections"),
         KeepReason::AnsweredPeer => (Code::UPSTREAM_KEPT_BY_PEER, "it answers another host"),
     }
 }
--- a/crates/pomelorun/src/direct/probes.rs
+++ b/crates/pomelorun/src/direct/probes.rs
@@ -150,7 +150,8 @@
         Ok(Ok(_)) => ConnectAttempt::Accepted,
         Err(_) => ConnectAttempt::NoResponse,
         Ok(Err(e)) => match e.kind() {
-            ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset => ConnectAttempt::Refused,
+            ErrorKind::ConnectionRefused => ConnectAttempt::Refused,
+            ErrorKind::ConnectionReset => ConnectAttempt::Reset,
             ErrorKind::HostUnreachable | ErrorKind::NetworkUnreachable | ErrorKind::TimedOut => {
                 ConnectAttempt::NoResponse
             }
