Split the liveness of upstreams by purpose

liveness.rs had 830 lines with three concerns. What a probe's attempts show is in liveness/probe.rs, the evidence for a verdict and what to do until there is enough in liveness/evidence.rs; the rest keeps its place. Code was moved, none was changed.

--- a/crates/pomelorun-core/src/direct/liveness.rs
+++ b/crates/pomelorun-core/src/direct/liveness.rs
@@ -23,10 +23,18 @@
 //! but leaves callers without a response, or that was unreachable, is therefore asked for its
 //! identifier.
 
+mod evidence;
+mod probe;
+
 use pomelorun_wire::FlowKey;
 use smallvec::SmallVec;
 
-use crate::time::Millis;
+pub(crate) use crate::direct::liveness::evidence::EvidenceRule;
+pub use crate::direct::liveness::{
+    evidence::KeepReason,
+    probe::{ConnectAttempt, ProbeKind, ProbeResult, conclude_attempts, conclude_connect},
+};
+use crate::{direct::liveness::evidence::Silence, time::Millis};
 
 /// Minimum time between a packet and its retransmission for the packet to count as unanswered.
 /// Callers retransmit after 200 ms; a shorter gap means that both packets were delayed and arrived
@@ -44,44 +52,13 @@
 /// Maximum delay between two probes of an unreachable upstream.
 const PROBE_BACKOFF_MAX: Millis = Millis(4_000);
 
-/// Minimum time for which a request must have waited for a silent probe to count: a retransmission
-/// interval of callers and most of a probe.
-const MIN_REQUEST_AGE: Millis = Millis(300);
-/// Maximum time for which a request must have waited, however late upstreams answer.
-const MAX_REQUEST_AGE: Millis = Millis(1_000);
-/// Time before a probe was sent within which another host's response counts: a probe's time-out.
-/// Requests that were answered earlier may have been the last ones before the upstream failed.
-const PEER_RESPONSE_WINDOW: Millis = Millis(150);
 /// Time in flight after which a probe is likely to stay without a response, so that other hosts are
 /// asked.
 const ASK_PEERS_AFTER: Millis = Millis(40);
-/// Time for which the replies of other hosts are awaited at least.
-const PEER_REPLY_TIME: Millis = Millis(40);
-/// Time-out of a probe that connects.
-const PROBE_TIMEOUT: Millis = Millis(150);
 /// Delay of a postponed judgement after which this host was stalled: responses may wait unread.
 const STALLED_JUDGEMENT: Millis = Millis(100);
-/// Time that a probe takes only on a host that was stalled.
-const STALLED_PROBE: Millis = Millis(250);
 /// Time after which the result of a probe is no longer awaited.
 const PROBE_LOST: Millis = Millis(2_000);
-/// Silent probes in a row, without a response to any host in between, after which callers that open
-/// flows are told at once that the upstream is unreachable.
-const MIN_SILENT_PROBES: u32 = 2;
-/// Minimum time without a response to any host after which idle flows are reset too.
-const MIN_SILENCE: Millis = Millis(1_000);
-/// The same, in times within which almost all requests are answered, queues included.
-const MIN_SILENCE_ANSWERS: u64 = 3;
-/// Number of silent probes after which requests that wait at this host alone count.
-const MIN_CUT_PROBES: u32 = 3;
-/// Number of such requests, each of another flow, that show that this host's path is cut.
-const MIN_CUT_REQUESTS: usize = 2;
-/// Maximum delay before a silent probe is repeated.
-const REPEAT_BACKOFF_MAX: Millis = Millis(2_000);
-/// Delay before a probe is repeated whose connection the upstream reset.
-const REPEAT_AT_LIMIT: Millis = Millis(500);
-/// Delay before a silent probe is repeated, doubled after each further one.
-const REPEAT_BACKOFF_MIN: Millis = Millis(150);
 
 /// A packet without a response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -107,93 +84,6 @@
     is_given_up: bool,
 }
 
-/// Kind of a probe.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum ProbeKind {
-    /// Opens a connection and closes it.
-    Connect,
-    /// Requests the identifier of the process at the address.
-    Identify,
-}
-
-/// Result of a probe.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum ProbeResult {
-    /// The upstream responded, or at least a process at its address did.
-    Answered,
-    /// No response in time.
-    NoResponse,
-    /// The address responded, but no process listens there.
-    Refused,
-    /// A process listens at the address and reset the connection, as one at its limit of connections does.
-    Reset,
-    /// Another upstream responded at the address, so the probed one has ended.
-    OtherUpstream,
-    /// The probe shows nothing about the upstream.
-    Inconclusive,
-}
-
-/// Result of an attempt to connect.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum ConnectAttempt {
-    /// The connection was accepted.
-    Accepted,
-    /// The address responded, but no process listens there.
-    Refused,
-    /// A process listens there and reset the connection.
-    Reset,
-    /// The attempt timed out, or the network or host is unreachable.
-    NoResponse,
-    /// The attempt failed on this host, for example for lack of file descriptors.
-    LocalError,
-}
-
-/// Returns what two attempts to connect to an upstream show, compared with an attempt to connect to a
-/// reference upstream in the same time.
-///
-/// The reference tells a fault of the upstream from one of this host's own link. There are two
-/// attempts because a full link drops single packets.
-pub fn conclude_attempts(
-    attempts: [ConnectAttempt; 2],
-    reference: Option<ConnectAttempt>,
-) -> ProbeResult {
-    if attempts.contains(&ConnectAttempt::Accepted) {
-        return ProbeResult::Answered;
-    }
-    if attempts.contains(&ConnectAttempt::Refused) {
-        return ProbeResult::NoResponse;
-    }
-    if attempts.contains(&ConnectAttempt::Reset) {
-        return ProbeResult::Reset;
-    }
-    if attempts.contains(&ConnectAttempt::LocalError) {
-        return ProbeResult::Inconclusive;
-    }
-    match reference {
-        None | Some(ConnectAttempt::Accepted | ConnectAttempt::Refused | ConnectAttempt::Reset) => {
-            ProbeResult::NoResponse
-        }
-        Some(ConnectAttempt::NoResponse | ConnectAttempt::LocalError) => ProbeResult::Inconclusive,
-    }
-}
-
-/// Returns what a probe that connects shows, from its attempts and from the time that it took.
-///
-/// A refusal is told from silence, which a full upstream can cause. The attempts of a host that was
-/// stalled show nothing: their responses may have waited at the host itself.
-pub fn conclude_connect(
-    attempts: [ConnectAttempt; 2],
-    reference: Option<ConnectAttempt>,
-    took: Millis,
-) -> ProbeResult {
-    let refused = attempts.contains(&ConnectAttempt::Refused);
-    match conclude_attempts(attempts, reference) {
-        ProbeResult::NoResponse if refused => ProbeResult::Refused,
-        ProbeResult::NoResponse if took >= STALLED_PROBE => ProbeResult::Inconclusive,
-        it => it,
-    }
-}
-
 /// Reachability of an upstream from this host.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Reachability {
@@ -249,47 +139,6 @@
     asked: Option<Millis>,
 }
 
-/// A time without a response to any host of the zone, as far as known.
-#[derive(Debug, Clone, Copy)]
-struct Silence {
-    /// When the first silent probe was sent.
-    since: Millis,
-    /// Number of silent probes.
-    probes: u32,
-    /// Number of hosts asked, counted anew for each query.
-    hosts_asked: usize,
-    /// `true` if the last silent probe ended with the replies of other hosts, or there are none.
-    is_confirmed: bool,
-}
-
-/// What the evidence for a verdict is measured by.
-#[derive(Clone, Copy)]
-pub(crate) struct EvidenceRule<'a> {
-    /// Time that a full queue may take to answer a request of a flow, as far as observed.
-    pub(crate) usual_wait: &'a dyn Fn(&FlowKey) -> Option<Millis>,
-    /// Number of other hosts of the zone.
-    pub(crate) peers: usize,
-    /// `true` if at least half of the hosts asked last have replied.
-    pub(crate) peers_replied: bool,
-}
-
-/// Why an upstream was kept although its probe timed out.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum KeepReason {
-    /// Only opening packets are unanswered, which a full upstream may drop.
-    OpeningsOnly,
-    /// A full queue may take longer than the requests have waited.
-    TooEarly,
-    /// A response was seen after the probe was sent.
-    AnsweredSince,
-    /// Other hosts of the zone have not told yet whether the upstream responds to them.
-    PeersPending,
-    /// The upstream has responded to another host of the zone.
-    AnsweredPeer,
-    /// A process listens at its address and resets connections, as at its limit of connections.
-    AtLimit,
-}
-
 /// What to do about a probe whose judgement was postponed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Judgement {
@@ -355,12 +204,6 @@
         self.last_response
     }
 
-    /// Returns `true` if several probes stayed without a response and no host of the zone has had
-    /// one meanwhile, so that the upstream gets no flows. Its open flows are not affected.
-    pub(crate) fn is_silent(&self) -> bool {
-        self.silence.is_some_and(|it| it.is_confirmed && it.probes >= MIN_SILENT_PROBES)
-    }
-
     /// Records a response to a request and returns `true` if the upstream was unreachable.
     ///
     /// It does not show that the upstream has room for new flows.
@@ -503,175 +346,6 @@
         }
     }
 
-    /// Returns why a silent probe is not sufficient evidence, or `None` if it is.
-    fn reason_to_keep(
-        &self,
-        now: Millis,
-        probe: Option<ProbeInFlight>,
-        rule: &EvidenceRule<'_>,
-    ) -> Option<KeepReason> {
-        let sent = probe.map_or(now, |it| it.sent);
-        if probe.is_some() && self.last_response > sent {
-            return Some(KeepReason::AnsweredSince);
-        }
-        if self.zone_silent_since.is_none() {
-            let mut requests = self.unanswered.iter().filter(|it| it.established).peekable();
-            if requests.peek().is_none() {
-                let is_gone = self.is_silent_long(now, rule) && self.is_heard(now, probe, rule);
-                return (!is_gone).then_some(KeepReason::OpeningsOnly);
-            }
-            if !requests.any(|it| now.since(it.sent) >= required_age(it, rule)) {
-                return Some(KeepReason::TooEarly);
-            }
-        }
-        if self.peer_response > sent - PEER_RESPONSE_WINDOW {
-            return Some(KeepReason::AnsweredPeer);
-        }
-        (!self.is_heard(now, probe, rule)).then_some(KeepReason::PeersPending)
-    }
-
-    /// Returns `true` if other hosts have replied, or had time to do so.
-    fn is_heard(&self, now: Millis, probe: Option<ProbeInFlight>, rule: &EvidenceRule<'_>) -> bool {
-        let asked = probe.and_then(|it| it.asked);
-        let asked_in_time = asked.is_some_and(|it| now.since(it) >= PEER_REPLY_TIME);
-        // Hosts that have not replied by the second probe may be gone.
-        rule.peers == 0 || asked_in_time && (rule.peers_replied || self.peers_late)
-    }
-
-    /// Returns `true` if the upstream has been silent for so long that idle flows are reset. A full
-    /// one answers some host meanwhile. A host without others to ask sees too little for that.
-    fn is_silent_long(&self, now: Millis, rule: &EvidenceRule<'_>) -> bool {
-        let Some(it) = self.silence.filter(|_| self.is_silent()) else { return false };
-        let usual = self.unanswered.first().and_then(|it| (rule.usual_wait)(&it.flow));
-        let usual = usual.unwrap_or(MAX_REQUEST_AGE);
-        let required = Millis(usual.0 * MIN_SILENCE_ANSWERS).max(MIN_SILENCE);
-        rule.peers > 0 && it.hosts_asked >= rule.peers && now.since(it.since) >= required
-    }
-
-    /// Returns `true` if requests wait at this host for so long that its own path is cut, although
-    /// other hosts have responses. A queue is no slower to one host than to others.
-    fn is_cut_off(&self, now: Millis, rule: Option<EvidenceRule<'_>>) -> bool {
-        let waits_long = |it: &&Unanswered| {
-            let usual = rule.and_then(|rule| (rule.usual_wait)(&it.flow)).unwrap_or_default();
-            let is_open = it.established && !it.is_given_up;
-            is_open && now.since(it.sent) >= MAX_REQUEST_AGE.max(usual)
-        };
-        self.silent_probes + 1 >= MIN_CUT_PROBES
-            && self.unanswered.iter().filter(waits_long).count() >= MIN_CUT_REQUESTS
-    }
-
-    /// Counts a silent probe.
-    fn add_silence(
-        &mut self,
-        now: Millis,
-        probe: Option<ProbeInFlight>,
-        rule: Option<EvidenceRule<'_>>,
-    ) {
-        let is_confirmed = rule.is_some_and(|it| self.is_heard(now, probe, &it));
-        let since = probe.map_or(now, |it| it.sent);
-        let first = Silence { since, probes: 0, hosts_asked: 0, is_confirmed };
-        let it = self.silence.get_or_insert(first);
-        it.probes = it.probes.saturating_add(1);
-        it.is_confirmed = is_confirmed;
-    }
-
-    /// Keeps an upstream that is at its limit of connections. It lives, and gets no new flows until it
-    /// accepts one or a probe.
-    fn keep_at_limit(&mut self, now: Millis, is_suspect: bool) -> ProbeEffect {
-        self.zone_silent_since = None;
-        self.silence = None;
-        if !is_suspect && self.silent_probes == 0 {
-            return ProbeEffect::Unchanged;
-        }
-        // The silent probes before this one were no silence in a row.
-        self.silent_probes = 1;
-        self.probe_allowed_at = now + REPEAT_AT_LIMIT;
-        self.repeat_at = Some(self.probe_allowed_at);
-        ProbeEffect::Kept(KeepReason::AtLimit)
-    }
-
-    /// Keeps the upstream and schedules the next probe.
-    fn keep(
-        &mut self,
-        now: Millis,
-        reason: KeepReason,
-        probe: Option<ProbeInFlight>,
-        rule: Option<EvidenceRule<'_>>,
-    ) -> ProbeEffect {
-        if matches!(reason, KeepReason::AnsweredSince | KeepReason::AnsweredPeer) {
-            self.probe_allowed_at = now + REPEAT_BACKOFF_MIN;
-        }
-        if reason == KeepReason::AnsweredSince {
-            self.zone_silent_since = None;
-            let accepted = probe.is_some_and(|it| self.accepted_at > it.sent);
-            self.silent_probes = self.silent_probes.saturating_add(u32::from(!accepted));
-            let requests = self.unanswered.iter().any(|it| it.established);
-            let delay = if requests { REPEAT_BACKOFF_MIN } else { self.repeat_delay() };
-            let waits = !self.unanswered.is_empty();
-            self.repeat_at = (waits || !accepted).then_some(now + delay);
-            return ProbeEffect::Kept(reason);
-        }
-        if let Some(at) = self.postponed_verdict(now, reason, probe, rule) {
-            self.probe = probe;
-            self.judge_at = Some(at);
-            return ProbeEffect::Unchanged;
-        }
-        if reason == KeepReason::AnsweredPeer {
-            self.silence = None;
-        } else {
-            self.add_silence(now, probe, rule);
-        }
-        let asked = probe.is_some_and(|it| it.asked.is_some());
-        let late = match reason {
-            KeepReason::OpeningsOnly => asked && self.silence.is_some_and(|it| !it.is_confirmed),
-            reason => reason == KeepReason::PeersPending,
-        };
-        let were_late = std::mem::replace(&mut self.peers_late, late);
-        self.silent_probes = self.silent_probes.saturating_add(1);
-        let backoff = now + self.repeat_delay();
-        self.repeat_at = Some(match (reason, self.ripe_at(rule)) {
-            // The next probe ends when the requests have waited long enough.
-            (KeepReason::TooEarly, Some(at)) => (at - PROBE_TIMEOUT).min(backoff),
-            (KeepReason::PeersPending, _) if !were_late => now,
-            (KeepReason::AnsweredPeer | KeepReason::OpeningsOnly, _) if self.silent_probes == 1 => {
-                now
-            }
-            _ => backoff,
-        });
-        ProbeEffect::Kept(reason)
-    }
-
-    /// Returns when the probe is to be judged, if that is sooner than the end of another one.
-    fn postponed_verdict(
-        &self,
-        now: Millis,
-        reason: KeepReason,
-        probe: Option<ProbeInFlight>,
-        rule: Option<EvidenceRule<'_>>,
-    ) -> Option<Millis> {
-        match reason {
-            KeepReason::TooEarly => self.ripe_at(rule).filter(|it| *it <= now + PROBE_TIMEOUT),
-            KeepReason::PeersPending => {
-                let it = probe.filter(|it| now.since(it.sent) < PROBE_TIMEOUT + PROBE_TIMEOUT)?;
-                let asked_lately = it.asked.is_none_or(|it| now.since(it) < PEER_REPLY_TIME);
-                asked_lately.then_some(now + PEER_REPLY_TIME)
-            }
-            _ => None,
-        }
-    }
-
-    /// Returns when the first request will have waited long enough.
-    fn ripe_at(&self, rule: Option<EvidenceRule<'_>>) -> Option<Millis> {
-        let rule = rule?;
-        let requests = self.unanswered.iter().filter(|it| it.established);
-        requests.map(|it| it.sent + required_age(it, &rule)).min()
-    }
-
-    fn repeat_delay(&self) -> Millis {
-        let doublings = self.silent_probes.saturating_sub(1).min(8);
-        Millis((REPEAT_BACKOFF_MIN.0 << doublings).min(REPEAT_BACKOFF_MAX.0))
-    }
-
     /// Returns `true` if a silent probe is to be repeated, or the result of its repetition is lost, and
     /// notes that it is sent.
     pub(crate) fn take_due_repeat(&mut self, now: Millis) -> bool {
@@ -822,8 +496,3 @@
         self.unanswered.retain(|it| now.since(counted_from(it)) < UNANSWERED_MAX_AGE);
     }
 }
-
-/// Returns how long a request must have waited to show more than a full queue does.
-fn required_age(it: &Unanswered, rule: &EvidenceRule<'_>) -> Millis {
-    (rule.usual_wait)(&it.flow).unwrap_or_default().clamp(MIN_REQUEST_AGE, MAX_REQUEST_AGE)
-}
