--- a/crates/pomelorun-core/src/direct.rs
+++ b/crates/pomelorun-core/src/direct.rs
@@ -15,7 +15,6 @@
 mod event;
 mod fleet;
 mod flow_lifetimes;
-mod flow_reuse;
 mod host;
 mod latency;
 mod liveness;
--- a/crates/pomelorun-core/src/direct/host.rs
+++ b/crates/pomelorun-core/src/direct/host.rs
@@ -26,7 +26,6 @@
         directory_merge::DirectoryEra,
         event::{DirectEvent, LifecycleChange, ResetReason},
         flow_lifetimes::FlowLifetimes,
-        flow_reuse::FlowReuse,
         host::load_sharing::LoadSharing,
         latency::LatencyHistogram,
         liveness::{Liveness, MIN_RETRANSMIT_GAP, ProbeKind, Reachability},
@@ -266,7 +265,6 @@
     opening_times: ZoneOpeningTimes,
     retry_budget: RetryBudget,
     flow_lifetimes: FlowLifetimes,
-    flow_reuse: FlowReuse,
     /// Sorted.
     withdrawn_zones: Vec<ZoneId>,
     directory_state: DirectoryState,
@@ -322,7 +320,6 @@
             opening_times: ZoneOpeningTimes::default(),
             retry_budget: RetryBudget::default(),
             flow_lifetimes: FlowLifetimes::default(),
-            flow_reuse: FlowReuse::default(),
             routing: Arc::default(),
             registry: Registry::default(),
             upstream_states: Vec::new(),
@@ -603,7 +600,6 @@
         if seg.kind == SegmentKind::Finish {
             self.assess_last_answer(now, ix, &seg.flow);
             self.record_lifetime(now, ix, &seg.flow);
-            self.flow_reuse.record_close(&self.routing, seg.flow.service);
         }
         self.forward(ix)
     }
--- a/crates/pomelorun-core/src/direct/host/directory.rs
+++ b/crates/pomelorun-core/src/direct/host/directory.rs
@@ -261,7 +261,6 @@
         self.routing = Arc::clone(routing);
         self.outcomes.retain(routing);
         self.answer_times.retain(routing);
-        self.flow_reuse.retain(routing);
         self.answers_by_route.retain(routing);
         self.service_times.retain(routing);
         let routes = routing.routes().len();
--- a/crates/pomelorun-core/src/direct/host/failure_detection.rs
+++ b/crates/pomelorun-core/src/direct/host/failure_detection.rs
@@ -155,7 +155,6 @@
                 let waited = now.since(sent_at);
                 self.stats.response_latency.record(waited.0);
                 self.answer_times.record(&self.routing, seg.flow.service, waited);
-                self.flow_reuse.record_answer(&self.routing, seg.flow.service);
                 let route = self.routing.route(seg.flow.service);
                 let in_time = route.is_some_and(|it| waited <= it.answer_within);
                 if let Some(it) = self.outcomes.counters(&self.routing, seg.flow.service) {
--- a/crates/pomelorun-core/src/direct/host/overload_control.rs
+++ b/crates/pomelorun-core/src/direct/host/overload_control.rs
@@ -125,25 +125,13 @@
         entry.refreshed = Some(now);
         let priorities = entry.priorities;
         let load = self.service_load(now, service, priorities);
-        let keeps_upstreams = self.is_enabled(Mechanism::UrgentReserve)
-            && self.urgent_requests_open_flows(service, priorities.0);
-        let salt = keeps_upstreams.then(|| service_salt(service));
+        let salt = self.is_enabled(Mechanism::UrgentReserve).then(|| service_salt(service));
         let report = self.overload.entry(service).state.refresh(now, load, salt);
         if let Some(report) = report.filter(|_| self.is_enabled(Mechanism::OverloadRejection)) {
             self.emit(DirectEvent::Shortage { service: service.to_owned(), report });
         }
     }
 
-    /// Returns `true` if most requests of a most urgent route to a service open a flow each.
-    ///
-    /// A request on an open flow goes to the upstream that holds the flow, so upstreams that are kept
-    /// for it would idle while others are full.
-    fn urgent_requests_open_flows(&self, service: &str, most: u8) -> bool {
-        let routes = self.routing.routes().iter().filter(|it| it.share_of(service) > 0.0);
-        let mut urgent = routes.filter(|it| it.class.priority == most);
-        urgent.any(|it| self.flow_reuse.opens_per_request(it.addr))
-    }
-
     /// Returns the load of a service, or `None` without a recent picture of it.
     fn service_load(
         &self,
