Keep no upstream for a class of requests with hardly any demand

Cause: on each deployment the most urgent configured routes are idle ones.

Change: the demand of the most urgent routes counts as none once rates of others are known, and uses the service's usual time where theirs is unknown. If it needs less than a thirty-second of the capacity, nothing is kept.

--- a/crates/pomelorun-core/src/direct/host/overload_control.rs
+++ b/crates/pomelorun-core/src/direct/host/overload_control.rs
@@ -164,15 +164,16 @@
             return None;
         }
         let routes = || self.routing.routes().iter().filter(|it| it.share_of(service) > 0.0);
+        let usual_ms = self.mean_service_time_ms(now, routes());
         let busy_slots = |it: &DirectRoute| {
+            let time_ms = shared.service_time_ms(now, it.addr).or(usual_ms)?;
             let per_s = shared.requests_per_s(now, it.addr)?;
-            Some(per_s * shared.service_time_ms(now, it.addr)? / 1_000.0 * it.share_of(service))
+            Some(per_s * time_ms / 1_000.0 * it.share_of(service))
         };
         let urgent = routes().filter(|it| it.class.priority == most);
-        let urgent_slots = urgent.map(busy_slots).fold(None, |sum: Option<f64>, it| match it {
-            Some(slots) => Some(sum.unwrap_or(0.0) + slots),
-            None => sum,
-        });
+        let slots: f64 = urgent.filter_map(busy_slots).sum();
+        // A route without a rate has no requests, once there are rates of others.
+        let urgent_slots = usual_ms.map(|_| slots);
         let least_urgent = || routes().filter(|it| it.class.priority == least);
         let service_time_ms = self.mean_service_time_ms(now, least_urgent());
         // Of the least urgent routes in use, the one with the strictest goal; of all, if none is.
--- a/crates/pomelorun-core/src/direct/overload/reserve.rs
+++ b/crates/pomelorun-core/src/direct/overload/reserve.rs
@@ -9,7 +9,8 @@
 
 /// Share of a service's capacity that is kept while the urgent demand is unknown.
 const DEFAULT_SHARE: f64 = 0.125;
-/// Least share that is kept.
+/// Share that urgent requests must need for any upstream to be kept: those that are kept for fewer idle
+/// while others are full.
 const MIN_SHARE: f64 = 1.0 / 32.0;
 /// Largest share that is kept; the less urgent requests keep the rest.
 const MAX_SHARE: f64 = 0.5;
@@ -37,10 +38,14 @@
 
 impl ReserveShare {
     /// Follows the part of the service's slots that urgent requests keep busy, if it is known: up at
-    /// once, and down in steps.
+    /// once, down in steps, and to none at once if it is too small.
     pub(crate) fn follow(&mut self, now: Millis, urgent_part: Option<f64>) -> f64 {
         let needed = urgent_part.map_or(DEFAULT_SHARE, |it| it * HEADROOM);
-        let needed = ((needed / STEP).ceil() * STEP).clamp(MIN_SHARE, MAX_SHARE);
+        if needed < MIN_SHARE {
+            (self.share, self.changed) = (0.0, now);
+            return self.share;
+        }
+        let needed = ((needed / STEP).ceil() * STEP).min(MAX_SHARE);
         if needed >= self.share {
             (self.share, self.changed) = (needed, now);
         } else if now.since(self.changed) >= STEP_DOWN_INTERVAL {
--- a/crates/pomelorun-core/tests/core/direct/hard_load.rs
+++ b/crates/pomelorun-core/tests/core/direct/hard_load.rs
@@ -276,3 +276,29 @@
     it.assert_not_starved(LONG, RESERVED_SHARE);
     it.assert_no_open_flow_was_reset();
 }
+
+#[test]
+fn route_with_hardly_a_request_does_not_change_who_is_urgent() {
+    let capacity = deployment(Disabled::default(), &SPEEDS).capacity_per_s();
+    let mut kinds = kinds(capacity);
+    let rare = RequestKind { priority: 0, requests_per_s: capacity * 0.002, ..kinds[URGENT] };
+    kinds.push(rare);
+    let mut it = Simulation::with_kinds(Disabled::default(), CONFIG, 7, kinds, 10);
+    it.set_speeds(&SPEEDS);
+    run(it, [burst(LONG, DEMANDS[0], SHORTAGE)]).assert_urgent_in_time();
+}
+
+#[test]
+fn no_upstream_is_kept_while_hardly_a_request_is_urgent() {
+    let capacity = deployment(Disabled::default(), &[1.0]).capacity_per_s();
+    let goodput = |disabled| {
+        let mut kinds = kinds(capacity);
+        kinds[URGENT].requests_per_s = capacity * 0.005;
+        let it = Simulation::with_kinds(disabled, CONFIG, 7, kinds, 10);
+        let it = run(it, [burst(LONG, DEMANDS[0], SHORTAGE)]);
+        it.in_shortage[LONG].in_time
+    };
+    let (with, without) =
+        (goodput(Disabled::default()), goodput(Disabled::new(vec![Mechanism::UrgentReserve])));
+    assert!(with as f64 >= 0.98 * without as f64, "{with} in time, {without} if none is ever kept");
+}
