Split failure detection: flow resets and probing in files of their own

Resets of flows are in host/flow_resets.rs, the choice of probes in host/probing.rs. Code was moved, none was changed.

--- a/crates/pomelorun-core/src/direct/host.rs
+++ b/crates/pomelorun-core/src/direct/host.rs
@@ -3,12 +3,14 @@
 mod directory;
 mod failure_detection;
 mod flow_placement;
+mod flow_resets;
 mod introspection;
 mod load_sharing;
 mod opening_retries;
 mod outlier_detection;
 mod overload_control;
 mod peer_evidence;
+mod probing;
 mod rejection;
 mod token_queries;
 
--- a/crates/pomelorun-core/src/direct/host/failure_detection.rs
+++ b/crates/pomelorun-core/src/direct/host/failure_detection.rs
@@ -8,8 +8,8 @@
 
 use crate::{
     direct::{
-        event::{DirectEvent, LifecycleChange, ResetReason},
-        host::{DirectHost, Probe, ResetPacket, release_load},
+        event::{DirectEvent, ResetReason},
+        host::DirectHost,
         liveness::{
             Judgement, KeepReason, Liveness, MIN_RETRANSMIT_GAP, ProbeEffect, ProbeKind,
             ProbeResult, Reachability, UnansweredPacket,
@@ -31,7 +31,7 @@
 /// five requests per slot.
 const FULL_QUEUE_ANSWERS: f64 = 5.0;
 /// Time since its last response within which an upstream counts as recently active.
-const RECENT_ACTIVITY: Millis = Millis(3_000);
+pub(super) const RECENT_ACTIVITY: Millis = Millis(3_000);
 
 impl DirectHost {
     /// Applies the result of a probe.
@@ -123,21 +123,6 @@
         }
     }
 
-    /// Resets the flows of upstream instances that have ended.
-    pub(super) fn reset_flows_of_ended(&mut self, now: Millis) {
-        for ix in self.registry.take_ended() {
-            let Some(key) = self.registry.get(ix).map(|it| it.announcement.key) else { continue };
-            let reset = self.reset_flows(now, ix, ResetReason::Ended);
-            if reset > 0 {
-                self.emit(DirectEvent::Lifecycle {
-                    upstream: key,
-                    change: LifecycleChange::Ended,
-                    cold_left: Millis(0),
-                });
-            }
-        }
-    }
-
     /// Updates the flow table and the upstream's liveness and load from a packet of an open flow.
     pub(super) fn observe_packet(&mut self, now: Millis, ix: UpstreamIx, seg: &Segment) {
         let Some(flow) = self.flows.get_mut(&seg.flow).filter(|it| it.established) else {
@@ -315,61 +300,6 @@
         self.send_probe(now, ix, kind);
     }
 
-    pub(super) fn send_probe(&mut self, now: Millis, ix: UpstreamIx, kind: ProbeKind) {
-        let candidates = match kind {
-            ProbeKind::Connect => self.reference_candidates(now),
-            ProbeKind::Identify => [None; 2],
-        };
-        self.send_probe_with_reference(ix, kind, candidates);
-    }
-
-    /// Sends a probe with one of `candidates`, but not the probed upstream itself, as its
-    /// reference.
-    fn send_probe_with_reference(
-        &mut self,
-        ix: UpstreamIx,
-        kind: ProbeKind,
-        candidates: [Option<UpstreamIx>; 2],
-    ) {
-        let Some(it) = self.registry.get(ix).filter(|it| !it.ended) else { return };
-        let limits = self.routing.limits(&it.announcement.service);
-        let path = limits.map(|it| it.health_path.clone()).unwrap_or_default();
-        let (upstream, addr) = (it.announcement.key, it.announcement.addr);
-        let reference = candidates.into_iter().flatten().find(|it| *it != ix);
-        let reference_addr =
-            reference.and_then(|it| self.registry.get(it)).map(|it| it.announcement.addr);
-        self.stats.probes += 1;
-        self.probes.push(Probe { upstream, addr, kind, path, reference_addr });
-    }
-
-    /// Returns up to two recently active upstreams, neither suspect nor unreachable, that responded
-    /// last, latest first.
-    ///
-    /// There are two, so that one of them is not the upstream to be probed.
-    fn reference_candidates(&self, now: Millis) -> [Option<UpstreamIx>; 2] {
-        let last_response =
-            |ix: UpstreamIx| self.upstream_states[ix.0 as usize].liveness.last_response();
-        let is_later = |ix: UpstreamIx, than: Option<UpstreamIx>| {
-            than.is_none_or(|it| last_response(ix) >= last_response(it))
-        };
-        let mut latest = [None; 2];
-        if !self.is_enabled(Mechanism::ProbeReference) {
-            return latest;
-        }
-        for (ix, it) in self.registry.iter() {
-            let recently_active = now.since(last_response(ix)) < RECENT_ACTIVITY;
-            if it.ended || !recently_active || self.reachability(ix) != Reachability::Answering {
-                continue;
-            }
-            if is_later(ix, latest[0]) {
-                latest = [Some(ix), latest[0]];
-            } else if is_later(ix, latest[1]) {
-                latest[1] = Some(ix);
-            }
-        }
-        latest
-    }
-
     /// Returns `true` if most upstreams in use are suspect at the same time, both in this host's
     /// zone and over all zones.
     ///
@@ -392,40 +322,6 @@
         zone.suspect >= MIN_LOCAL_FAULT_SUSPECTS && zone.is_majority() && all.is_majority()
     }
 
-    /// Probes all upstreams of another zone that has not responded since a caller of the `lost`
-    /// upstream began to wait, and for which `start` returns `true`.
-    ///
-    /// The path to the whole zone may be cut. Probing at once is faster than waiting until callers
-    /// retransmit to each upstream in turn.
-    pub(super) fn probe_silent_zone(
-        &mut self,
-        now: Millis,
-        lost: UpstreamIx,
-        waited: Millis,
-        start: fn(&mut Liveness, Millis, Millis) -> bool,
-    ) {
-        let Some(zone) = self.registry.get(lost).map(|it| it.announcement.zone) else { return };
-        let silent_since = now - waited;
-        let response = self.zone_responses.binary_search_by_key(&zone, |it| it.0);
-        let responded = response.is_ok_and(|at| self.zone_responses[at].1 > silent_since);
-        if zone == self.cfg.zone || responded || !self.is_enabled(Mechanism::ZoneProbe) {
-            return;
-        }
-        let zone_upstreams: Vec<UpstreamIx> = self
-            .registry
-            .iter()
-            .filter(|it| it.1.announcement.zone == zone && !it.1.ended)
-            .map(|it| it.0)
-            .collect();
-        let candidates = self.reference_candidates(now);
-        for ix in zone_upstreams {
-            if start(&mut self.upstream_states[ix.0 as usize].liveness, now, silent_since) {
-                self.mark_unhealthy(ix);
-                self.send_probe_with_reference(ix, ProbeKind::Connect, candidates);
-            }
-        }
-    }
-
     /// Marks an upstream unreachable and resets its flows.
     pub(super) fn mark_unreachable(
         &mut self,
@@ -442,64 +338,6 @@
         let upstream = it.announcement.key;
         self.emit(DirectEvent::Unreachable { upstream, flows, waited, from_peer });
     }
-
-    /// Resets all established flows of an upstream and returns their number.
-    ///
-    /// Idle flows are reset too, so that callers open new ones before their next request.
-    pub(super) fn reset_flows(
-        &mut self,
-        now: Millis,
-        ix: UpstreamIx,
-        reason: ResetReason,
-    ) -> usize {
-        let mut count = 0;
-        for flow in self.flows.take_by_upstream(ix) {
-            let is_kept =
-                flow.unanswered_since.is_none() && !self.is_enabled(Mechanism::IdleFlowReset);
-            if !flow.established || is_kept {
-                // Not established: retransmitted opening packets go to another upstream.
-                self.flows.insert(flow);
-                continue;
-            }
-            release_load(&mut self.upstream_states, &flow);
-            self.count_broken_flow(&flow.key, Some(&flow));
-            count += 1;
-            let reset = self.make_reset(now, Some(ix), flow.key, flow.ack, reason);
-            self.resets.push(reset);
-        }
-        count
-    }
-
-    /// Counts a broken flow, and its waiting request as one of unknown outcome.
-    pub(super) fn count_broken_flow(&mut self, key: &FlowKey, flow: Option<&Flow>) {
-        if let Some(it) = self.outcomes.counters(&self.routing, key.service) {
-            it.broken += 1;
-            it.unknown +=
-                u64::from(flow.is_some_and(|it| it.established && it.unanswered_since.is_some()));
-        }
-    }
-
-    /// Creates a reset packet, counts it and emits its event.
-    pub(super) fn make_reset(
-        &mut self,
-        now: Millis,
-        ix: Option<UpstreamIx>,
-        flow: FlowKey,
-        seq: u32,
-        reason: ResetReason,
-    ) -> ResetPacket {
-        self.stats.resets += 1;
-        let upstream = ix.and_then(|it| self.registry.get(it)).map(|it| it.announcement.key);
-        let last_response =
-            ix.map_or(now, |it| self.upstream_states[it.0 as usize].liveness.last_response());
-        self.emit(DirectEvent::Reset {
-            flow,
-            upstream,
-            reason,
-            since_last_response: now - last_response,
-        });
-        ResetPacket { flow, seq }
-    }
 }
 
 /// Number of upstreams in use, and how many of them are suspect.
