Show the age of a host's copy of the directory

Requests reached upstreams over five seconds after they had said that they leave. Neither logs nor metrics told how old the copy of the directory was by which a host sent them, so a host that nothing had told for 5 s looked like any other, and three hypotheses could not be told apart.

The age is the time since the copy was last known to be complete: when a request was sent that was answered with events, when a wait without events ended, or a message of the followed host arrived. It is a gauge, pomelorun_directory_age_ms, replaces the time of the last response in the status view, and stands in the log lines of a source that failed (PR0303, PR0308). No decision uses it yet.

--- a/crates/pomelorun-core/src/direct/directory_sync.rs
+++ b/crates/pomelorun-core/src/direct/directory_sync.rs
@@ -169,6 +169,8 @@
 pub struct DirectorySync {
     /// Position up to which this host is up to date; `None` before the first listing.
     known_position: Option<DirectoryPosition>,
+    /// Time up to which this host's copy of the directory is known to be complete.
+    confirmed_at: Option<Millis>,
     /// `true` while the directory should still hold the events since `known_position`.
     can_resume: bool,
     /// Consecutive failures of the directory.
@@ -226,6 +228,17 @@
         self.known_position
     }
 
+    /// Records that this host's copy of the directory was complete at a time.
+    pub fn confirm(&mut self, at: Millis) {
+        self.confirmed_at = self.confirmed_at.max(Some(at));
+    }
+
+    /// Returns the age of this host's copy of the directory: the time since it was last known to be
+    /// complete; `None` before the first listing.
+    pub fn copy_age(&self, now: Millis) -> Option<Millis> {
+        self.confirmed_at.map(|it| now.since(it))
+    }
+
     /// Compares the era of a response of the directory with the one that this host has read last.
     ///
     /// A listing of a newer era is applied; a watch that was answered in one is not, because its
@@ -271,6 +284,7 @@
             }
             SyncOutcome::DirectoryReplaced => {
                 self.known_position = self.known_position.map(|_| DirectoryPosition::default());
+                self.confirmed_at = None;
                 self.can_resume = false;
                 self.failures = 0;
                 Millis(0)
--- a/crates/pomelorun-core/src/direct/host.rs
+++ b/crates/pomelorun-core/src/direct/host.rs
@@ -272,6 +272,8 @@
     directory_state: DirectoryState,
     /// When the directory last responded.
     directory_last_response: Option<Millis>,
+    /// Time up to which this host's copy of the directory is known to be complete.
+    directory_confirmed_at: Option<Millis>,
     /// When the directory last became available again.
     directory_recovered_at: Option<Millis>,
     directory_era: DirectoryEra,
@@ -331,6 +333,7 @@
             withdrawn_zones: Vec::new(),
             directory_state: DirectoryState::Unavailable,
             directory_last_response: None,
+            directory_confirmed_at: None,
             directory_recovered_at: None,
             directory_era: DirectoryEra::default(),
             has_listing: false,
@@ -390,6 +393,11 @@
         self.directory_state
     }
 
+    /// Returns the time since this host's copy of the directory was last known to be complete.
+    pub fn directory_age(&self, now: Millis) -> Option<Millis> {
+        self.directory_confirmed_at.map(|it| now.since(it))
+    }
+
     /// Returns the number of flows in the flow table.
     pub fn flow_count(&self) -> usize {
         self.flows.len()
--- a/crates/pomelorun-core/src/direct/host/directory.rs
+++ b/crates/pomelorun-core/src/direct/host/directory.rs
@@ -30,6 +30,11 @@
         self.directory_state = state;
     }
 
+    /// Records that this host's copy of the directory was complete at a time.
+    pub fn confirm_directory(&mut self, at: Millis) {
+        self.directory_confirmed_at = self.directory_confirmed_at.max(Some(at));
+    }
+
     /// Applies a page of the initial listing, so that the host forwards flows before it has read the
     /// others. Does nothing if the host has applied a full listing.
     pub fn apply_initial_page(&mut self, now: Millis, items: &[DirectoryUpdate]) {
--- a/crates/pomelorun-core/src/direct/host/introspection.rs
+++ b/crates/pomelorun-core/src/direct/host/introspection.rs
@@ -26,7 +26,7 @@
             revision: self.routing.revision,
             routes: self.routing.routes().len(),
             directory_answers: self.directory_state == DirectoryState::Available,
-            directory_ago_ms: self.directory_last_response.map(|it| now.since(it).0),
+            directory_ago_ms: self.directory_age(now).map(|it| it.0),
             directory_era: self.directory_era.era(),
             flows: self.flows.len(),
             hosts: self.live_hosts.len(),
--- a/crates/pomelorun-core/src/direct/view.rs
+++ b/crates/pomelorun-core/src/direct/view.rs
@@ -115,7 +115,7 @@
     pub routes: usize,
     /// `true` while the directory is available, directly or through another host.
     pub directory_answers: bool,
-    /// Time since the directory's last response, in milliseconds.
+    /// Time since this host's copy of the directory was last known to be complete, in milliseconds.
     pub directory_ago_ms: Option<u64>,
     /// Era of the directory that this host has listed last; hosts of older versions do not report
     /// it.
--- a/crates/pomelorun/src/direct/edge.rs
+++ b/crates/pomelorun/src/direct/edge.rs
@@ -155,6 +155,8 @@
     pub(crate) live_hosts: usize,
     pub(crate) early_packets_dropped: u64,
     pub(crate) directory_unavailable: bool,
+    /// Age of this host's copy of the directory; zero before the first listing.
+    pub(crate) directory_age: Millis,
     /// Filled in by [`Status::stats`], which shares the counter with the log.
     pub(crate) log_lines_dropped: u64,
 }
@@ -198,6 +200,7 @@
             live_hosts: self.live_hosts,
             early_packets_dropped: self.early_packets.dropped,
             directory_unavailable: self.host.directory_state() == DirectoryState::Unavailable,
+            directory_age: self.host.directory_age(now()).unwrap_or_default(),
             log_lines_dropped: 0,
         }
     }
@@ -381,6 +384,11 @@
         self.host.set_directory_state(now(), state);
     }
 
+    /// Records that this host's copy of the directory was complete at a time.
+    pub(crate) fn confirm_directory(&mut self, at: Millis) {
+        self.host.confirm_directory(at);
+    }
+
     /// Applies a page of the initial listing, before the others have been read.
     pub(crate) fn apply_initial_page(&mut self, items: &[DirectoryUpdate]) {
         let now = now();
--- a/crates/pomelorun/src/direct/metrics.rs
+++ b/crates/pomelorun/src/direct/metrics.rs
@@ -114,7 +114,7 @@
     ),
 ];
 
-const GAUGES: [(&str, &str, ReadCount); 6] = [
+const GAUGES: [(&str, &str, ReadCount); 7] = [
     ("pomelorun_flows", "Flows in the flow table", |it| it.flows as u64),
     ("pomelorun_revision", "Active revision of the configuration", |it| it.revision),
     ("pomelorun_directory_era", "Era of the directory that was listed last", |it| it.directory_era),
@@ -125,6 +125,11 @@
     ("pomelorun_directory_away", "1 while the directory is unavailable, otherwise 0", |it| {
         u64::from(it.directory_unavailable)
     }),
+    (
+        "pomelorun_directory_age_ms",
+        "Time since this host's copy of the directory was last known to be complete, milliseconds",
+        |it| it.directory_age.0,
+    ),
 ];
 
 type ReadLatency = fn(&EdgeStats) -> &LatencyHistogram;
--- a/crates/pomelorun/src/direct/reader.rs
+++ b/crates/pomelorun/src/direct/reader.rs
@@ -4,9 +4,12 @@
 use std::{net::SocketAddrV4, rc::Rc, time::Duration};
 
 use actix::Recipient;
-use pomelorun_core::direct::{
-    DirectoryPosition, DirectoryState, DirectorySync, ListingState, Readers, ResponseEra,
-    SyncOutcome, SyncStep, address_of,
+use pomelorun_core::{
+    Millis,
+    direct::{
+        DirectoryPosition, DirectoryState, DirectorySync, ListingState, Readers, ResponseEra,
+        SyncOutcome, SyncStep, address_of,
+    },
 };
 use pomelorun_wire::{Code, HostId};
 use spdlog::prelude::*;
@@ -90,17 +93,17 @@
             }
             SyncStep::Follow { pause, host } => {
                 tokio::time::sleep(millis(pause.0)).await;
-                follow(&mut cx, host, sync.known_position()).await
+                follow(&mut cx, &mut sync, host).await
             }
             SyncStep::List { pause, limit } => {
                 tokio::time::sleep(millis(pause.0)).await;
-                let res = list(&cx, &sync, millis(limit.0)).await;
-                record_directory_state(&cx, &mut unavailable, res)
+                let res = list(&cx, &mut sync, millis(limit.0)).await;
+                record_directory_state(&cx, &sync, &mut unavailable, res)
             }
             SyncStep::Watch { pause, after, wait, limit } => {
                 tokio::time::sleep(millis(pause.0)).await;
-                let res = watch(&cx, &sync, after, millis(wait.0), millis(limit.0)).await;
-                record_directory_state(&cx, &mut unavailable, res)
+                let res = watch(&cx, &mut sync, after, wait, millis(limit.0)).await;
+                record_directory_state(&cx, &sync, &mut unavailable, res)
             }
         });
     }
@@ -109,6 +112,7 @@
 /// Records whether the directory responded and logs a change of its availability.
 fn record_directory_state(
     cx: &ReaderContext,
+    sync: &DirectorySync,
     unavailable: &mut bool,
     res: Result<SyncOutcome, DirectoryError>,
 ) -> SyncOutcome {
@@ -121,7 +125,9 @@
     match (state, *unavailable) {
         (DirectoryState::Unavailable, false) => {
             let error = res.as_ref().err().map(ToString::to_string).unwrap_or_default();
-            warn!("directory unavailable", kv: { code = Code::CONFIG_STALE.to_string(), error });
+            warn!("directory unavailable", kv: {
+                code = Code::CONFIG_STALE.to_string(), error, age_ms = age_ms(sync)
+            });
         }
         (DirectoryState::Available, true) => info!("directory available again", kv: {
             code = Code::DIRECTORY_RECOVERED.to_string()
@@ -142,9 +148,10 @@
 /// Lists the directory page by page.
 async fn list(
     cx: &ReaderContext,
-    sync: &DirectorySync,
+    sync: &mut DirectorySync,
     page_timeout: Duration,
 ) -> Result<SyncOutcome, DirectoryError> {
+    let requested_at = now();
     let first = cx.directory.list_page("", page_timeout).await?;
     match sync.response_era(first.position) {
         ResponseEra::Current => {}
@@ -167,18 +174,20 @@
         next = page.next;
     }
     cx.edge.borrow_mut().apply_listing(position.era, &items);
+    confirm(cx, sync, requested_at);
     cx.feed.borrow_mut().reset_followers(position);
     Ok(SyncOutcome::Listed(position))
 }
 
 async fn watch(
     cx: &ReaderContext,
-    sync: &DirectorySync,
+    sync: &mut DirectorySync,
     after: DirectoryPosition,
-    wait: Duration,
+    wait: Millis,
     timeout: Duration,
 ) -> Result<SyncOutcome, DirectoryError> {
-    let it = cx.directory.watch(after, wait, timeout).await?;
+    let requested_at = now();
+    let it = cx.directory.watch(after, millis(wait.0), timeout).await?;
     match sync.response_era(it.position) {
         ResponseEra::Current => {}
         ResponseEra::Newer => return Ok(SyncOutcome::HistoryExpired),
@@ -191,6 +200,9 @@
         edge.set_directory_state(DirectoryState::Available);
         edge.apply_and_replicate(&it.items)
     };
+    // A response without events was sent at the end of the wait, any other one at an unknown time.
+    let sent_at = if events { requested_at } else { now().min(requested_at + wait) };
+    confirm(cx, sync, sent_at);
     if events {
         cx.feed.borrow_mut().publish(it.position, replicated);
     }
@@ -199,13 +211,8 @@
 
 /// Follows a host's feed until the stream times out, that host loses the directory, or this host
 /// becomes a reader.
-///
-/// `known` is the position up to which this host has all updates.
-async fn follow(
-    cx: &mut ReaderContext,
-    host: HostId,
-    known: Option<DirectoryPosition>,
-) -> SyncOutcome {
+async fn follow(cx: &mut ReaderContext, sync: &mut DirectorySync, host: HostId) -> SyncOutcome {
+    let known = sync.known_position();
     let address = SocketAddrV4::new(address_of(host), cx.feed_port);
     let mut position = None;
     let hello = {
@@ -217,7 +224,8 @@
         Ok(it) => it,
         Err(error) => {
             info!("cannot follow host", kv: {
-                code = Code::FEED_LOST.to_string(), host = address.to_string(), error
+                code = Code::FEED_LOST.to_string(), host = address.to_string(), error,
+                age_ms = age_ms(sync)
             });
             return SyncOutcome::FollowEnded { position };
         }
@@ -233,7 +241,11 @@
             }
         };
         let is_first = position.is_none();
-        match msg.and_then(|msg| apply_feed_msg(cx, known, &mut position, msg)) {
+        let applied = msg.and_then(|msg| apply_feed_msg(cx, known, &mut position, msg));
+        if applied.is_ok() {
+            confirm(cx, sync, now());
+        }
+        match applied {
             Ok(kind) if is_first => info!("following host", kv: {
                 code = Code::FEED_FOLLOWED.to_string(), host = address.to_string(),
                 resumed = kind == MessageKind::Update
@@ -243,7 +255,8 @@
         }
     };
     info!("stopped following host", kv: {
-        code = Code::FEED_LOST.to_string(), host = address.to_string(), why = reason
+        code = Code::FEED_LOST.to_string(), host = address.to_string(), why = reason,
+        age_ms = age_ms(sync)
     });
     SyncOutcome::FollowEnded { position }
 }
@@ -311,6 +324,17 @@
     Ok(kind)
 }
 
+/// Records that this host's copy of the directory was complete at a time.
+fn confirm(cx: &ReaderContext, sync: &mut DirectorySync, at: Millis) {
+    sync.confirm(at);
+    cx.edge.borrow_mut().confirm_directory(at);
+}
+
+/// Returns the age of this host's copy of the directory, in milliseconds.
+fn age_ms(sync: &DirectorySync) -> u64 {
+    sync.copy_age(now()).unwrap_or_default().0
+}
+
 fn log_restoration(known: Option<DirectoryPosition>, new: DirectoryPosition) {
     let known = known.unwrap_or_default();
     warn!("directory restored from an older copy", kv: {
