Time a followed host's silence from its last message

Cause: a follower waits for the next message of the host that it follows or for a change of the readers, and the timeout of 2 s was part of the first wait. Each change of the readers cancelled that wait and began it anew, timeout included.

The stream now keeps the time by which its next message must arrive, and a cancelled wait does not move it. The other loops that wait for several things were read: intervals are created outside of them, sleeps are computed from a stored time, and a suspicion repeated by gossip does not renew its time. None has this fault.

--- a/crates/pomelorun/src/direct/feed.rs
+++ b/crates/pomelorun/src/direct/feed.rs
@@ -17,7 +17,7 @@
     net::{TcpListener, TcpStream},
     sync::broadcast,
     task::{JoinHandle, JoinSet},
-    time::{MissedTickBehavior, timeout},
+    time::{Instant, MissedTickBehavior, timeout, timeout_at},
 };
 use tokio_tungstenite::{
     WebSocketStream, accept_async_with_config, client_async_with_config,
@@ -330,6 +330,8 @@
 /// The follower's end of a stream.
 pub(crate) struct FeedStream {
     socket: WebSocketStream<TcpStream>,
+    /// Time by which the next message must arrive.
+    deadline: Instant,
 }
 
 impl FeedStream {
@@ -345,12 +347,16 @@
         let (mut socket, _) = opened.map_err(|e| format!("{address}: {e}"))?;
         let hello = encode(&hello).map_err(|e| e.to_string())?;
         socket.send(Message::Binary(hello.into())).await.map_err(|e| e.to_string())?;
-        Ok(FeedStream { socket })
+        Ok(FeedStream { socket, deadline: Instant::now() + FEED_TIMEOUT })
     }
 
     /// Receives the next message.
+    ///
+    /// The timeout runs from the previous message, even if this call is cancelled and repeated.
     pub(crate) async fn next(&mut self) -> Result<FeedMsg, String> {
-        match timeout(FEED_TIMEOUT, self.socket.next()).await {
+        let received = timeout_at(self.deadline, self.socket.next()).await;
+        self.deadline = Instant::now() + FEED_TIMEOUT;
+        match received {
             Err(_) => Err("no heartbeat in time".to_owned()),
             Ok(Some(Ok(Message::Binary(body)))) => decode(&body).map_err(|e| e.to_string()),
             Ok(Some(Ok(_)) | None) => Err("the stream was closed by the peer".to_owned()),
