List the directory if a watch is too long to be received

Cause: a watch had one deadline for the wait and the whole response, and after a failure 0.6 s.

The response must now begin within the old deadline, and be complete 0.6 s later. If it is not, the directory is listed, which has each entry once (PR0311). A page of a listing has no deadline but a limit on the time without any data: there is nothing shorter to read instead, so cutting it off would be the same fault.

--- a/crates/pomelorun-core/src/direct/directory_sync.rs
+++ b/crates/pomelorun-core/src/direct/directory_sync.rs
@@ -92,6 +92,8 @@
     HistoryExpired,
     /// The directory has another address, so positions in the previous one are void.
     DirectoryReplaced,
+    /// The directory responded, but the response was too long to be received in time.
+    Incomplete,
     /// The directory did not respond, returned an error or an obsolete response.
     Failed,
     /// The followed host stopped sending or closed the stream.
@@ -282,6 +284,12 @@
                 self.failures = 0;
                 Millis(0)
             }
+            // The missed events only become more. A listing has each entry once.
+            SyncOutcome::Incomplete if self.can_resume => {
+                self.can_resume = false;
+                self.failures = 0;
+                Millis(0)
+            }
             SyncOutcome::DirectoryReplaced => {
                 self.known_position = self.known_position.map(|_| DirectoryPosition::default());
                 self.confirmed_at = None;
@@ -289,7 +297,7 @@
                 self.failures = 0;
                 Millis(0)
             }
-            SyncOutcome::Failed => {
+            SyncOutcome::Incomplete | SyncOutcome::Failed => {
                 let pause = self.backoff(jitter);
                 self.failures += 1;
                 pause
--- a/crates/pomelorun-core/tests/core/direct/directory_sync.rs
+++ b/crates/pomelorun-core/tests/core/direct/directory_sync.rs
@@ -84,6 +84,18 @@
     assert!(matches!(next, SyncStep::List { .. }), "{next:?}");
 }
 
+#[test]
+fn watch_that_is_too_long_to_be_received_is_replaced_by_a_listing() {
+    let mut sync = DirectorySync::default();
+    sync_after_listing(&mut sync, &reader());
+    let incomplete = Some(SyncOutcome::Incomplete);
+    let next = sync.next_step(Millis(20), incomplete, &reader(), HasFollowers::No, 0.5);
+    assert!(matches!(next, SyncStep::List { pause: Millis(0), .. }), "{next:?}");
+    // A listing that fails in the same way is retried at a bounded rate.
+    let next = sync.next_step(Millis(30), incomplete, &reader(), HasFollowers::No, 0.5);
+    assert!(matches!(next, SyncStep::List { pause, .. } if pause > Millis(0)), "{next:?}");
+}
+
 #[test]
 fn retry_backoff_grows_up_to_its_maximum() {
     let mut sync = DirectorySync::default();
--- a/crates/pomelorun-wire/src/code.rs
+++ b/crates/pomelorun-wire/src/code.rs
@@ -94,6 +94,7 @@
     FEED_LOST = 308, "unfollowed", "the feed of directory updates from another host ended: that host went silent, lost the directory or stopped reading it", "none: another host or the directory is queried";
     DIRECTORY_RESTORED = 309, "directory_restored", "the directory was restored from an older copy; until it has settled, listings only add to what the host knows", "see the section on a restored directory in docs/OPERATIONS.md";
     DIRECTORY_RESPONSE_OBSOLETE = 310, "directory_obsolete", "a response of the directory from before it was restored was dropped", "none: the directory is queried again";
+    DIRECTORY_RESPONSE_INCOMPLETE = 311, "directory_incomplete", "a response of the directory was too long to be received in time", "none: the directory is listed instead; if it recurs, look at the host's link and at what is written to the directory";
     // Direct return.
     FLOW_OPENED = 400, "flow_opened", "the opening packet of a flow was sent to an upstream", "none";
     ENTRY_UNREADABLE = 401, "entry_unreadable", "a directory entry cannot be used", "find the process that wrote the entry; the upstream that it names receives no flows";
--- a/crates/pomelorun/src/direct/platform.rs
+++ b/crates/pomelorun/src/direct/platform.rs
@@ -42,6 +42,9 @@
     /// The request timed out.
     #[error("request timed out")]
     Timeout,
+    /// The response began but was not complete in time, or is too long.
+    #[error("response not complete in time")]
+    Incomplete,
     /// The request failed, or the connection did.
     #[error("{0}")]
     Failed(String),
@@ -87,6 +90,9 @@
     ///
     /// The pages are not a snapshot, so a watch must start at the position of the first page. It may
     /// repeat changes that later pages already contain.
+    ///
+    /// `timeout` is the maximum time without any data: a page may take longer on a slow link, and
+    /// there is nothing shorter to read instead.
     fn list_page<'a>(
         &'a self,
         after: &'a str,
@@ -95,8 +101,9 @@
 
     /// Returns the changes after a position, waiting for one for at most `wait`.
     ///
-    /// The whole request, including the wait, is subject to `timeout`. If the era of the returned
-    /// position is another one, the changes do not continue the history up to `after`.
+    /// The response must begin within `timeout` and be complete `timeout - wait` later; otherwise the
+    /// request fails with [`DirectoryError::Timeout`] or [`DirectoryError::Incomplete`]. If the era of
+    /// the returned position is another one, the changes do not continue the history up to `after`.
     fn watch(
         &self,
         after: DirectoryPosition,
--- a/crates/pomelorun/src/direct/probes.rs
+++ b/crates/pomelorun/src/direct/probes.rs
@@ -172,6 +172,7 @@
         // A busy upstream may take longer than the timeout to respond.
         Err(
             DirectoryError::Timeout
+            | DirectoryError::Incomplete
             | DirectoryError::Failed(_)
             | DirectoryError::HistoryExpired
             | DirectoryError::AddressChanged,
--- a/crates/pomelorun/src/direct/reader.rs
+++ b/crates/pomelorun/src/direct/reader.rs
@@ -118,9 +118,12 @@
 ) -> SyncOutcome {
     let state = match &res {
         Err(DirectoryError::Timeout | DirectoryError::Failed(_)) => DirectoryState::Unavailable,
-        Ok(_) | Err(DirectoryError::HistoryExpired | DirectoryError::AddressChanged) => {
-            DirectoryState::Available
-        }
+        Ok(_)
+        | Err(
+            DirectoryError::Incomplete
+            | DirectoryError::HistoryExpired
+            | DirectoryError::AddressChanged,
+        ) => DirectoryState::Available,
     };
     match (state, *unavailable) {
         (DirectoryState::Unavailable, false) => {
@@ -139,6 +142,12 @@
     cx.feed.borrow_mut().set_directory_state(state);
     match res {
         Ok(it) => it,
+        Err(DirectoryError::Incomplete) => {
+            info!("directory response not received in time", kv: {
+                code = Code::DIRECTORY_RESPONSE_INCOMPLETE.to_string(), age_ms = age_ms(sync)
+            });
+            SyncOutcome::Incomplete
+        }
         Err(DirectoryError::HistoryExpired) => SyncOutcome::HistoryExpired,
         Err(DirectoryError::AddressChanged) => SyncOutcome::DirectoryReplaced,
         Err(DirectoryError::Timeout | DirectoryError::Failed(_)) => SyncOutcome::Failed,
