Bound the age of a follower's copy of the directory

Cause: nothing bounded how old a host's copy may get. A follower trusted any heartbeat, also of a host that had not read the directory since; messages could wait for a slow follower without limit; a stream that delivered one message and ended began the count of attempts anew, so a host could go from one failing reader to the next and never read the directory that it reached; a host whose view of the zone was not synced read nothing at all.

Each message of the feed now carries the age of the sender's copy (age_ms), and a message that waited for 0.7 s closes the stream. A host follows others while its copy is younger than 1.5 s, unless the directory has failed since, and leaves a host that has not confirmed the copy when it is 2.6 s old. Readers send a heartbeat when a watch ends without events, and otherwise after 1 s instead of each 0.7 s.

--- a/crates/pomelorun-core/src/direct/directory_sync.rs
+++ b/crates/pomelorun-core/src/direct/directory_sync.rs
@@ -5,6 +5,10 @@
 //! readers over a stream. A host reads the directory itself while it starts, and whenever it can
 //! follow no reader of its zone. Each call has a timeout, because a connection can stall without an
 //! error.
+//!
+//! What a host does next depends on the age of its copy of the directory, which each message between
+//! hosts carries: a host that another one keeps from learning of changes reads the directory itself,
+//! whatever that other host sends and however often it is replaced.
 
 use std::cmp::Ordering;
 
@@ -22,6 +26,8 @@
 /// reader must detect the fault, and the followers must try another reader and then list the
 /// directory.
 const FOLLOWED_WATCH_WAIT: Millis = Millis(1_000);
+/// Age of a copy after a response with events up to which the next watch is not shortened.
+const MAX_EVENT_AGE: Millis = Millis(500);
 /// Time for a response on top of the wait: more than a hundred times the usual response time.
 const RESPONSE_TIMEOUT: Millis = Millis(600);
 /// Timeout of one page of a listing. The whole listing has none, because it grows with the directory
@@ -45,6 +51,15 @@
 /// Time for which a host stays a reader after it was last ranked as one, so that its followers need
 /// not move while the view of the zone's hosts fluctuates.
 const READER_LINGER: Millis = Millis(5_000);
+/// Maximum age of a follower's copy, at which it leaves the host that it follows. A change must be
+/// active three seconds after it was published, and the rest is for reading the directory.
+const MAX_FOLLOWER_AGE: Millis = Millis(2_600);
+/// Maximum age of a copy with which a host follows another one, unless the directory has just failed. An
+/// attempt to follow a host that does not respond fits into the time until [`MAX_FOLLOWER_AGE`].
+const MAX_FAILOVER_AGE: Millis = Millis(1_500);
+/// Time within which a followed host must confirm the copy of a host that has an older one, because
+/// the directory does not respond to it.
+const FIRST_CONFIRMATION_TIMEOUT: Millis = Millis(1_000);
 /// Number of attempts to follow a host before the directory is read directly.
 const MAX_FOLLOW_ATTEMPTS: u32 = 2;
 
@@ -177,6 +192,8 @@
     can_resume: bool,
     /// Consecutive failures of the directory.
     failures: u32,
+    /// When the directory last failed.
+    failed_at: Option<Millis>,
     /// Consecutive attempts to follow a host since this host last read the directory itself. A
     /// stream that delivered the full listing before it ended sets the count to one.
     follow_attempts: u32,
@@ -198,7 +215,7 @@
         has_followers: HasFollowers,
         jitter: f64,
     ) -> SyncStep {
-        let pause = outcome.map_or(Millis(0), |it| self.record_outcome(it, jitter));
+        let pause = outcome.map_or(Millis(0), |it| self.record_outcome(now, it, jitter));
         if readers.is_reader {
             self.last_ranked = Some(now);
         }
@@ -209,14 +226,11 @@
         // Read the directory now, and allow attempts to follow a host afterwards.
         self.follow_attempts = 0;
         match self.known_position {
-            Some(_) if !readers.synced => SyncStep::Pause(SYNC_POLL_INTERVAL),
+            Some(_) if !readers.synced && !self.is_older_than(now, MAX_FOLLOWER_AGE) => {
+                SyncStep::Pause(SYNC_POLL_INTERVAL)
+            }
             Some(after) if self.can_resume => {
-                let wait = match has_followers {
-                    // Asks at once whether the directory responds and in which era.
-                    _ if self.failures > 0 => Millis(0),
-                    HasFollowers::Yes => FOLLOWED_WATCH_WAIT,
-                    HasFollowers::No => WATCH_WAIT,
-                };
+                let wait = self.watch_wait(now, readers, has_followers);
                 SyncStep::Watch { pause, after, wait, limit: wait + RESPONSE_TIMEOUT }
             }
             None | Some(_) => {
@@ -241,6 +255,18 @@
         self.confirmed_at.map(|it| now.since(it))
     }
 
+    /// Returns the time by which a host that is followed since `since` must have confirmed this host's
+    /// copy of the directory again; `None` for a host without a listing, to which any copy is of use.
+    pub fn follow_deadline(&self, since: Millis) -> Option<Millis> {
+        self.known_position?;
+        let first = since + FIRST_CONFIRMATION_TIMEOUT;
+        Some(self.confirmed_at.map_or(first, |it| first.max(it + MAX_FOLLOWER_AGE)))
+    }
+
+    fn is_older_than(&self, now: Millis, max_age: Millis) -> bool {
+        self.copy_age(now).is_none_or(|it| it > max_age)
+    }
+
     /// Compares the era of a response of the directory with the one that this host has read last.
     ///
     /// A listing of a newer era is applied; a watch that was answered in one is not, because its
@@ -265,7 +291,7 @@
         self.last_ranked.is_some_and(|it| now.since(it) < READER_LINGER)
     }
 
-    fn record_outcome(&mut self, outcome: SyncOutcome, jitter: f64) -> Millis {
+    fn record_outcome(&mut self, now: Millis, outcome: SyncOutcome, jitter: f64) -> Millis {
         match outcome {
             SyncOutcome::Waited => Millis(0),
             SyncOutcome::Listed(position) => {
@@ -300,14 +326,16 @@
             SyncOutcome::Incomplete | SyncOutcome::Failed => {
                 let pause = self.backoff(jitter);
                 self.failures += 1;
+                self.failed_at = Some(now);
                 pause
             }
             SyncOutcome::FollowEnded { position } => {
+                let is_repeated = position.is_none() || self.follow_attempts > 0;
                 self.follow_attempts =
                     if position.is_some() { 1 } else { self.follow_attempts + 1 };
                 self.can_resume |= position.is_some();
                 self.known_position = position.max(self.known_position);
-                if position.is_some() { Millis(0) } else { FOLLOW_RETRY_DELAY }
+                if is_repeated { FOLLOW_RETRY_DELAY } else { Millis(0) }
             }
         }
     }
@@ -325,6 +353,10 @@
                 self.pick_bootstrap(&readers.bootstrap, jitter)
             };
         }
+        let has_failed = self.failed_at > self.confirmed_at;
+        if !has_failed && self.is_older_than(now, MAX_FAILOVER_AGE) {
+            return None;
+        }
         if readers.is_reader || self.is_reader(now) || self.follow_attempts >= MAX_FOLLOW_ATTEMPTS {
             return None;
         }
@@ -341,6 +373,21 @@
         self.pick(first, jitter).or_else(|| self.pick(second, jitter))
     }
 
+    /// Returns how long the next watch may wait for an event. Events that arrive late in a watch
+    /// shorten the next one, since they leave open how old the copy is.
+    fn watch_wait(&self, now: Millis, readers: &Readers, has_followers: HasFollowers) -> Millis {
+        if self.failures > 0 {
+            // Asks at once whether the directory responds and in which era.
+            return Millis(0);
+        }
+        let zone_has_followers = readers.bootstrap.same_zone.len() > readers.ranked.len();
+        let is_followed =
+            has_followers == HasFollowers::Yes || (readers.is_reader && zone_has_followers);
+        let wait = if is_followed { FOLLOWED_WATCH_WAIT } else { WATCH_WAIT };
+        let max_age = wait + MAX_EVENT_AGE;
+        wait.min(max_age - self.copy_age(now).unwrap_or(max_age))
+    }
+
     fn page_timeout(&self, hosts: &BootstrapHosts) -> Millis {
         let alone = hosts.same_zone.is_empty() && hosts.other_zones.is_empty();
         if self.known_position.is_some() || alone {
--- a/crates/pomelorun/src/direct/feed.rs
+++ b/crates/pomelorun/src/direct/feed.rs
@@ -7,8 +7,11 @@
 
 use actix::Recipient;
 use futures_util::{SinkExt, StreamExt};
-use pomelorun_core::direct::{
-    DirectoryPosition, DirectoryState, HasFollowers, ListingState, ReplicatedUpdate, UpdateLog,
+use pomelorun_core::{
+    Millis,
+    direct::{
+        DirectoryPosition, DirectoryState, HasFollowers, ListingState, ReplicatedUpdate, UpdateLog,
+    },
 };
 use pomelorun_wire::{decode, encode};
 use serde::{Deserialize, Serialize};
@@ -17,7 +20,7 @@
     net::{TcpListener, TcpStream},
     sync::broadcast,
     task::{JoinHandle, JoinSet},
-    time::{Instant, MissedTickBehavior, timeout, timeout_at},
+    time::{Instant, sleep_until, timeout, timeout_at},
 };
 use tokio_tungstenite::{
     WebSocketStream, accept_async_with_config, client_async_with_config,
@@ -25,21 +28,25 @@
 };
 
 use crate::{
-    direct::edge::{Edge, SharedEdge},
+    direct::edge::{Edge, SharedEdge, now},
     kernel::{Registry, Service, StartError, StopFuture, abort_and_join},
     service_message::ServiceMessage,
 };
 
 const FEED: &str = "feed";
-const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(700);
-/// Time without a message after which a follower closes a stream: one missed heartbeat, and 600 ms
-/// of delay of the next one.
+/// Maximum time without a message to the followers, as long as a watch of the directory takes at most
+/// if there are followers.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Time without a message after which a follower closes a stream: a heartbeat and a second of delay.
 const FEED_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// Timeout for connecting to a host. A connection that is accepted at all is accepted within
 /// milliseconds; a host without power does not respond.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Timeout for each further step of opening a stream and for sending one message.
 const IO_TIMEOUT: Duration = Duration::from_millis(700);
+/// Maximum time that a message may wait for a slow follower before its stream is closed, so that the
+/// age in it is still about right.
+const MAX_QUEUE_TIME: Duration = Duration::from_millis(700);
 /// Number of messages that a slow follower may lag behind before its stream is closed.
 const MAX_BACKLOG: usize = 256;
 /// Maximum number of concurrent followers: twice the hosts of a zone at the target size
@@ -61,7 +68,9 @@
 }
 
 /// A message to a follower. Each carries the position in the directory's history that it reflects:
-/// the revision, and the era unless the sender is of a version that does not know eras.
+/// the revision, and the era unless the sender is of a version that does not know eras. It also carries
+/// the age of the sender's copy of the directory in milliseconds, unless the sender is of a version
+/// that does not know ages.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub(crate) enum FeedMsg {
@@ -76,6 +85,8 @@
         unsettled: bool,
         #[serde(rename = "away")]
         directory_unavailable: bool,
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        age_ms: Option<u64>,
         items: Vec<ReplicatedUpdate>,
     },
     /// New updates, or at the start of a stream all updates since the follower's position.
@@ -83,9 +94,12 @@
         revision: u64,
         #[serde(default, skip_serializing_if = "Option::is_none")]
         era: Option<u64>,
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        age_ms: Option<u64>,
         items: Vec<ReplicatedUpdate>,
     },
-    /// Sent periodically, and when the directory's availability changes.
+    /// Sent when a watch ended without events, in any case periodically, and when the directory's
+    /// availability changes.
     #[serde(rename = "idle")]
     Heartbeat {
         revision: u64,
@@ -93,13 +107,35 @@
         era: Option<u64>,
         #[serde(rename = "away")]
         directory_unavailable: bool,
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        age_ms: Option<u64>,
     },
 }
 
+impl FeedMsg {
+    /// Returns the time up to which the sender's copy of the directory was complete, if the message
+    /// arrived at `now`; `None` if the sender does not tell and has lost the directory.
+    ///
+    /// A sender of a version that does not know ages is taken to have just read the directory.
+    pub(crate) fn confirmed_at(&self, now: Millis) -> Option<Millis> {
+        let (age_ms, unavailable) = match self {
+            FeedMsg::Snapshot { age_ms, directory_unavailable, .. }
+            | FeedMsg::Heartbeat { age_ms, directory_unavailable, .. } => {
+                (age_ms, *directory_unavailable)
+            }
+            FeedMsg::Events { age_ms, .. } => (age_ms, false),
+        };
+        match age_ms {
+            Some(it) => Some(now - Millis(*it)),
+            None => (!unavailable).then_some(now),
+        }
+    }
+}
+
 /// A command for all followers' streams.
 #[derive(Debug, Clone)]
 enum FeedCommand {
-    Send(Bytes),
+    Send { body: Bytes, queued_at: Instant },
     Close,
 }
 
@@ -113,6 +149,10 @@
     serving: bool,
     directory_state: DirectoryState,
     position: DirectoryPosition,
+    /// Time up to which this host's copy of the directory is known to be complete.
+    confirmed_at: Option<Millis>,
+    /// When a message was last sent to the followers.
+    last_sent: Instant,
     log: UpdateLog,
 }
 
@@ -121,7 +161,15 @@
         let (tx, _) = broadcast::channel(MAX_BACKLOG);
         let position = DirectoryPosition::default();
         let log = UpdateLog::default();
-        Feed { tx, serving: false, directory_state: DirectoryState::Unavailable, position, log }
+        Feed {
+            tx,
+            serving: false,
+            directory_state: DirectoryState::Unavailable,
+            position,
+            confirmed_at: None,
+            last_sent: Instant::now(),
+            log,
+        }
     }
 
     /// Sets whether this host reads the directory; if it stops, its followers are disconnected and
@@ -150,6 +198,16 @@
         self.position = position;
     }
 
+    /// Records that this host's copy of the directory was complete at a time.
+    pub(crate) fn confirm(&mut self, at: Millis) {
+        self.confirmed_at = self.confirmed_at.max(Some(at));
+    }
+
+    /// Returns the age of this host's copy of the directory, in milliseconds.
+    fn age_ms(&self) -> u64 {
+        self.confirmed_at.map_or(u64::MAX, |it| now().since(it).0)
+    }
+
     /// Returns whether other hosts follow this one.
     pub(crate) fn has_followers(&self) -> HasFollowers {
         if self.tx.receiver_count() > 0 { HasFollowers::Yes } else { HasFollowers::No }
@@ -168,34 +226,40 @@
         self.position = position;
         let DirectoryPosition { era, revision } = position;
         self.log.push(position, &items);
-        self.broadcast(&FeedMsg::Events { revision, era: Some(era), items });
+        let age_ms = Some(self.age_ms());
+        self.broadcast(&FeedMsg::Events { revision, era: Some(era), age_ms, items });
     }
 
     /// Returns the first message of a stream: what the follower lacks, or a snapshot if that is not
     /// known.
     fn first_message(&self, edge: &Edge, hello: Hello) -> FeedMsg {
+        let age_ms = Some(self.age_ms());
         let DirectoryPosition { era, revision } = self.position;
         let can_resume = self.serving
             && !self.is_directory_unavailable()
             && edge.listing_state() == ListingState::Settled;
         let missing = hello.position.filter(|_| can_resume);
         if let Some(items) = missing.and_then(|it| self.log.updates_after(it)) {
-            return FeedMsg::Events { revision, era: Some(era), items };
+            return FeedMsg::Events { revision, era: Some(era), age_ms, items };
         }
         FeedMsg::Snapshot {
             revision,
             era: edge.directory_era(),
             unsettled: edge.listing_state() == ListingState::Unsettled,
             directory_unavailable: self.is_directory_unavailable() || !self.serving,
+            age_ms,
             items: edge.full_listing(hello.active_revision),
         }
     }
 
-    fn send_heartbeat(&self) {
+    /// Tells the followers how old this host's copy of the directory is.
+    pub(crate) fn send_heartbeat(&mut self) {
+        let age_ms = Some(self.age_ms());
         self.broadcast(&FeedMsg::Heartbeat {
             revision: self.position.revision,
             era: Some(self.position.era),
             directory_unavailable: self.is_directory_unavailable(),
+            age_ms,
         });
     }
 
@@ -203,14 +267,16 @@
         self.directory_state == DirectoryState::Unavailable
     }
 
-    fn broadcast(&self, msg: &FeedMsg) {
+    fn broadcast(&mut self, msg: &FeedMsg) {
+        self.last_sent = Instant::now();
         if self.tx.receiver_count() == 0 {
             return;
         }
         match encode(msg) {
             Ok(body) => {
                 // Sending fails only if the last follower has disconnected.
-                let _ = self.tx.send(FeedCommand::Send(body.into()));
+                let queued_at = self.last_sent;
+                let _ = self.tx.send(FeedCommand::Send { body: body.into(), queued_at });
             }
             Err(e) => error!("cannot encode feed message", kv: { error = e.to_string() }),
         }
@@ -256,11 +322,13 @@
 }
 
 async fn send_heartbeats(feed: SharedFeed) {
-    let mut timer = tokio::time::interval(HEARTBEAT_INTERVAL);
-    timer.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
-        timer.tick().await;
-        feed.borrow().send_heartbeat();
+        let due = feed.borrow().last_sent + HEARTBEAT_INTERVAL;
+        if due <= Instant::now() {
+            feed.borrow_mut().send_heartbeat();
+        } else {
+            sleep_until(due).await;
+        }
     }
 }
 
@@ -321,8 +389,10 @@
             return;
         }
         body = match rx.recv().await {
-            Ok(FeedCommand::Send(it)) => it,
-            Ok(FeedCommand::Close) | Err(_) => return,
+            Ok(FeedCommand::Send { body, queued_at }) if queued_at.elapsed() < MAX_QUEUE_TIME => {
+                body
+            }
+            Ok(FeedCommand::Send { .. } | FeedCommand::Close) | Err(_) => return,
         };
     }
 }
--- a/crates/pomelorun/src/direct/reader.rs
+++ b/crates/pomelorun/src/direct/reader.rs
@@ -210,10 +210,12 @@
         edge.apply_and_replicate(&it.items)
     };
     // A response without events was sent at the end of the wait, any other one at an unknown time.
-    let sent_at = if events { requested_at } else { now().min(requested_at + wait) };
-    confirm(cx, sync, sent_at);
+    let waited = !events && now() >= requested_at + wait;
+    confirm(cx, sync, if waited { requested_at + wait } else { requested_at });
     if events {
         cx.feed.borrow_mut().publish(it.position, replicated);
+    } else {
+        cx.feed.borrow_mut().send_heartbeat();
     }
     Ok(SyncOutcome::Watched { position: it.position, events })
 }
@@ -223,7 +225,7 @@
 async fn follow(cx: &mut ReaderContext, sync: &mut DirectorySync, host: HostId) -> SyncOutcome {
     let known = sync.known_position();
     let address = SocketAddrV4::new(address_of(host), cx.feed_port);
-    let mut position = None;
+    let position = None;
     let hello = {
         let edge = cx.edge.borrow();
         let settled = edge.has_initial_listing() && edge.listing_state() == ListingState::Settled;
@@ -239,35 +241,76 @@
             return SyncOutcome::FollowEnded { position };
         }
     };
+    let mut followed =
+        Followed { host: address, known, position, since: now(), is_announced: false };
     let reason = loop {
-        let msg = tokio::select! {
-            msg = stream.next() => msg,
-            changed = cx.readers.changed() => {
-                if changed.is_err() || cx.readers.borrow_and_update().is_reader {
-                    break "this host now reads the directory itself".to_owned();
-                }
-                continue;
-            }
-        };
-        let is_first = position.is_none();
-        let applied = msg.and_then(|msg| apply_feed_msg(cx, known, &mut position, msg));
-        if applied.is_ok() {
-            confirm(cx, sync, now());
-        }
-        match applied {
-            Ok(kind) if is_first => info!("following host", kv: {
-                code = Code::FEED_FOLLOWED.to_string(), host = address.to_string(),
-                resumed = kind == MessageKind::Update
-            }),
-            Ok(_) => {}
-            Err(e) => break e,
+        if let FollowStep::Stop(reason) = follow_next(cx, sync, &mut stream, &mut followed).await {
+            break reason;
         }
     };
     info!("stopped following host", kv: {
         code = Code::FEED_LOST.to_string(), host = address.to_string(), why = reason,
         age_ms = age_ms(sync)
     });
-    SyncOutcome::FollowEnded { position }
+    SyncOutcome::FollowEnded { position: followed.position }
+}
+
+/// State of a stream from a followed host.
+struct Followed {
+    host: SocketAddrV4,
+    /// Position that this host had when the stream began.
+    known: Option<DirectoryPosition>,
+    /// Position that the stream has reached.
+    position: Option<DirectoryPosition>,
+    since: Millis,
+    /// `true` once the log says that the host is followed.
+    is_announced: bool,
+}
+
+/// Whether a host is followed further.
+enum FollowStep {
+    Continue,
+    Stop(String),
+}
+
+/// Waits for the next message of a followed host and applies it.
+async fn follow_next(
+    cx: &mut ReaderContext,
+    sync: &mut DirectorySync,
+    stream: &mut FeedStream,
+    followed: &mut Followed,
+) -> FollowStep {
+    let deadline = sync.follow_deadline(followed.since);
+    let until_deadline = deadline.map_or(Millis(0), |it| it - now());
+    let msg = tokio::select! {
+        msg = stream.next() => msg,
+        () = tokio::time::sleep(millis(until_deadline.0)), if deadline.is_some() => {
+            return FollowStep::Stop("the followed host's copy of the directory is too old".to_owned());
+        }
+        changed = cx.readers.changed() => {
+            return if changed.is_err() || cx.readers.borrow_and_update().is_reader {
+                FollowStep::Stop("this host now reads the directory itself".to_owned())
+            } else {
+                FollowStep::Continue
+            };
+        }
+    };
+    let confirmed_at = msg.as_ref().ok().and_then(|it| it.confirmed_at(now()));
+    let kind = match msg.and_then(|it| apply_feed_msg(cx, followed, it)) {
+        Ok(it) => it,
+        Err(reason) => return FollowStep::Stop(reason),
+    };
+    if !followed.is_announced {
+        followed.is_announced = true;
+        info!("following host", kv: {
+            code = Code::FEED_FOLLOWED.to_string(), host = followed.host.to_string(),
+            resumed = kind != MessageKind::Snapshot
+        });
+    }
+    if let Some(at) = confirmed_at {
+        confirm(cx, sync, at);
+    }
+    FollowStep::Continue
 }
 
 /// Kind of a feed message that was applied.
@@ -284,14 +327,14 @@
 /// Returns the reason why the host is no longer to be followed.
 fn apply_feed_msg(
     cx: &ReaderContext,
-    known: Option<DirectoryPosition>,
-    position: &mut Option<DirectoryPosition>,
+    followed: &mut Followed,
     msg: FeedMsg,
 ) -> Result<MessageKind, String> {
+    let Followed { known, position, .. } = *followed;
     let mut edge = cx.edge.borrow_mut();
     let (revision, era, directory_unavailable) = match &msg {
         FeedMsg::Snapshot { revision, era, directory_unavailable, .. }
-        | FeedMsg::Heartbeat { revision, era, directory_unavailable } => {
+        | FeedMsg::Heartbeat { revision, era, directory_unavailable, .. } => {
             (*revision, *era, *directory_unavailable)
         }
         FeedMsg::Events { revision, era, .. } => (*revision, *era, false),
@@ -302,16 +345,16 @@
     if position.is_some() && msg_position.era != known_era {
         return Err("the directory was restored, so a new snapshot is needed".to_owned());
     }
-    // A host without a listing accepts stale data; any other would revert to an older state.
+    // A host without a listing accepts stale data.
     let has_listing = edge.has_initial_listing();
-    if has_listing && known.is_some_and(|it| msg_position < it) {
-        return Err("the followed host has an older directory revision than this host".to_owned());
-    }
     if !directory_unavailable {
         edge.set_directory_state(DirectoryState::Available);
     } else if has_listing {
         return Err("the followed host has lost the directory".to_owned());
     }
+    if has_listing && known.is_some_and(|it| msg_position < it) {
+        return Err("the followed host has an older directory revision than this host".to_owned());
+    }
     let kind = if matches!(msg, FeedMsg::Snapshot { .. }) {
         MessageKind::Snapshot
     } else {
@@ -329,13 +372,14 @@
         FeedMsg::Heartbeat { .. } => Ok(()),
     };
     applied.map_err(|e| e.to_string())?;
-    *position = Some(msg_position);
+    followed.position = Some(msg_position);
     Ok(kind)
 }
 
 /// Records that this host's copy of the directory was complete at a time.
 fn confirm(cx: &ReaderContext, sync: &mut DirectorySync, at: Millis) {
     sync.confirm(at);
+    cx.feed.borrow_mut().confirm(at);
     cx.edge.borrow_mut().confirm_directory(at);
 }
 
