Count a page of a listing that stalls as a timeout

A page whose body stalled was reported as incomplete, like a watch that is too long, so the host took the directory to be available and listed it again without a pause. Only a watch is reported as incomplete now, and a stalled page as a timeout.

--- a/crates/pomelorun/src/direct/platform.rs
+++ b/crates/pomelorun/src/direct/platform.rs
@@ -42,7 +42,7 @@
     /// The request timed out.
     #[error("request timed out")]
     Timeout,
-    /// The response began but was not complete in time, or is too long.
+    /// The response to a watch began but was not complete in time, or is too long.
     #[error("response not complete in time")]
     Incomplete,
     /// The request failed, or the connection did.
@@ -92,7 +92,8 @@
     /// repeat changes that later pages already contain.
     ///
     /// `timeout` is the maximum time without any data: a page may take longer on a slow link, and
-    /// there is nothing shorter to read instead.
+    /// there is nothing shorter to read instead. After that the request fails with
+    /// [`DirectoryError::Timeout`].
     fn list_page<'a>(
         &'a self,
         after: &'a str,
