Let a follower that is ahead of its reader wait for it

Cause: a host that has read the store itself is ahead of its zone's reader by up to one watch. It left the reader for that, tried the other one, read the store again and was ahead again.

What is older than the host's own copy is now ignored, and the stream kept: later messages contain the rest. It does not confirm the copy, so the bound on its age holds as before. A host that is in an older era of the directory is still left.

Test: directory_age::follower_that_is_ahead_of_its_reader_waits_for_it (before: the host is never followed; after: passes).

--- a/crates/pomelorun/src/direct/reader.rs
+++ b/crates/pomelorun/src/direct/reader.rs
@@ -307,7 +307,9 @@
             resumed = kind != MessageKind::Snapshot
         });
     }
-    if let Some(at) = confirmed_at {
+    if kind != MessageKind::Outdated
+        && let Some(at) = confirmed_at
+    {
         confirm(cx, sync, at);
     }
     FollowStep::Continue
@@ -318,6 +320,8 @@
 enum MessageKind {
     Snapshot,
     Update,
+    /// Ignored: this host already has what it contains, and later messages contain the rest.
+    Outdated,
 }
 
 /// Applies a message of the followed host.
@@ -353,7 +357,12 @@
         return Err("the followed host has lost the directory".to_owned());
     }
     if has_listing && known.is_some_and(|it| msg_position < it) {
-        return Err("the followed host has an older directory revision than this host".to_owned());
+        if msg_position.era < known_era {
+            return Err(
+                "the followed host has not learned that the directory was restored".to_owned()
+            );
+        }
+        return Ok(MessageKind::Outdated);
     }
     let kind = if matches!(msg, FeedMsg::Snapshot { .. }) {
         MessageKind::Snapshot
