--- a/crates/pomelorun-core/tests/core/direct.rs
+++ b/crates/pomelorun-core/tests/core/direct.rs
@@ -2,6 +2,7 @@
 //! synchronization and the fleet.
 
 mod detection_times;
+mod directory_age;
 mod directory_restore;
 mod directory_sync;
 mod failure_scenarios;
