Show that another writer's entry ends a live endpoint's flows

Tried: one store entry of a service that no configuration names, with the address of a live endpoint.

--- /dev/null
+++ b/review/standins/src/main.rs
@@ -0,0 +1,51 @@
+//! Cases of the review: each starts daemons as separate processes among stand-ins of the platform,
+//! endpoints and callers, and judges only what those have seen.
+
+mod caller;
+mod clock;
+mod endpoint;
+mod fabric;
+mod foreign_entry;
+mod hosts;
+mod packet;
+mod record;
+mod store;
+mod world;
+
+use std::process::ExitCode;
+
+/// What a case has shown.
+pub enum Outcome {
+    Held,
+    Broken,
+    NotRun(String),
+}
+
+fn main() -> ExitCode {
+    let args: Vec<String> = std::env::args().collect();
+    let [_, case, root, dir, record] = &args[..] else {
+        eprintln!("usage: review-case CASE ROOT DIR RECORD");
+        return ExitCode::from(2);
+    };
+    let trouble = std::env::var("TROUBLE").map_or(true, |it| it != "0");
+    let record = record::Record::create(record);
+    let world = world::World::new(root, dir, record.clone());
+    let outcome = match case.as_str() {
+        "foreign-entry" => foreign_entry::run(world, trouble),
+        _ => Outcome::NotRun(format!("no case `{case}`")),
+    };
+    match outcome {
+        Outcome::Held => {
+            record.say("result: the rule held");
+            ExitCode::SUCCESS
+        }
+        Outcome::Broken => {
+            record.say("result: the rule was broken");
+            ExitCode::from(1)
+        }
+        Outcome::NotRun(why) => {
+            record.say(&format!("result: not run: {why}"));
+            ExitCode::from(2)
+        }
+    }
+}
