Show that two daemons spend one cold endpoint's budget in the same second

Tried: the daemon that opens flows at an endpoint that is back cold gets SIGTERM, as in a rolling restart.

--- a/review/standins/src/endpoint.rs
+++ b/review/standins/src/endpoint.rs
@@ -34,6 +34,8 @@
     pub caller_port: u16,
     pub heartbeat_ms: u64,
     pub answer_bytes: usize,
+    /// How far the time of day of its machine is ahead.
+    pub clock_ahead_ms: u64,
 }
 
 /// A flow that opened at an endpoint.
@@ -57,6 +59,7 @@
     pub draining: Arc<AtomicBool>,
     stop: Arc<AtomicBool>,
     store: Store,
+    born: u64,
 }
 
 struct Held {
@@ -86,16 +89,16 @@
             draining: Arc::default(),
             stop: Arc::default(),
             store: store.clone(),
+            born: unix_ms() + spec.clock_ahead_ms,
             spec,
         };
-        let born = unix_ms();
         record.line(&format!(
             "endpoint {:08x} of {} in {} starts at {} cold for {} ms",
             it.spec.id, it.spec.service, it.spec.zone, it.spec.addr, it.spec.cold_ms
         ));
         it.serve_health(tcp);
         it.serve_flows(udp, record.clone());
-        it.register(born);
+        it.register();
         it
     }
 
@@ -113,22 +116,22 @@
         format!("servers/i-{:08x}", self.spec.id)
     }
 
-    fn register(&self, born: u64) {
+    /// Reports to the store that the endpoint drains.
+    pub fn drain(&self) {
+        self.draining.store(true, Ordering::SeqCst);
+        self.store.put(&self.key(), self.entry(1_000_000).as_bytes());
+    }
+
+    fn entry(&self, seq: u64) -> String {
+        entry(&self.spec, self.started_ms, self.born, self.draining.load(Ordering::SeqCst), seq)
+    }
+
+    fn register(&self) {
         let (spec, store, key) = (self.spec.clone(), self.store.clone(), self.key());
-        let (stop, draining, started) =
-            (Arc::clone(&self.stop), Arc::clone(&self.draining), self.started_ms);
-        let entry = move |seq: u64| {
-            let left = (started + spec.cold_ms).saturating_sub(now_ms());
-            let state = if draining.load(Ordering::SeqCst) { "draining" } else { "ready" };
-            format!(
-                "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\
-                 \"slots\":{},\"state\":\"{state}\",\"cold_left_ms\":{left},\"seq\":{seq},\
-                 \"born\":{born}}}",
-                spec.service, spec.addr, spec.zone, spec.slots
-            )
-        };
+        let (stop, draining) = (Arc::clone(&self.stop), Arc::clone(&self.draining));
+        let (started, born) = (self.started_ms, self.born);
         let beat = Duration::from_millis(self.spec.heartbeat_ms);
-        store.put(&key, entry(1).as_bytes());
+        store.put(&key, self.entry(1).as_bytes());
         std::thread::spawn(move || {
             let (mut seq, mut last) = (1, Instant::now());
             while !stop.load(Ordering::SeqCst) {
@@ -136,7 +139,8 @@
                 if last.elapsed() >= beat {
                     seq += 1;
                     last = Instant::now();
-                    store.put(&key, entry(seq).as_bytes());
+                    let draining = draining.load(Ordering::SeqCst);
+                    store.put(&key, entry(&spec, started, born, draining, seq).as_bytes());
                 }
             }
         });
@@ -306,3 +310,15 @@
         });
     }
 }
+
+/// Returns an endpoint's entry.
+fn entry(spec: &EndpointSpec, started: u64, born: u64, draining: bool, seq: u64) -> String {
+    let left = (started + spec.cold_ms).saturating_sub(now_ms());
+    let state = if draining { "draining" } else { "ready" };
+    format!(
+        "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\
+         \"slots\":{},\"state\":\"{state}\",\"cold_left_ms\":{left},\"seq\":{seq},\
+         \"born\":{born}}}",
+        spec.service, spec.addr, spec.zone, spec.slots
+    )
+}
--- a/review/standins/src/foreign_entry.rs
+++ b/review/standins/src/foreign_entry.rs
@@ -34,6 +34,7 @@
             caller_port: w.deployment.ports.data,
             heartbeat_ms: HEARTBEAT_MS,
             answer_bytes: 600,
+            clock_ahead_ms: 0,
         });
     }
     if let Err(e) = w.start_hosts() {
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -3,6 +3,8 @@
 
 mod caller;
 mod clock;
+mod cold_owner;
+mod earlier_start;
 mod endpoint;
 mod fabric;
 mod foreign_entry;
@@ -32,6 +34,9 @@
     let world = world::World::new(root, dir, record.clone());
     let outcome = match case.as_str() {
         "foreign-entry" => foreign_entry::run(world, trouble),
+        "cold-owner-term" => cold_owner::run(world, trouble, cold_owner::Stop::Term),
+        "cold-owner-kill" => cold_owner::run(world, trouble, cold_owner::Stop::Kill),
+        "earlier-start" => earlier_start::run(world, trouble),
         _ => Outcome::NotRun(format!("no case `{case}`")),
     };
     match outcome {
