Show that an endpoint whose second start is earlier by its clock never drains

Tried: an endpoint starts while its time of day is 2,000 ms ahead, crashes and starts again under its id with the right time.

--- a/review/standins/src/cold_owner.rs
+++ b/review/standins/src/cold_owner.rs
@@ -27,8 +27,12 @@
 
 #[derive(Clone, Copy, PartialEq)]
 pub enum Stop {
+    /// The daemon that opens flows at the cold endpoint gets SIGTERM.
     Term,
+    /// It is killed.
     Kill,
+    /// All daemons are killed at the same moment.
+    KillAll,
 }
 
 pub fn run(mut w: World, trouble: bool, stop: Stop) -> Outcome {
@@ -99,7 +103,13 @@
     let Some(owner) = owner else {
         return Outcome::NotRun("no daemon opened a flow at the cold endpoint".to_owned());
     };
-    if trouble {
+    if trouble && stop == Stop::KillAll {
+        w.record.say("all daemons are killed");
+        w.hosts.iter_mut().for_each(crate::hosts::Host::kill);
+        w.sleep(RESTART_MS);
+        let specs = w.deployment.hosts.clone();
+        w.hosts = specs.iter().map(|it| w.deployment.start(it, &w.record)).collect();
+    } else if trouble {
         let at = w.hosts.iter().position(|it| it.spec.ip == owner).expect("a daemon");
         let spec = w.hosts[at].spec.clone();
         w.record.say(&format!("{} is stopped ({})", spec.name, if stop == Stop::Term { "SIGTERM" } else { "SIGKILL" }));
@@ -108,7 +118,7 @@
                 w.hosts[at].signal("TERM");
                 w.hosts[at].wait(Duration::from_secs(6));
             }
-            Stop::Kill => w.hosts[at].kill(),
+            Stop::Kill | Stop::KillAll => w.hosts[at].kill(),
         }
         w.sleep(RESTART_MS);
         w.hosts[at] = w.deployment.start(&spec, &w.record);
--- a/review/standins/src/earlier_start.rs
+++ b/review/standins/src/earlier_start.rs
@@ -35,7 +35,7 @@
         zone: ZONES[at as usize % 3].to_owned(),
         addr,
         slots: 2,
-        work_ms: 20,
+        work_ms: 100,
         cold_ms: 0,
         caller_port: port,
         heartbeat_ms: HEARTBEAT_MS,
@@ -71,6 +71,17 @@
     w.record.say(&format!("it reports `draining`; it has taken {before} flows so far"));
     w.sleep(STAY_MS);
     w.tell();
+    w.record.say("it exits, and its entry is removed");
+    let (answered, sent) = {
+        let s = w.seen.lock().unwrap();
+        (s.answered, s.sent)
+    };
+    let it = w.endpoints.last().expect("the endpoint");
+    it.crash();
+    w.store.remove(&it.key());
+    w.record.line(&format!("before: sent {sent}, answered {answered}"));
+    w.sleep(3_000);
+    w.tell();
     for line in w.finish() {
         w.record.say(&line);
     }
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -36,6 +36,7 @@
         "foreign-entry" => foreign_entry::run(world, trouble),
         "cold-owner-term" => cold_owner::run(world, trouble, cold_owner::Stop::Term),
         "cold-owner-kill" => cold_owner::run(world, trouble, cold_owner::Stop::Kill),
+        "cold-owner-kill-all" => cold_owner::run(world, trouble, cold_owner::Stop::KillAll),
         "earlier-start" => earlier_start::run(world, trouble),
         _ => Outcome::NotRun(format!("no case `{case}`")),
     };
