--- a/review/standins/src/endpoint.rs
+++ b/review/standins/src/endpoint.rs
@@ -50,11 +50,23 @@
     pub via: Ipv4Addr,
 }
 
+/// A request that ran.
+#[derive(Debug, Clone, Copy)]
+pub struct Ran {
+    pub at_ms: u64,
+    pub caller: (u32, u16),
+    pub sent_to: (u32, u16),
+    /// Endpoint that the datagram named; 0 for any.
+    pub named: u64,
+}
+
 /// An endpoint that runs.
 pub struct Endpoint {
     pub spec: EndpointSpec,
     pub started_ms: u64,
     pub opened: Arc<Mutex<Vec<Opened>>>,
+    /// Requests that ran: when they began, their caller and the address that they were sent to.
+    pub ran: Arc<Mutex<Vec<Ran>>>,
     pub altered: Arc<AtomicU64>,
     pub draining: Arc<AtomicBool>,
     stop: Arc<AtomicBool>,
@@ -85,6 +97,7 @@
         let it = Endpoint {
             started_ms: now_ms(),
             opened: Arc::default(),
+            ran: Arc::default(),
             altered: Arc::default(),
             draining: Arc::default(),
             stop: Arc::default(),
@@ -177,6 +190,7 @@
         let spec = self.spec.clone();
         let (stop, opened, altered) =
             (Arc::clone(&self.stop), Arc::clone(&self.opened), Arc::clone(&self.altered));
+        let ran = Arc::clone(&self.ran);
         std::thread::spawn(move || {
             let mut flows: HashMap<(u32, u16, u32, u16), Held> = HashMap::new();
             let mut next_seq: u32 = (spec.id as u32).wrapping_mul(2_654_435_761);
@@ -270,6 +284,12 @@
                         let slot = slots.iter_mut().min().unwrap();
                         *slot = (*slot).max(Instant::now()) + Duration::from_millis(spec.work_ms);
                         held.due = Some(*slot);
+                        ran.lock().unwrap().push(Ran {
+                            at_ms: now_ms(),
+                            caller: (p.src, p.sport),
+                            sent_to: (p.dst, p.dport),
+                            named: intended.unwrap_or(0),
+                        });
                     }
                     if p.has(FIN) {
                         send(&reply(FIN | ACK, held.sent, p.seq.wrapping_add(1), p.echo));
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -10,6 +10,7 @@
 mod foreign_entry;
 mod hosts;
 mod packet;
+mod partial_entry;
 mod record;
 mod store;
 mod world;
@@ -37,6 +38,7 @@
         "cold-owner-term" => cold_owner::run(world, trouble, cold_owner::Stop::Term),
         "cold-owner-kill" => cold_owner::run(world, trouble, cold_owner::Stop::Kill),
         "cold-owner-kill-all" => cold_owner::run(world, trouble, cold_owner::Stop::KillAll),
+        "partial-entry" => partial_entry::run(world, trouble),
         "earlier-start" => earlier_start::run(world, trouble),
         _ => Outcome::NotRun(format!("no case `{case}`")),
     };
