--- a/review/standins/src/caller.rs
+++ b/review/standins/src/caller.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::HashMap,
-    net::{Ipv4Addr, SocketAddrV4, UdpSocket},
+    net::{Ipv4Addr, UdpSocket},
     sync::{
         Arc, Mutex,
         atomic::{AtomicBool, Ordering},
@@ -108,8 +108,6 @@
                 data,
                 ..Packet::default()
             };
-            let mut p = p;
-            p.sum = p.keyed_sum();
             let to = fabric.route(&spec.zone, (src, port, dst, spec.route.1));
             let _ = udp.send_to(&p.encode(), to);
         };
@@ -209,8 +207,8 @@
                 }
                 if p.has(RST) {
                     let mut s = seen.lock().unwrap();
-                    let in_window = p.seq.wrapping_sub(f.ack) <= 76_800
-                        || f.ack.wrapping_sub(p.seq) <= 76_800;
+                    let in_window =
+                        p.seq.wrapping_sub(f.ack) <= 76_800 || f.ack.wrapping_sub(p.seq) <= 76_800;
                     match (is_system, f.phase == Phase::Opening) {
                         (true, true) => s.refused += 1,
                         (true, false) if !in_window => continue,
--- a/review/standins/src/cold_owner.rs
+++ b/review/standins/src/cold_owner.rs
@@ -11,7 +11,7 @@
     world::{HEARTBEAT_MS, Route, World, ZONES},
 };
 
-const ROUTE: (Ipv4Addr, u16) = (Ipv4Addr::new(198, 18, 0, 2), 8_443);
+const ROUTE: (Ipv4Addr, u16) = (Ipv4Addr::new(127, 18, 0, 2), 8_443);
 const COLD_START_S: f64 = 2.0;
 const COLD_PER_S: f64 = 4.0;
 const COLD_OVER: f64 = 1.5;
@@ -37,7 +37,7 @@
 
 pub fn run(mut w: World, trouble: bool, stop: Stop) -> Outcome {
     w.serve_store();
-    let other = (Ipv4Addr::new(198, 18, 0, 1), 8_443);
+    let other = (Ipv4Addr::new(127, 18, 0, 1), 8_443);
     let routes = [
         Route { addr: other, service: "mesa", kind: "idempotent", timeout_ms: 1_500, aim_ms: 100 },
         Route { addr: ROUTE, service: "archivo", kind: "download", timeout_ms: 8_000, aim_ms: 500 },
@@ -112,7 +112,11 @@
     } else if trouble {
         let at = w.hosts.iter().position(|it| it.spec.ip == owner).expect("a daemon");
         let spec = w.hosts[at].spec.clone();
-        w.record.say(&format!("{} is stopped ({})", spec.name, if stop == Stop::Term { "SIGTERM" } else { "SIGKILL" }));
+        w.record.say(&format!(
+            "{} is stopped ({})",
+            spec.name,
+            if stop == Stop::Term { "SIGTERM" } else { "SIGKILL" }
+        ));
         match stop {
             Stop::Term => {
                 w.hosts[at].signal("TERM");
--- a/review/standins/src/earlier_start.rs
+++ b/review/standins/src/earlier_start.rs
@@ -11,7 +11,7 @@
     world::{HEARTBEAT_MS, Route, World, ZONES},
 };
 
-const ROUTE: (Ipv4Addr, u16) = (Ipv4Addr::new(198, 18, 0, 1), 8_443);
+const ROUTE: (Ipv4Addr, u16) = (Ipv4Addr::new(127, 18, 0, 1), 8_443);
 const DRAIN_MS: u64 = 3_000;
 /// How far the time of day is ahead at the first start.
 const AHEAD_MS: u64 = 2_000;
@@ -25,8 +25,13 @@
 
 pub fn run(mut w: World, trouble: bool) -> Outcome {
     w.serve_store();
-    let route =
-        Route { addr: ROUTE, service: "mesa", kind: "non_idempotent", timeout_ms: 2_000, aim_ms: 120 };
+    let route = Route {
+        addr: ROUTE,
+        service: "mesa",
+        kind: "non_idempotent",
+        timeout_ms: 2_000,
+        aim_ms: 120,
+    };
     w.configure(7, &[route], &[("mesa", 2.0, 10.0)]);
     let port = w.deployment.ports.data;
     let spec = |at: u64, addr| EndpointSpec {
--- a/review/standins/src/endpoint.rs
+++ b/review/standins/src/endpoint.rs
@@ -45,7 +45,6 @@
     /// Which copy of the opening packet the endpoint took, and when it arrived.
     pub copy: u32,
     pub arrived_ms: u64,
-    pub opened_ms: u64,
     /// Host that sent the opening packet.
     pub via: Ipv4Addr,
 }
@@ -272,7 +271,6 @@
                             caller: (p.src, p.sport),
                             copy: held.copy,
                             arrived_ms: held.arrived_ms,
-                            opened_ms: now_ms(),
                             via: held.via,
                         });
                     }
--- a/review/standins/src/foreign_entry.rs
+++ b/review/standins/src/foreign_entry.rs
@@ -11,15 +11,20 @@
     world::{HEARTBEAT_MS, Route, World, ZONES},
 };
 
-const ROUTE: (Ipv4Addr, u16) = (Ipv4Addr::new(198, 18, 0, 1), 8_443);
+const ROUTE: (Ipv4Addr, u16) = (Ipv4Addr::new(127, 18, 0, 1), 8_443);
 /// Time that everything runs undisturbed before: longer than `contact_ms`.
 const CALM_MS: u64 = 8_000;
 const AFTER_MS: u64 = 10_000;
 
 pub fn run(mut w: World, trouble: bool) -> Outcome {
     w.serve_store();
-    let route =
-        Route { addr: ROUTE, service: "mesa", kind: "non_idempotent", timeout_ms: 2_000, aim_ms: 120 };
+    let route = Route {
+        addr: ROUTE,
+        service: "mesa",
+        kind: "non_idempotent",
+        timeout_ms: 2_000,
+        aim_ms: 120,
+    };
     w.configure(7, &[route], &[("mesa", 2.0, 10.0)]);
     for at in 0..6u64 {
         let addr = w.next_endpoint_addr();
@@ -47,7 +52,9 @@
     w.tell();
     let before = w.seen.lock().unwrap().system_resets.len();
     if before > 0 || w.seen.lock().unwrap().answered < 500 {
-        return Outcome::NotRun(format!("{before} resets before the trouble, or too little traffic"));
+        return Outcome::NotRun(format!(
+            "{before} resets before the trouble, or too little traffic"
+        ));
     }
     let victim = w.endpoints[0].spec.clone();
     if trouble {
--- a/review/standins/src/hosts.rs
+++ b/review/standins/src/hosts.rs
@@ -3,7 +3,7 @@
 use std::{
     fs::File,
     net::{Ipv4Addr, TcpListener, UdpSocket},
-    path::{Path, PathBuf},
+    path::PathBuf,
     process::{Child, Command, Stdio},
     time::Duration,
 };
@@ -70,7 +70,8 @@
 impl Deployment {
     /// Returns the command of the deploy file.
     fn command(&self) -> PathBuf {
-        let text = std::fs::read_to_string(self.root.join("deploy/system.toml")).expect("deploy file");
+        let text =
+            std::fs::read_to_string(self.root.join("deploy/system.toml")).expect("deploy file");
         let line = text.lines().find_map(|it| it.strip_prefix("run = ")).expect("a command");
         self.root.join(line.trim().trim_matches('"'))
     }
@@ -78,8 +79,12 @@
     /// Fills in the template of the settings.
     fn settings(&self, spec: &HostSpec) -> String {
         let ports = self.ports;
-        let seeds: Vec<String> =
-            self.hosts.iter().take(3).map(|it| format!("\"{}:{}\"", it.ip, ports.control)).collect();
+        let seeds: Vec<String> = self
+            .hosts
+            .iter()
+            .take(3)
+            .map(|it| format!("\"{}:{}\"", it.ip, ports.control))
+            .collect();
         let mut values = vec![
             ("node_name", format!("\"{}\"", spec.name)),
             ("zone", format!("\"{}\"", spec.zone)),
@@ -121,16 +126,13 @@
         record.line(&format!("daemon {} starts at {} in {}", spec.name, spec.ip, spec.zone));
         Host { spec: spec.clone(), child }
     }
-
-    pub fn logs(&self) -> &Path {
-        &self.dir
-    }
 }
 
 impl Host {
     /// Sends a signal by the process's own number.
     pub fn signal(&self, name: &str) {
-        let _ = Command::new("kill").arg(format!("-{name}")).arg(self.child.id().to_string()).status();
+        let _ =
+            Command::new("kill").arg(format!("-{name}")).arg(self.child.id().to_string()).status();
     }
 
     pub fn has_ended(&mut self) -> Option<String> {
--- a/review/standins/src/partial_entry.rs
+++ b/review/standins/src/partial_entry.rs
@@ -10,8 +10,8 @@
     world::{HEARTBEAT_MS, Route, World, ZONES},
 };
 
-const MESA: (Ipv4Addr, u16) = (Ipv4Addr::new(198, 18, 0, 1), 8_443);
-const ARCHIVO: (Ipv4Addr, u16) = (Ipv4Addr::new(198, 18, 0, 2), 8_443);
+const MESA: (Ipv4Addr, u16) = (Ipv4Addr::new(127, 18, 0, 1), 8_443);
+const ARCHIVO: (Ipv4Addr, u16) = (Ipv4Addr::new(127, 18, 0, 2), 8_443);
 /// Time that everything runs undisturbed before: longer than `contact_ms`.
 const CALM_MS: u64 = 7_000;
 const AFTER_MS: u64 = 8_000;
@@ -19,8 +19,7 @@
 pub fn run(mut w: World, trouble: bool) -> Outcome {
     w.serve_store();
     let route = |addr, service, kind| Route { addr, service, kind, timeout_ms: 2_000, aim_ms: 120 };
-    let routes =
-        [route(MESA, "mesa", "non_idempotent"), route(ARCHIVO, "archivo", "download")];
+    let routes = [route(MESA, "mesa", "non_idempotent"), route(ARCHIVO, "archivo", "download")];
     w.configure(7, &routes, &[("mesa", 2.0, 10.0), ("archivo", 2.0, 10.0)]);
     for at in 0..9u64 {
         let addr = w.next_endpoint_addr();
--- a/review/standins/src/store.rs
+++ b/review/standins/src/store.rs
@@ -21,7 +21,6 @@
     items: BTreeMap<String, Item>,
     /// Events by revision; `None` is a removal.
     history: Vec<(u64, String, Option<Vec<u8>>, u64)>,
-    calls: u64,
 }
 
 /// The store, shared by its listeners.
@@ -30,8 +29,7 @@
 
 impl Store {
     pub fn new() -> Store {
-        let state =
-            State { revision: 100, items: BTreeMap::new(), history: Vec::new(), calls: 0 };
+        let state = State { revision: 100, items: BTreeMap::new(), history: Vec::new() };
         Store(Arc::new((Mutex::new(state), Condvar::new())))
     }
 
@@ -57,10 +55,6 @@
         }
     }
 
-    pub fn calls(&self) -> u64 {
-        self.0.0.lock().unwrap().calls
-    }
-
     /// Serves the store at an address until the process ends.
     pub fn serve(&self, addr: SocketAddrV4) {
         let listener = TcpListener::bind(addr).expect("bind the store");
@@ -112,7 +106,6 @@
             found.filter(|it| it.0 == name).map(|it| unescape(it.1)).next().unwrap_or_default()
         };
         let mut s = self.0.0.lock().unwrap();
-        s.calls += 1;
         match path {
             "/kv-key" => match s.items.get(&arg("key")) {
                 Some(it) => {
@@ -131,7 +124,10 @@
                     .collect();
                 let more = found.len() > PAGE;
                 let page = found[..found.len().min(PAGE)].join(",");
-                (200, format!("{{\"items\":[{page}],\"has_more\":{more},\"as_of\":{}}}", s.revision))
+                (
+                    200,
+                    format!("{{\"items\":[{page}],\"has_more\":{more},\"as_of\":{}}}", s.revision),
+                )
             }
             "/kv-watch" => {
                 let prefix = arg("prefix");
@@ -153,7 +149,10 @@
                     let left = end.saturating_duration_since(Instant::now());
                     if !events.is_empty() || left.is_zero() {
                         let events = events.join(",");
-                        return (200, format!("{{\"events\":[{events}],\"as_of\":{}}}", s.revision));
+                        return (
+                            200,
+                            format!("{{\"events\":[{events}],\"as_of\":{}}}", s.revision),
+                        );
                     }
                     s = self.0.1.wait_timeout(s, left).unwrap().0;
                 }
