--- a/review/standins/src/hosts.rs
+++ b/review/standins/src/hosts.rs
@@ -45,9 +45,9 @@
         let mut found = Vec::new();
         let mut kept = Vec::new();
         while found.len() < 5 {
-            let tcp = TcpListener::bind((Ipv4Addr::UNSPECIFIED, 0)).expect("a free port");
+            let tcp = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
             let port = tcp.local_addr().unwrap().port();
-            let Ok(udp) = UdpSocket::bind((Ipv4Addr::UNSPECIFIED, port)) else { continue };
+            let Ok(udp) = UdpSocket::bind((Ipv4Addr::LOCALHOST, port)) else { continue };
             found.push(port);
             kept.push((tcp, udp));
         }
