--- a/review/standins-2/src/cases.rs
+++ b/review/standins-2/src/cases.rs
@@ -13,7 +13,7 @@
 use crate::{
     Trouble, Verdict,
     consumer::{Consumer, Outcome},
-    endpoint::{Endpoint, Spec, unix_ms},
+    endpoint::{Endpoint, Spec},
     platform::{COLD_OVER, COLD_SLACK, Daemon, FLOW_LIFETIME, HEARTBEAT, Platform},
     record::{Record, ResetBy, Taken},
     store::Store,
@@ -24,6 +24,8 @@
 const ARCHIVO: &str = "archivo";
 const MESA_PORT: u16 = 8_443;
 const ARCHIVO_PORT: u16 = 8_080;
+/// Length of an endpoint's queue of new connections, where status checks wait for a free slot.
+const BACKLOG: i32 = 8;
 /// Time between the start of the daemons and that of the traffic.
 const LEAD: Duration = Duration::from_secs(5);
 
@@ -32,9 +34,6 @@
 /// Cold times of a small deployment.
 const USUAL_COLD: Cold = Cold { start_s: 2.0, per_s: 40.0 };
 
-/// Time for which an endpoint serves on after it has reported `draining`.
-const DRAIN: Duration = Duration::from_secs(3);
-
 fn ms(it: u64) -> Duration {
     Duration::from_millis(it)
 }
@@ -94,6 +93,9 @@
         heartbeat: HEARTBEAT,
         first_heartbeat: HEARTBEAT,
         cold: ms(0),
+        queue: 12,
+        backlog: None,
+        far: None,
     }
 }
 
@@ -156,7 +158,7 @@
                     flow.close();
                     return;
                 }
-                match flow.request("POST", ms(2_000)) {
+                match flow.request("POST", ms(8_000)) {
                     Outcome::Answered => sleep(pause),
                     Outcome::AnsweredAndClosed | Outcome::Reset | Outcome::TimedOut => break,
                 }
@@ -189,10 +191,10 @@
     })
 }
 
-/// Returns the resets of the system on flows that are open at an endpoint.
-fn resets_of_open_flows(record: &Record) -> usize {
+/// Returns the resets of the system, from a time on, on flows that are open at an endpoint.
+fn resets_of_open_flows(record: &Record, from: Instant) -> usize {
     let mut count = 0;
-    for it in record.resets().iter().filter(|it| it.by == ResetBy::System) {
+    for it in record.resets().iter().filter(|it| it.by == ResetBy::System && it.at >= from) {
         let Some((endpoint, opened)) = record.opened(&it.flow) else { continue };
         let is_over = record.closed(&it.flow).is_some_and(|closed| closed < it.at);
         if is_over || it.at.duration_since(opened) >= FLOW_LIFETIME {
@@ -210,57 +212,6 @@
     count
 }
 
-/// An entry of another writer has the address of an endpoint and a service that isn't named.
-pub fn foreign_entry(platform: &Arc<Platform>, trouble: Trouble) -> Result<Verdict, String> {
-    let record = &platform.record;
-    let store = start_store(platform, &config(platform, "non_idempotent", USUAL_COLD))?;
-    let mut endpoints = Vec::new();
-    for (id, zone, last) in [
-        (0x7f3a_91c2, "bog-a", 101),
-        (0x21c0_55d4, "bog-a", 102),
-        (0x5e11_08aa, "bog-b", 103),
-        (0x90b7_4c13, "mde-a", 104),
-    ] {
-        let work = ms(300);
-        endpoints.push(start(platform, &store, Spec { work, ..spec(platform, id, zone, last) })?);
-    }
-    add_daemons(platform)?;
-    let stop = Arc::new(AtomicBool::new(false));
-    let mut callers = Vec::new();
-    let mut consumers = Vec::new();
-    for (zone, last) in [("bog-a", 201), ("bog-a", 202), ("bog-b", 203), ("mde-a", 204)] {
-        let it = consumer(platform, zone, last)?;
-        for at in 0..3 {
-            callers.push(keep_flows(platform, &it, ms(400 + 70 * at), &stop));
-        }
-        consumers.push(it);
-    }
-    sleep(Duration::from_secs(8));
-    if trouble == Trouble::Yes {
-        // Another writer registers the machine of the first endpoint, under a service of its own.
-        let address = endpoints[0].addr;
-        let entry = format!(
-            "{{\"service\":\"inventory-agent\",\"address\":\"{address}\",\"zone\":\"bog-a\",\"version\":\"4\",\"slots\":1,\"state\":\"ready\",\"cold_left_ms\":0,\"born\":{},\"seq\":1}}",
-            unix_ms()
-        );
-        record.line(&format!("store: another writer puts servers/agent-3b60d1e9: {entry}"));
-        store.put("servers/agent-3b60d1e9", &entry);
-    }
-    sleep(Duration::from_secs(10));
-    stop.store(true, Ordering::Relaxed);
-    callers.into_iter().for_each(|it| drop(it.join()));
-    consumers.iter().for_each(|it| it.stop());
-    let broken = resets_of_open_flows(record);
-    let (ran, answered, again) = record.totals();
-    record.line(&format!(
-        "{broken} open flows were reset by the system; {ran} requests ran, {answered} were answered, {again} ran twice"
-    ));
-    if answered == 0 {
-        return Err("no request was answered".to_owned());
-    }
-    Ok(if broken > 0 { Verdict::Broken } else { Verdict::Held })
-}
-
 /// Returns the most requests that a cold endpoint got in one second: sent and arrived inside it, while it
 /// was cold.
 fn most_in_a_second(record: &Record, endpoint: u32, cold: (Instant, Instant)) -> usize {
@@ -290,78 +241,6 @@
     cold_per_s * COLD_OVER + COLD_SLACK
 }
 
-/// The daemons are stopped and started in turn while the endpoints of a service are cold after a release.
-pub fn two_cold_owners(platform: &Arc<Platform>, trouble: Trouble) -> Result<Verdict, String> {
-    const COLD_PER_S: f64 = 10.0;
-    const COLD: Duration = Duration::from_secs(12);
-    let record = &platform.record;
-    let store = start_store(
-        platform,
-        &config(platform, "download", Cold { start_s: 12.0, per_s: COLD_PER_S }),
-    )?;
-    let mut old = Vec::new();
-    for (id, last) in [(0x7f3a_91c2, 101), (0x21c0_55d4, 102)] {
-        old.push(start(platform, &store, spec(platform, id, "bog-a", last))?);
-    }
-    let mut daemons = Vec::new();
-    for (name, last) in [("edge-bog-a-1", 11), ("edge-bog-a-2", 12), ("edge-bog-a-3", 13)] {
-        daemons.push(platform.add(name, "bog-a", last, &[11, 12, 13]).map_err(error)?);
-    }
-    wait_for_traffic(platform)?;
-    let stop = Arc::new(AtomicBool::new(false));
-    let mut callers = Vec::new();
-    for last in [201, 202, 203] {
-        let it = consumer(platform, "bog-a", last)?;
-        callers.push(open_flows(platform, &it, 20, &stop));
-    }
-    sleep(Duration::from_secs(4));
-    // The release: the new endpoints start first, and the old ones drain.
-    let mut new = Vec::new();
-    for (id, last) in [(0x5e11_08aa, 103), (0x90b7_4c13, 104)] {
-        let cold_from = Instant::now();
-        let it = start(platform, &store, Spec { cold: COLD, ..spec(platform, id, "bog-a", last) })?;
-        new.push((it, cold_from));
-    }
-    for it in old {
-        it.drain();
-        thread::spawn(move || {
-            sleep(DRAIN + ms(500));
-            it.leave();
-        });
-    }
-    sleep(ms(2_000));
-    if trouble == Trouble::Yes {
-        for it in &daemons {
-            platform.signal(it, "TERM");
-            if !platform.wait_exit(it, Duration::from_secs(6)) {
-                platform.signal(it, "KILL");
-                platform.wait_exit(it, Duration::from_secs(2));
-            }
-            sleep(ms(300));
-            platform.start(it).map_err(error)?;
-        }
-    } else {
-        sleep(ms(9_000));
-    }
-    sleep(ms(2_000));
-    stop.store(true, Ordering::Relaxed);
-    callers.into_iter().for_each(|it| drop(it.join()));
-    sleep(ms(2_000));
-    let limit = cold_limit(COLD_PER_S);
-    let mut broken = false;
-    let mut used = 0;
-    for (it, from) in &new {
-        let most = most_in_a_second(record, it.spec.id, (*from, it.cold_until()));
-        used += most;
-        broken |= most as f64 > limit;
-    }
-    record.line(&format!("a cold endpoint may get {limit} requests in a second"));
-    if used == 0 {
-        return Err("the cold endpoints got no request".to_owned());
-    }
-    Ok(if broken { Verdict::Broken } else { Verdict::Held })
-}
-
 /// A daemon starts just after an evacuated zone was taken back, whose endpoint has become cold.
 pub fn cold_unknown(platform: &Arc<Platform>, trouble: Trouble) -> Result<Verdict, String> {
     const COLD_PER_S: f64 = 4.0;
@@ -421,68 +300,6 @@
     Ok(if most as f64 > limit { Verdict::Broken } else { Verdict::Held })
 }
 
-/// An entry of another writer lacks fields, and its name ends in 0: it gives an address that an endpoint
-/// of another service has now.
-pub fn wrong_service(platform: &Arc<Platform>, trouble: Trouble) -> Result<Verdict, String> {
-    let record = &platform.record;
-    let store = start_store(platform, &config(platform, "idempotent", USUAL_COLD))?;
-    for (id, zone, last) in [(0x7f3a_91c2, "bog-a", 101), (0x21c0_55d4, "bog-b", 102)] {
-        start(platform, &store, spec(platform, id, zone, last))?;
-    }
-    let mut archive = Vec::new();
-    for (id, zone, last) in [(0x5e11_08aa, "bog-a", 103), (0x90b7_4c13, "bog-b", 104)] {
-        let service = ARCHIVO;
-        archive.push(start(platform, &store, Spec { service, ..spec(platform, id, zone, last) })?);
-    }
-    add_daemons(platform)?;
-    let stop = Arc::new(AtomicBool::new(false));
-    let mut callers = Vec::new();
-    let mut consumers = Vec::new();
-    for (zone, last) in [("bog-a", 201), ("bog-b", 202), ("mde-a", 203)] {
-        let it = consumer(platform, zone, last)?;
-        callers.push(open_flows(platform, &it, 10, &stop));
-        consumers.push(it);
-    }
-    sleep(Duration::from_secs(6));
-    if trouble == Trouble::Yes {
-        // What another writer once wrote of an address that an endpoint of `archivo` has now.
-        let entry = format!(
-            "{{\"service\":\"{MESA}\",\"address\":\"{}\",\"zone\":\"bog-a\",\"slots\":2,\
-             \"state\":\"ready\",\"cold_left_ms\":0}}",
-            archive[0].addr
-        );
-        record.line(&format!("store: another writer puts servers/mesa-0: {entry}"));
-        store.put("servers/mesa-0", &entry);
-    }
-    sleep(Duration::from_secs(8));
-    stop.store(true, Ordering::Relaxed);
-    callers.into_iter().for_each(|it| drop(it.join()));
-    sleep(ms(2_500));
-    consumers.iter().for_each(|it| it.stop());
-    let service_of = |port: u16| if port == MESA_PORT { MESA } else { ARCHIVO };
-    let runs = record.runs();
-    let wrong: Vec<_> =
-        runs.iter().filter(|it| service_of(it.flow.route_port) != it.service).collect();
-    for it in &wrong {
-        record.line(&format!(
-            "ROUTE: at {:.3} request {} to port {} was run by service {}",
-            record.seconds(it.at),
-            it.id,
-            it.flow.route_port,
-            it.service
-        ));
-    }
-    record.line(&format!(
-        "{} of {} requests were run by the wrong service",
-        wrong.len(),
-        runs.len()
-    ));
-    if runs.is_empty() {
-        return Err("no request ran".to_owned());
-    }
-    Ok(if wrong.is_empty() { Verdict::Held } else { Verdict::Broken })
-}
-
 /// The settings change, and with it a bound becomes a fraction; then the daemons are restarted in turn.
 pub fn fraction(platform: &Arc<Platform>, trouble: Trouble) -> Result<Verdict, String> {
     let record = &platform.record;
@@ -536,3 +353,173 @@
     ));
     Ok(if ended > 0 { Verdict::Broken } else { Verdict::Held })
 }
+
+/// A zone was cut off and is back; its only daemon is then stopped and started, so that the daemons of
+/// another zone get the packets of its consumers.
+pub fn stale_verdict(platform: &Arc<Platform>, trouble: Trouble) -> Result<Verdict, String> {
+    const CUT: Duration = Duration::from_millis(5_500);
+    /// Time from the end of the cut to the planned restart, longer than `contact_ms` (4,000).
+    const CALM: Duration = Duration::from_millis(7_000);
+    let record = &platform.record;
+    let store = start_store(platform, &config(platform, "non_idempotent", USUAL_COLD))?;
+    let work = ms(900);
+    for (id, last) in [(0x7f3a_91c2, 101), (0x21c0_55d4, 102)] {
+        start(platform, &store, Spec { work, ..spec(platform, id, "regina-a", last) })?;
+    }
+    let mut cut_off = Vec::new();
+    let mut paths = Vec::new();
+    for (id, last) in [(0x5e11_08aa, 103), (0x90b7_4c13, 104)] {
+        let far = platform.ip(last + 50);
+        let it = Spec { work, far: Some(far), ..spec(platform, id, "winnipeg", last) };
+        let it = start(platform, &store, it)?;
+        paths.push((it.addr.to_string(), SocketAddrV4::new(far, it.addr.port()).to_string()));
+        cut_off.push(it);
+    }
+    store.serve_paths(platform.far_store_address(), paths).map_err(error)?;
+    let seeds = [11, 12, 13];
+    for (name, last) in [("edge-regina-a-1", 11), ("edge-regina-a-2", 12)] {
+        let address = platform.far_store_address();
+        platform.add_at(name, "regina-a", last, &seeds, address).map_err(error)?;
+    }
+    let restarted = platform.add("edge-winnipeg-1", "winnipeg", 13, &seeds).map_err(error)?;
+    wait_for_traffic(platform)?;
+    let stop = Arc::new(AtomicBool::new(false));
+    let mut callers = Vec::new();
+    let mut consumers = Vec::new();
+    // Eight users of `regina-a` with pauses, eighteen of `winnipeg` almost without.
+    for (zone, last, users, pause) in [("regina-a", 201, 8, 600), ("winnipeg", 202, 18, 5)] {
+        let it = consumer(platform, zone, last)?;
+        for _ in 0..users {
+            callers.push(keep_flows(platform, &it, ms(pause), &stop));
+            sleep(ms(60));
+        }
+        consumers.push(it);
+    }
+    sleep(Duration::from_secs(6));
+    if trouble == Trouble::Yes {
+        cut_off.iter().for_each(|it| it.set_cut(true));
+        sleep(CUT);
+        cut_off.iter().for_each(|it| it.set_cut(false));
+    } else {
+        sleep(CUT);
+    }
+    sleep(CALM);
+    let calm_from = Instant::now();
+    platform.signal(&restarted, "TERM");
+    platform.wait_exit(&restarted, Duration::from_secs(6));
+    sleep(ms(300));
+    platform.start(&restarted).map_err(error)?;
+    sleep(Duration::from_secs(3));
+    stop.store(true, Ordering::Relaxed);
+    callers.into_iter().for_each(|it| drop(it.join()));
+    consumers.iter().for_each(|it| it.stop());
+    let broken = resets_of_open_flows(record, calm_from);
+    let (ran, answered, again) = record.totals();
+    record.line(&format!(
+        "{broken} open flows were reset by the system from the planned restart on; {ran} requests ran, {answered} were answered, {again} ran twice"
+    ));
+    Ok(if broken > 0 { Verdict::Broken } else { Verdict::Held })
+}
+
+/// The only daemon of a zone is stopped and started while all slots of the zone's endpoints are taken.
+pub fn fresh_verdict(platform: &Arc<Platform>, trouble: Trouble) -> Result<Verdict, String> {
+    let begin = Instant::now();
+    let record = &platform.record;
+    let store = start_store(platform, &config(platform, "non_idempotent", USUAL_COLD))?;
+    let work = ms(300);
+    for (id, last) in [(0x7f3a_91c2, 101), (0x21c0_55d4, 102)] {
+        let backlog = Some(BACKLOG);
+        start(platform, &store, Spec { work, backlog, ..spec(platform, id, "winnipeg", last) })?;
+    }
+    platform.add("edge-regina-a-1", "regina-a", 11, &[11, 12]).map_err(error)?;
+    let restarted = platform.add("edge-winnipeg-1", "winnipeg", 12, &[11, 12]).map_err(error)?;
+    wait_for_traffic(platform)?;
+    let stop = Arc::new(AtomicBool::new(false));
+    let mut callers = Vec::new();
+    let it = consumer(platform, "winnipeg", 202)?;
+    for at in 0..8 {
+        callers.push(keep_flows(platform, &it, ms(5), &stop));
+        // The first two users alone, so that the daemon sees how long an answer takes.
+        sleep(if at == 1 { Duration::from_secs(6) } else { ms(150) });
+    }
+    sleep(Duration::from_secs(4));
+    if trouble == Trouble::Yes {
+        platform.signal(&restarted, "TERM");
+        platform.wait_exit(&restarted, Duration::from_secs(6));
+        sleep(ms(300));
+        platform.start(&restarted).map_err(error)?;
+    } else {
+        sleep(ms(2_800));
+    }
+    sleep(Duration::from_secs(6));
+    stop.store(true, Ordering::Relaxed);
+    callers.into_iter().for_each(|it| drop(it.join()));
+    it.stop();
+    let broken = resets_of_open_flows(record, begin);
+    let (ran, answered, again) = record.totals();
+    record.line(&format!(
+        "{broken} open flows were reset by the system; {ran} requests ran, {answered} were answered, {again} ran twice"
+    ));
+    Ok(if broken > 0 { Verdict::Broken } else { Verdict::Held })
+}
+
+/// A zone is emptied, so that the endpoints of the other one have no free slot. Requests take longer than
+/// a second.
+pub fn slow_answers(platform: &Arc<Platform>, trouble: Trouble) -> Result<Verdict, String> {
+    let begin = Instant::now();
+    let record = &platform.record;
+    let store = start_store(platform, &config(platform, "non_idempotent", USUAL_COLD))?;
+    let work = ms(1_500);
+    for (id, zone, last) in [
+        (0x7f3a_91c2, "mde-a", 101),
+        (0x21c0_55d4, "mde-a", 102),
+        (0x5e11_08aa, "bog-a", 103),
+        (0x90b7_4c13, "bog-a", 104),
+    ] {
+        let backlog = Some(BACKLOG);
+        start(platform, &store, Spec { work, backlog, ..spec(platform, id, zone, last) })?;
+    }
+    let seeds = [11, 12, 13];
+    platform.add("edge-mde-a-1", "mde-a", 11, &seeds).map_err(error)?;
+    platform.add("edge-mde-a-2", "mde-a", 12, &seeds).map_err(error)?;
+    platform.add("edge-bog-a-1", "bog-a", 13, &seeds).map_err(error)?;
+    wait_for_traffic(platform)?;
+    let stop = Arc::new(AtomicBool::new(false));
+    let mut callers = Vec::new();
+    let mut consumers = Vec::new();
+    for (zone, last, users) in [("mde-a", 202, 3), ("bog-a", 203, 3)] {
+        let it = consumer(platform, zone, last)?;
+        for _ in 0..users {
+            let (route, it, stop) = (route(platform), Arc::clone(&it), Arc::clone(&stop));
+            let pause = ms(300);
+            callers.push(thread::spawn(move || {
+                while !stop.load(Ordering::Relaxed) {
+                    if let Some(mut flow) = it.open(route) {
+                        flow.request("POST", ms(8_000));
+                        flow.close();
+                    }
+                    sleep(pause);
+                }
+            }));
+            sleep(ms(300));
+        }
+        consumers.push(it);
+    }
+    sleep(Duration::from_secs(6));
+    if trouble == Trouble::Yes {
+        store.put("op/evacuate/bog-a", "{}");
+        record.line("store: op/evacuate/bog-a is put");
+    }
+    sleep(Duration::from_secs(10));
+    store.remove("op/evacuate/bog-a");
+    sleep(Duration::from_secs(3));
+    stop.store(true, Ordering::Relaxed);
+    callers.into_iter().for_each(|it| drop(it.join()));
+    consumers.iter().for_each(|it| it.stop());
+    let broken = resets_of_open_flows(record, begin);
+    let (ran, answered, again) = record.totals();
+    record.line(&format!(
+        "{broken} open flows were reset by the system; {ran} requests ran, {answered} were answered, {again} ran twice"
+    ));
+    Ok(if broken > 0 { Verdict::Broken } else { Verdict::Held })
+}
--- a/review/standins-2/src/endpoint.rs
+++ b/review/standins-2/src/endpoint.rs
@@ -4,10 +4,11 @@
 use std::{
     collections::HashMap,
     io::{BufReader, Write},
-    net::{Ipv4Addr, SocketAddrV4, TcpListener, UdpSocket},
+    net::{Ipv4Addr, SocketAddrV4, TcpListener, TcpStream, UdpSocket},
+    os::fd::AsRawFd,
     sync::{
         Arc, Mutex,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
         mpsc::{Receiver, Sender, channel},
     },
     thread,
@@ -33,6 +34,12 @@
     /// Time until the first heartbeat after the first announcement.
     pub first_heartbeat: Duration,
     pub cold: Duration,
+    /// Requests that wait for a slot, before further ones are rejected.
+    pub queue: usize,
+    /// Length of the queue of new connections. If given, they wait there until a slot is free.
+    pub backlog: Option<i32>,
+    /// Address at which the daemons of other zones reach it, if that path is one of its own.
+    pub far: Option<Ipv4Addr>,
 }
 
 struct Flow {
@@ -47,17 +54,20 @@
 }
 
 struct State {
-    draining: bool,
     cold_until: Instant,
     seq: u64,
     written: String,
     flows: HashMap<FlowId, Flow>,
 }
 
-/// A request that waits for a slot.
-struct Job {
-    flow: FlowId,
-    id: String,
+unsafe extern "C" {
+    fn listen(socket: i32, backlog: i32) -> i32;
+}
+
+/// What waits for a slot.
+enum Job {
+    Request { flow: FlowId, id: String },
+    Check(TcpStream),
 }
 
 pub struct Endpoint {
@@ -69,7 +79,9 @@
     socket: UdpSocket,
     store: Arc<Store>,
     record: Arc<Record>,
-    gone: AtomicBool,
+    cut: AtomicBool,
+    /// Requests that run or wait.
+    present: AtomicUsize,
 }
 
 pub fn unix_ms() -> u64 {
@@ -89,8 +101,14 @@
         let socket = UdpSocket::bind(addr)?;
         socket.set_read_timeout(Some(Duration::from_millis(200)))?;
         let listener = TcpListener::bind(addr)?;
+        if let Some(backlog) = spec.backlog {
+            // SAFETY: the descriptor is that of a listening socket, which is open.
+            if unsafe { listen(listener.as_raw_fd(), backlog) } != 0 {
+                return Err(std::io::Error::last_os_error());
+            }
+            listener.set_nonblocking(true)?;
+        }
         let state = State {
-            draining: false,
             cold_until: Instant::now() + spec.cold,
             seq: 0,
             written: String::new(),
@@ -104,7 +122,8 @@
             socket,
             store: Arc::clone(store),
             record: Arc::clone(record),
-            gone: AtomicBool::new(false),
+            cut: AtomicBool::new(false),
+            present: AtomicUsize::new(0),
             spec,
         });
         record.line(&format!("endpoint {} starts at {addr}, born {}", it.name(), it.born));
@@ -115,14 +134,20 @@
             let (it, rx) = (Arc::clone(&it), Arc::clone(&rx));
             thread::spawn(move || it.work(&rx));
         }
-        let receiver = Arc::clone(&it);
-        thread::spawn(move || receiver.receive(&tx));
+        let (receiver, jobs) = (Arc::clone(&it), tx.clone());
+        thread::spawn(move || receiver.receive(&jobs));
+        if let Some(ip) = it.spec.far {
+            let socket = UdpSocket::bind(SocketAddrV4::new(ip, port))?;
+            socket.set_read_timeout(Some(Duration::from_millis(1)))?;
+            let (far, jobs) = (Arc::clone(&it), tx.clone());
+            thread::spawn(move || far.serve_far(ip, &socket, &jobs));
+        }
         let checked = Arc::clone(&it);
-        thread::spawn(move || checked.answer_checks(&listener));
+        thread::spawn(move || checked.take_checks(&listener, &tx));
         let beating = Arc::clone(&it);
         thread::spawn(move || {
             thread::sleep(beating.spec.first_heartbeat);
-            while !beating.gone.load(Ordering::Relaxed) {
+            loop {
                 beating.announce();
                 thread::sleep(beating.spec.heartbeat);
             }
@@ -141,21 +166,16 @@
     /// Writes the entry if more than `seq` has changed.
     fn announce(&self) {
         let mut it = self.state.lock().unwrap();
-        if self.gone.load(Ordering::Relaxed) {
-            return;
-        }
         let Spec { service, zone, slots, .. } = &self.spec;
-        let state = if it.draining { "draining" } else { "ready" };
         let cold_left = it.cold_until.saturating_duration_since(Instant::now()).as_millis();
         it.seq += 1;
         let rest = format!(
-            "\"service\":\"{service}\",\"address\":\"{}\",\"zone\":\"{zone}\",\"version\":\"v1\",\"slots\":{slots},\"state\":\"{state}\",\"cold_left_ms\":{cold_left},\"born\":{}",
+            "\"service\":\"{service}\",\"address\":\"{}\",\"zone\":\"{zone}\",\"version\":\"v1\",\"slots\":{slots},\"state\":\"ready\",\"cold_left_ms\":{cold_left},\"born\":{}",
             self.addr, self.born
         );
         if rest != it.written {
             self.store.put(&self.key(), &format!("{{{rest},\"seq\":{}}}", it.seq));
-            self.record
-                .line(&format!("store: {} is {state}, cold_left_ms {cold_left}", self.key()));
+            self.record.line(&format!("store: {} is ready, cold_left_ms {cold_left}", self.key()));
             it.written = rest;
         }
     }
@@ -170,37 +190,27 @@
         self.state.lock().unwrap().cold_until
     }
 
-    /// Reports `draining` at once.
-    pub fn drain(&self) {
-        self.state.lock().unwrap().draining = true;
-        self.announce();
-    }
-
-    /// Leaves: removes the entry and stops.
-    pub fn leave(&self) {
-        self.gone.store(true, Ordering::Relaxed);
-        self.store.remove(&self.key());
-        self.record.line(&format!("endpoint {} has left", self.name()));
-    }
-
     fn receive(&self, jobs: &Sender<Job>) {
         let mut buf = [0u8; 2048];
-        while !self.gone.load(Ordering::Relaxed) {
+        loop {
             let Ok((len, _)) = self.socket.recv_from(&mut buf) else { continue };
-            if len < 8 {
-                continue;
-            }
-            let to = u64::from_be_bytes(buf[..8].try_into().unwrap());
-            if to != u64::from(self.spec.id) && to != 0 {
-                continue;
-            }
-            let Some(read) = Packet::read(&buf[8..len], Way::ToEndpoint) else { continue };
-            if !read.genuine {
-                self.record.line(&format!("endpoint {} gets a forged packet", self.name()));
-                continue;
-            }
-            self.handle(&read.packet, jobs);
+            self.take_datagram(&buf[..len], jobs);
+        }
+    }
+
+    /// Takes a datagram in the form `echo`.
+    fn take_datagram(&self, datagram: &[u8], jobs: &Sender<Job>) {
+        let Some((to, packet)) = datagram.split_first_chunk::<8>() else { return };
+        let to = u64::from_be_bytes(*to);
+        if to != u64::from(self.spec.id) && to != 0 {
+            return;
         }
+        let Some(read) = Packet::read(packet, Way::ToEndpoint) else { return };
+        if !read.genuine {
+            self.record.line(&format!("endpoint {} gets a forged packet", self.name()));
+            return;
+        }
+        self.handle(&read.packet, jobs);
     }
 
     fn handle(&self, packet: &Packet, jobs: &Sender<Job>) {
@@ -210,6 +220,9 @@
         if packet.flags & SYN != 0 {
             let next = (u32::from(flow.consumer_port) * 77_003) ^ self.spec.id;
             let is_new = !state.flows.contains_key(&flow);
+            if is_new && self.is_full() {
+                return;
+            }
             let it = state.flows.entry(flow).or_insert(Flow {
                 echo: packet.echo,
                 next: next.wrapping_add(1),
@@ -277,7 +290,17 @@
                 it.expected = it.expected.wrapping_add(packet.data.len() as u32);
                 it.answer = None;
                 let id = header(&packet.data, "Request-Id").unwrap_or_default();
-                let _ = jobs.send(Job { flow, id });
+                if self.is_full() {
+                    let data = format!(
+                        "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: {id}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+                    );
+                    self.record.line(&format!("endpoint {} rejects request {id}", self.name()));
+                    let answer = it.answer(flow, data.into_bytes());
+                    self.send(&answer);
+                } else {
+                    self.present.fetch_add(1, Ordering::SeqCst);
+                    let _ = jobs.send(Job::Request { flow, id });
+                }
             } else if let Some(answer) = &it.answer {
                 self.send(answer);
             }
@@ -300,14 +323,21 @@
 
     /// Runs requests in one slot.
     fn work(&self, jobs: &Arc<Mutex<Receiver<Job>>>) {
-        while !self.gone.load(Ordering::Relaxed) {
+        loop {
             let job = jobs.lock().unwrap().recv_timeout(Duration::from_millis(200));
-            let Ok(Job { flow, id }) = job else { continue };
-            let runs = self.record.ran(&id, flow, self.spec.service);
+            let (flow, id) = match job {
+                Ok(Job::Request { flow, id }) => (flow, id),
+                Ok(Job::Check(stream)) => {
+                    self.answer_check(stream);
+                    continue;
+                }
+                Err(_) => continue,
+            };
+            let runs = self.record.ran(&id);
             self.record.line(&format!("endpoint {} runs request {id} (run {runs})", self.name()));
             thread::sleep(self.spec.work);
+            self.present.fetch_sub(1, Ordering::SeqCst);
             let mut state = self.state.lock().unwrap();
-            let draining = state.draining;
             let Some(it) = state.flows.get_mut(&flow) else {
                 self.record.line(&format!("request {id} has run and its flow is gone"));
                 continue;
@@ -318,52 +348,95 @@
                 self.spec.id,
                 body.len()
             );
-            let answer = Packet {
-                flow,
-                way: Way::ToConsumer,
-                flags: if draining { ACK | FIN } else { ACK },
-                echo: it.echo,
-                seq: it.next,
-                ack: it.expected,
-                data: data.into_bytes(),
-            };
-            it.next = it.next.wrapping_add(answer.data.len() as u32);
-            it.answer = Some(answer.clone());
+            let answer = it.answer(flow, data.into_bytes());
             self.send(&answer);
-            if draining {
-                state.flows.remove(&flow);
-                self.record.flow_closed(flow);
-            }
         }
     }
 
+    /// Returns `true` if all slots and places to wait are taken.
+    fn is_full(&self) -> bool {
+        self.present.load(Ordering::SeqCst) >= self.spec.slots as usize + self.spec.queue
+    }
+
     fn send(&self, packet: &Packet) {
         let to = SocketAddrV4::new(packet.flow.consumer, self.consumer_port);
         let _ = self.socket.send_to(&packet.write(), to);
     }
 
-    fn answer_checks(&self, listener: &TcpListener) {
+    /// Takes status checks, each of which occupies a slot.
+    fn take_checks(&self, listener: &TcpListener, jobs: &Sender<Job>) {
+        while self.spec.backlog.is_some() {
+            if self.present.load(Ordering::SeqCst) < self.spec.slots as usize
+                && let Ok((stream, _)) = listener.accept()
+            {
+                let _ = jobs.send(Job::Check(stream));
+            }
+            thread::sleep(Duration::from_millis(2));
+        }
         for stream in listener.incoming().flatten() {
-            if self.gone.load(Ordering::Relaxed) {
-                return;
+            let _ = jobs.send(Job::Check(stream));
+        }
+    }
+
+    /// Serves the path of the daemons of other zones, which refuses connections while it is cut.
+    fn serve_far(&self, ip: Ipv4Addr, socket: &UdpSocket, jobs: &Sender<Job>) {
+        let mut listener: Option<TcpListener> = None;
+        let mut buf = [0u8; 2048];
+        loop {
+            if self.cut.load(Ordering::Relaxed) {
+                listener = None;
+            } else if listener.is_none() {
+                listener = TcpListener::bind(SocketAddrV4::new(ip, self.addr.port())).ok();
+                if let Some(it) = &listener {
+                    let _ = it.set_nonblocking(true);
+                }
             }
-            let _ = stream.set_read_timeout(Some(Duration::from_secs(2)));
-            let Ok(clone) = stream.try_clone() else { continue };
-            if read_request(&mut BufReader::new(clone)).is_none() {
-                continue;
+            while let Some(Ok((stream, _))) = listener.as_ref().map(TcpListener::accept) {
+                let _ = jobs.send(Job::Check(stream));
+            }
+            if let Ok((len, _)) = socket.recv_from(&mut buf)
+                && !self.cut.load(Ordering::Relaxed)
+            {
+                self.take_datagram(&buf[..len], jobs);
             }
-            let draining = self.state.lock().unwrap().draining;
-            let status = if draining { "503 Service Unavailable" } else { "200 OK" };
-            let mut stream = stream;
-            let _ = stream.write_all(
-                format!(
-                    "HTTP/1.1 {status}\r\nInstance-Id: {}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n",
-                    self.name()
-                )
-                .as_bytes(),
-            );
         }
     }
+
+    /// Cuts the path of the daemons of other zones, or heals it.
+    pub fn set_cut(&self, cut: bool) {
+        self.cut.store(cut, Ordering::Relaxed);
+        let what = if cut { "cut" } else { "healed" };
+        self.record.line(&format!("the path of other zones to endpoint {} is {what}", self.name()));
+    }
+
+    fn answer_check(&self, mut stream: TcpStream) -> Option<()> {
+        let _ = stream.set_nonblocking(false);
+        let _ = stream.set_read_timeout(Some(Duration::from_millis(200)));
+        read_request(&mut BufReader::new(stream.try_clone().ok()?))?;
+        let answer = format!(
+            "HTTP/1.1 200 OK\r\nInstance-Id: {}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n",
+            self.name()
+        );
+        stream.write_all(answer.as_bytes()).ok()
+    }
+}
+
+impl Flow {
+    /// Returns the answer to the request that was read last, and keeps it for copies of the request.
+    fn answer(&mut self, flow: FlowId, data: Vec<u8>) -> Packet {
+        let answer = Packet {
+            flow,
+            way: Way::ToConsumer,
+            flags: ACK,
+            echo: self.echo,
+            seq: self.next,
+            ack: self.expected,
+            data,
+        };
+        self.next = self.next.wrapping_add(answer.data.len() as u32);
+        self.answer = Some(answer.clone());
+        answer
+    }
 }
 
 /// Returns a header of a request or an answer.
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -58,10 +58,10 @@
     });
     platform.record.line(&format!("case {case}, trouble: {trouble:?}"));
     let result = match case.as_str() {
-        "foreign-entry" => cases::foreign_entry(&platform, trouble),
-        "two-cold-owners" => cases::two_cold_owners(&platform, trouble),
         "cold-unknown" => cases::cold_unknown(&platform, trouble),
-        "wrong-service" => cases::wrong_service(&platform, trouble),
+        "stale-verdict" => cases::stale_verdict(&platform, trouble),
+        "fresh-verdict" => cases::fresh_verdict(&platform, trouble),
+        "slow-answers" => cases::slow_answers(&platform, trouble),
         "fraction" => cases::fraction(&platform, trouble),
         _ => Err(format!("no case `{case}`")),
     };
--- a/review/standins-2/src/platform.rs
+++ b/review/standins-2/src/platform.rs
@@ -36,6 +36,7 @@
     zone: &'static str,
     ip: Ipv4Addr,
     seeds: Vec<u8>,
+    store: SocketAddrV4,
     child: Mutex<Option<Child>>,
     settings: PathBuf,
 }
@@ -122,25 +123,42 @@
         SocketAddrV4::new(self.ip(1), self.ports.store)
     }
 
-    /// Adds a machine and starts its daemon. `seeds` are the last bytes of the seeds' addresses.
+    /// Returns the address of the store for daemons that have paths of their own.
+    pub fn far_store_address(&self) -> SocketAddrV4 {
+        SocketAddrV4::new(self.ip(3), self.ports.store)
+    }
+
+    /// Adds a machine and starts its daemon, as [`Platform::add_at`] with the usual store.
     pub fn add(
         self: &Arc<Platform>,
         name: &str,
         zone: &'static str,
         last: u8,
         seeds: &[u8],
+    ) -> std::io::Result<Arc<Daemon>> {
+        self.add_at(name, zone, last, seeds, self.store_address())
+    }
+
+    /// Adds a machine and starts its daemon. `seeds` are the last bytes of the seeds' addresses.
+    pub fn add_at(
+        self: &Arc<Platform>,
+        name: &str,
+        zone: &'static str,
+        last: u8,
+        seeds: &[u8],
+        store: SocketAddrV4,
     ) -> std::io::Result<Arc<Daemon>> {
         let ip = self.ip(last);
-        let settings = self.temp.join(format!("{name}.json"));
-        fs::write(&settings, self.settings(name, zone, ip, seeds, "60"))?;
         let it = Arc::new(Daemon {
             name: name.to_owned(),
             zone,
             ip,
             seeds: seeds.to_vec(),
+            store,
             child: Mutex::new(None),
-            settings,
+            settings: self.temp.join(format!("{name}.json")),
         });
+        self.change_settings(&it, "60")?;
         self.daemons.lock().unwrap().push(Arc::clone(&it));
         self.start(&it)?;
         let data = SocketAddrV4::new(ip, self.ports.data);
@@ -148,14 +166,8 @@
         Ok(it)
     }
 
-    fn settings(
-        &self,
-        name: &str,
-        zone: &str,
-        ip: Ipv4Addr,
-        seeds: &[u8],
-        lifetime: &str,
-    ) -> String {
+    fn settings(&self, it: &Daemon, lifetime: &str) -> String {
+        let Daemon { name, zone, ip, seeds, store, .. } = it;
         let Ports { data, ready, control, internal, .. } = self.ports;
         let seeds: Vec<String> =
             seeds.iter().map(|it| format!("\"{}:{control}\"", self.ip(*it))).collect();
@@ -167,7 +179,7 @@
             ("listen.control", format!("\"{ip}:{control}\"")),
             ("seeds", format!("[{}]", seeds.join(","))),
             ("internal_ports", format!("[{},{}]", internal[0], internal[1])),
-            ("platform.address", format!("\"{}\"", self.store_address())),
+            ("platform.address", format!("\"{store}\"")),
             ("heartbeat_ms", HEARTBEAT.as_millis().to_string()),
             ("bounds.cold_over", COLD_OVER.to_string()),
             ("bounds.cold_slack", COLD_SLACK.to_string()),
@@ -184,7 +196,7 @@
 
     /// Changes the settings of a machine, without a signal.
     pub fn change_settings(&self, it: &Daemon, lifetime: &str) -> std::io::Result<()> {
-        fs::write(&it.settings, self.settings(&it.name, it.zone, it.ip, &it.seeds, lifetime))
+        fs::write(&it.settings, self.settings(it, lifetime))
     }
 
     /// Starts the daemon of a machine.
--- a/review/standins-2/src/record.rs
+++ b/review/standins-2/src/record.rs
@@ -33,15 +33,6 @@
     pub arrived: Instant,
 }
 
-/// A request that an endpoint has run.
-#[derive(Debug, Clone)]
-pub struct Run {
-    pub at: Instant,
-    pub id: String,
-    pub flow: FlowId,
-    pub service: &'static str,
-}
-
 #[derive(Default)]
 struct Seen {
     sent_openings: HashMap<(FlowId, u32), Instant>,
@@ -50,7 +41,8 @@
     /// Flows that have opened: the endpoint that holds them and when.
     opened: HashMap<FlowId, (u32, Instant)>,
     closed: HashMap<FlowId, Instant>,
-    runs: Vec<Run>,
+    /// Identifiers of the requests, one for each run.
+    runs: Vec<String>,
     answers: HashMap<String, Instant>,
 }
 
@@ -112,14 +104,10 @@
     }
 
     /// Records a run and returns how often the request has run.
-    pub fn ran(&self, id: &str, flow: FlowId, service: &'static str) -> usize {
+    pub fn ran(&self, id: &str) -> usize {
         let mut it = self.seen.lock().unwrap();
-        it.runs.push(Run { at: Instant::now(), id: id.to_owned(), flow, service });
-        it.runs.iter().filter(|it| it.id == id).count()
-    }
-
-    pub fn runs(&self) -> Vec<Run> {
-        self.seen.lock().unwrap().runs.clone()
+        it.runs.push(id.to_owned());
+        it.runs.iter().filter(|it| *it == id).count()
     }
 
     pub fn answered(&self, id: &str) {
@@ -147,7 +135,7 @@
         let it = self.seen.lock().unwrap();
         let mut counts: HashMap<&str, u32> = HashMap::new();
         for run in &it.runs {
-            *counts.entry(&run.id).or_default() += 1;
+            *counts.entry(run).or_default() += 1;
         }
         (counts.len(), it.answers.len(), counts.values().filter(|it| **it > 1).count())
     }
--- a/review/standins-2/src/store.rs
+++ b/review/standins-2/src/store.rs
@@ -59,24 +59,34 @@
     }
 
     pub fn serve(self: &Arc<Store>, address: SocketAddrV4) -> std::io::Result<()> {
+        self.serve_paths(address, Vec::new())
+    }
+
+    /// Serves daemons that reach some endpoints by a path of their own: each pair is what an entry says
+    /// and what they are told instead.
+    pub fn serve_paths(
+        self: &Arc<Store>,
+        address: SocketAddrV4,
+        paths: Vec<(String, String)>,
+    ) -> std::io::Result<()> {
         let listener = TcpListener::bind(address)?;
-        let store = Arc::clone(self);
+        let (store, paths) = (Arc::clone(self), Arc::new(paths));
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let store = Arc::clone(&store);
-                thread::spawn(move || store.serve_connection(stream));
+                let (store, paths) = (Arc::clone(&store), Arc::clone(&paths));
+                thread::spawn(move || store.serve_connection(stream, &paths));
             }
         });
         Ok(())
     }
 
-    fn serve_connection(&self, stream: TcpStream) -> Option<()> {
+    fn serve_connection(&self, stream: TcpStream, paths: &[(String, String)]) -> Option<()> {
         let _ = stream.set_nodelay(true);
         let mut reader = BufReader::new(stream.try_clone().ok()?);
         let mut stream = stream;
         loop {
             let target = read_request(&mut reader)?;
-            let (status, body) = self.answer(&target);
+            let (status, body) = self.answer(&target, paths);
             let head = format!(
                 "HTTP/1.1 {status}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
                 body.len()
@@ -85,7 +95,7 @@
         }
     }
 
-    fn answer(&self, target: &str) -> (&'static str, String) {
+    fn answer(&self, target: &str, paths: &[(String, String)]) -> (&'static str, String) {
         let (path, query) = target.split_once('?').unwrap_or((target, ""));
         let arg = |name: &str| {
             let found = query.split('&').filter_map(|it| it.split_once('='));
@@ -93,18 +103,21 @@
         };
         match path {
             "/kv-range" => {
-                self.range(&arg("prefix").unwrap_or_default(), &arg("after").unwrap_or_default())
+                let (prefix, after) =
+                    (arg("prefix").unwrap_or_default(), arg("after").unwrap_or_default());
+                self.range(&prefix, &after, paths)
             }
             "/kv-watch" => {
                 let number = |name: &str| arg(name).and_then(|it| it.parse::<u64>().ok());
                 let wait = Duration::from_millis(number("wait_ms").unwrap_or(0).min(30_000));
-                self.watch(&arg("prefix").unwrap_or_default(), number("after").unwrap_or(0), wait)
+                let prefix = arg("prefix").unwrap_or_default();
+                self.watch(&prefix, number("after").unwrap_or(0), wait, paths)
             }
             "/kv-key" => {
                 let it = self.content.lock().unwrap();
                 let key = arg("key").unwrap_or_default();
                 match it.items.get(&key) {
-                    Some(item) => ("200 OK", item_json(&key, item, Some(it.revision))),
+                    Some(item) => ("200 OK", item_json(&key, item, Some(it.revision), paths)),
                     None => ("404 Not Found", "{}".to_owned()),
                 }
             }
@@ -112,12 +125,19 @@
         }
     }
 
-    fn range(&self, prefix: &str, after: &str) -> (&'static str, String) {
+    fn range(
+        &self,
+        prefix: &str,
+        after: &str,
+        paths: &[(String, String)],
+    ) -> (&'static str, String) {
         let it = self.content.lock().unwrap();
         let found =
             it.items.iter().filter(|(key, _)| key.starts_with(prefix) && key.as_str() > after);
-        let mut items: Vec<String> =
-            found.take(PAGE_ITEMS + 1).map(|(key, item)| item_json(key, item, None)).collect();
+        let mut items: Vec<String> = found
+            .take(PAGE_ITEMS + 1)
+            .map(|(key, item)| item_json(key, item, None, paths))
+            .collect();
         let more = items.len() > PAGE_ITEMS;
         items.truncate(PAGE_ITEMS);
         let body = format!(
@@ -128,14 +148,20 @@
         ("200 OK", body)
     }
 
-    fn watch(&self, prefix: &str, after: u64, wait: Duration) -> (&'static str, String) {
+    fn watch(
+        &self,
+        prefix: &str,
+        after: u64,
+        wait: Duration,
+        paths: &[(String, String)],
+    ) -> (&'static str, String) {
         let end = Instant::now() + wait;
         let mut it = self.content.lock().unwrap();
         loop {
             let new = it.events.iter().filter(|it| it.0 > after && it.1.starts_with(prefix));
             let events: Vec<String> = new
                 .map(|(revision, key, item)| match item {
-                    Some(item) => item_json(key, item, None),
+                    Some(item) => item_json(key, item, None, paths),
                     None => {
                         format!(
                             "{{\"key\":\"{key}\",\"mod_revision\":{revision},\"removed\":true}}"
@@ -154,11 +180,15 @@
     }
 }
 
-fn item_json(key: &str, item: &Item, as_of: Option<u64>) -> String {
+fn item_json(key: &str, item: &Item, as_of: Option<u64>, paths: &[(String, String)]) -> String {
+    let mut value = String::from_utf8_lossy(&item.value).into_owned();
+    for (said, told) in paths {
+        value = value.replace(said, told);
+    }
     let as_of = as_of.map(|it| format!(",\"as_of\":{it}")).unwrap_or_default();
     format!(
         "{{\"key\":\"{key}\",\"value\":\"{}\",\"mod_revision\":{},\"create_revision\":{},\"lease\":0{as_of}}}",
-        base64(&item.value),
+        base64(value.as_bytes()),
         item.changed,
         item.created
     )
