--- a/review/standins-2/play.sh
+++ b/review/standins-2/play.sh
@@ -16,7 +16,7 @@
             kill -9 "$pid"
         fi
     done <"$PIDS"
-    rm -f "$PIDS"
+    rm -rf "$PIDS" "${TMPDIR:-/tmp}/pomelorun-review-2-$driver"
     exit 2
 }
 "$program" "$1" "$2" &
