Judge no upstream by silence before its answers are known

The flows were open, the upstreams ran the requests, and the answers were lost.

A host that takes over flows has seen no answer of their service, and asked for 300 ms of waiting then, half of what the full queue took. The record shows that the resets of 17.876 s come while that one still runs: the other zone's host, which gets the flows when the first leaves the rotation at 17.519 s, sends a request at 17.523 s, sees its copy 200 ms later, and its probe stays in the accept queue for 150 ms. Answers within that time reach callers whose flows it sees for the first time, so it cannot tell them from retransmissions.

Silence is evidence only once this host has seen eight answers on the address or on another one. While the time without a queue is not known, the mean time to an answer stands in for it, since a host may know only upstreams that are not full. The first request of a flow that was opened through another host is not measured, as it may be a retransmission.

Tests of verdicts used hosts that had never seen an answer. They now use hosts that have, with the same bounds and times.

--- a/crates/pomelorun-core/src/direct/answer_times.rs
+++ b/crates/pomelorun-core/src/direct/answer_times.rs
@@ -9,6 +9,10 @@
     time::Millis,
 };
 
+/// Time that a request takes through a full queue, in usual times without a queue: upstreams hold about
+/// five requests per slot.
+const FULL_QUEUE_ANSWERS: f64 = 5.0;
+
 /// Times to the answers of requests, by address; sorted.
 #[derive(Debug, Default)]
 pub(crate) struct AnswerTimes(Vec<(ServiceAddr, ResponseTimes)>);
@@ -27,18 +31,17 @@
         }
     }
 
-    /// Returns the time within which almost all requests are answered, or `None` if too few were
-    /// observed.
-    pub(crate) fn timeout(&self, addr: ServiceAddr) -> Option<Millis> {
-        let at = self.0.binary_search_by_key(&addr, |it| it.0).ok()?;
-        self.0[at].1.timeout()
-    }
-
-    /// Returns the time within which almost all requests are answered. If too few were observed, that of
-    /// the slowest other address stands in.
-    pub(crate) fn timeout_or_slowest(&self, addr: ServiceAddr) -> Option<Millis> {
-        let slowest = || self.0.iter().filter_map(|it| it.1.timeout()).max();
-        self.timeout(addr).or_else(slowest)
+    /// Returns the time that a full queue may take to answer a request, or `None` if too few answers were
+    /// observed on any address. `service_ms` is the usual time of a request without a queue, in
+    /// milliseconds; if it is unknown, the mean time to an answer stands in.
+    ///
+    /// If too few answers were observed on the address, the slowest other one stands in.
+    pub(crate) fn full_queue(&self, addr: ServiceAddr, service_ms: Option<f64>) -> Option<Millis> {
+        let own = self.0.binary_search_by_key(&addr, |it| it.0).ok().map(|at| &self.0[at].1);
+        let slowest = || self.0.iter().map(|it| &it.1).max_by_key(|it| it.timeout());
+        let times = own.filter(|it| it.timeout().is_some()).or_else(slowest)?;
+        let queue_ms = service_ms.unwrap_or(times.mean_ms()) * FULL_QUEUE_ANSWERS;
+        Some(times.timeout()?.max(Millis(queue_ms as u64)))
     }
 
     /// Removes the addresses without a route in the active revision.
--- a/crates/pomelorun-core/src/direct/host/failure_detection.rs
+++ b/crates/pomelorun-core/src/direct/host/failure_detection.rs
@@ -27,9 +27,6 @@
 
 /// Minimum number of suspect upstreams in this host's zone for a local fault to be assumed.
 const MIN_LOCAL_FAULT_SUSPECTS: usize = 3;
-/// Time that a request takes through a full queue, in usual times without a queue: upstreams hold about
-/// five requests per slot.
-const FULL_QUEUE_ANSWERS: f64 = 5.0;
 /// Time since its last response within which an upstream counts as recently active.
 pub(super) const RECENT_ACTIVITY: Millis = Millis(3_000);
 
@@ -41,9 +38,7 @@
         let routing = Arc::clone(&self.routing);
         let usual_wait = |it: &FlowKey| {
             let route = routing.route(it.service).map(|it| it.addr);
-            let service_ms = route.and_then(|it| service_times.get(it));
-            let queue = service_ms.map(|it| Millis((it * FULL_QUEUE_ANSWERS) as u64));
-            times.timeout_or_slowest(it.service).max(queue)
+            times.full_queue(it.service, route.and_then(|it| service_times.get(it)))
         };
         let rule = self.evidence_rule(ix, &usual_wait);
         let liveness = &mut self.upstream_states[ix.0 as usize].liveness;
@@ -138,8 +133,11 @@
                     load.overdue = load.overdue.saturating_sub(1);
                 }
                 let waited = now.since(sent_at);
+                let is_whole = !std::mem::take(&mut flow.seen_late);
                 self.stats.response_latency.record(waited.0);
-                self.answer_times.record(&self.routing, seg.flow.service, waited);
+                if is_whole {
+                    self.answer_times.record(&self.routing, seg.flow.service, waited);
+                }
                 let route = self.routing.route(seg.flow.service);
                 let in_time = route.is_some_and(|it| waited <= it.answer_within);
                 if let Some(it) = self.outcomes.counters(&self.routing, seg.flow.service) {
@@ -206,7 +204,9 @@
     /// when the flow was opened through another host.
     pub(super) fn record_established(&mut self, now: Millis, ix: UpstreamIx, seg: &Segment) {
         let mut first_sent = None;
-        if let Some(opening) = self.flows.remove(&seg.flow) {
+        let opening = self.flows.remove(&seg.flow);
+        let is_opened_here = opening.is_some();
+        if let Some(opening) = opening {
             first_sent = opening.attempts.first_sent;
             self.record_opening_time(now, ix, &opening);
             if let Some(it) = self.outcomes.counters(&self.routing, seg.flow.service) {
@@ -223,6 +223,7 @@
             ack: seg.ack,
             unanswered_seq: seg.seq,
             unanswered_since: has_data.then_some(now),
+            seen_late: has_data && !is_opened_here,
             overdue: false,
             unassessed_request: None,
             failed: false,
--- a/crates/pomelorun-core/src/direct/host/flow_placement.rs
+++ b/crates/pomelorun-core/src/direct/host/flow_placement.rs
@@ -101,6 +101,7 @@
             ack: 0,
             unanswered_seq: seg.seq,
             unanswered_since: Some(now),
+            seen_late: false,
             overdue: false,
             unassessed_request: None,
             failed: false,
--- a/crates/pomelorun-core/src/direct/liveness/evidence.rs
+++ b/crates/pomelorun-core/src/direct/liveness/evidence.rs
@@ -67,6 +67,8 @@
 pub enum KeepReason {
     /// Only opening packets are unanswered, which a full upstream may drop.
     OpeningsOnly,
+    /// This host has seen too few answers to tell how long a full queue takes.
+    NoBaseline,
     /// A full queue may take longer than the requests have waited.
     TooEarly,
     /// A response was seen after the probe was sent.
@@ -103,8 +105,10 @@
                 let is_gone = self.is_silent_long(now, rule) && self.is_heard(now, probe, rule);
                 return (!is_gone).then_some(KeepReason::OpeningsOnly);
             }
-            if !requests.any(|it| now.since(it.sent) >= required_age(it, rule)) {
-                return Some(KeepReason::TooEarly);
+            match requests.filter_map(|it| ripe_at(it, rule)).min() {
+                None => return Some(KeepReason::NoBaseline),
+                Some(at) if at > now => return Some(KeepReason::TooEarly),
+                Some(_) => {}
             }
         }
         if self.peer_response > sent - PEER_RESPONSE_WINDOW {
@@ -135,9 +139,9 @@
     /// other hosts have responses. A queue is no slower to one host than to others.
     pub(super) fn is_cut_off(&self, now: Millis, rule: Option<EvidenceRule<'_>>) -> bool {
         let waits_long = |it: &&Unanswered| {
-            let usual = rule.and_then(|rule| (rule.usual_wait)(&it.flow)).unwrap_or_default();
+            let usual = rule.and_then(|rule| (rule.usual_wait)(&it.flow));
             let is_open = it.established && !it.is_given_up;
-            is_open && now.since(it.sent) >= MAX_REQUEST_AGE.max(usual)
+            is_open && usual.is_some_and(|usual| now.since(it.sent) >= MAX_REQUEST_AGE.max(usual))
         };
         self.silent_probes + 1 >= MIN_CUT_PROBES
             && self.unanswered.iter().filter(waits_long).count() >= MIN_CUT_REQUESTS
@@ -247,7 +251,7 @@
     fn ripe_at(&self, rule: Option<EvidenceRule<'_>>) -> Option<Millis> {
         let rule = rule?;
         let requests = self.unanswered.iter().filter(|it| it.established);
-        requests.map(|it| it.sent + required_age(it, &rule)).min()
+        requests.filter_map(|it| ripe_at(it, &rule)).min()
     }
 
     pub(super) fn repeat_delay(&self) -> Millis {
@@ -256,7 +260,9 @@
     }
 }
 
-/// Returns how long a request must have waited to show more than a full queue does.
-fn required_age(it: &Unanswered, rule: &EvidenceRule<'_>) -> Millis {
-    (rule.usual_wait)(&it.flow).unwrap_or_default().clamp(MIN_REQUEST_AGE, MAX_REQUEST_AGE)
+/// Returns when a request will have waited long enough to show more than a full queue does, or `None`
+/// if this host does not know how long that takes.
+fn ripe_at(it: &Unanswered, rule: &EvidenceRule<'_>) -> Option<Millis> {
+    let usual = (rule.usual_wait)(&it.flow)?;
+    Some(it.sent + usual.clamp(MIN_REQUEST_AGE, MAX_REQUEST_AGE))
 }
--- a/crates/pomelorun-core/src/direct/observed_flows.rs
+++ b/crates/pomelorun-core/src/direct/observed_flows.rs
@@ -42,6 +42,9 @@
     pub unanswered_seq: u32,
     /// When the opening packet or the data without a response was forwarded.
     pub unanswered_since: Option<Millis>,
+    /// `true` while a request waits that this host may have seen late: the flow was opened through
+    /// another host, so its first packet here may be a retransmission.
+    pub(crate) seen_late: bool,
     /// `true` while a request waits whose time-out has passed.
     pub(crate) overdue: bool,
     /// The last request, until its response is assessed.
--- a/crates/pomelorun-core/src/direct/opening_retry.rs
+++ b/crates/pomelorun-core/src/direct/opening_retry.rs
@@ -65,6 +65,11 @@
         self.samples = self.samples.saturating_add(1);
     }
 
+    /// Returns the mean time in milliseconds.
+    pub(crate) fn mean_ms(&self) -> f64 {
+        self.mean_ms
+    }
+
     /// Returns the time after which an answer is overdue, or `None` if too few were observed.
     pub(crate) fn timeout(&self) -> Option<Millis> {
         let margin_ms = (OVERDUE_DEVIATIONS * self.deviation_ms).max(MIN_MARGIN_MS);
--- a/crates/pomelorun-core/tests/core/direct/fixtures.rs
+++ b/crates/pomelorun-core/tests/core/direct/fixtures.rs
@@ -79,6 +79,26 @@
     host
 }
 
+/// Returns a host as [`host`] does that knows how long answers take, from flows that are closed again.
+pub(crate) fn serving_host(upstreams: &[Announcement]) -> DirectHost {
+    let mut host = host(upstreams);
+    record_answers(&mut host, Millis(100));
+    host.take_events();
+    host
+}
+
+/// Has flows opened at `now`, each with a request that is answered after 6 ms, and closed again.
+pub(crate) fn record_answers(host: &mut DirectHost, now: Millis) {
+    for number in 59_000..59_008 {
+        let (_, token) = open_flow(host, now, flow(number));
+        host.handle_packet(now + Millis(4), &data_segment(flow(number), token, 1, 100, 50));
+        let answered = data_segment(flow(number), token, 51, 200, 0);
+        host.handle_packet(now + Millis(10), &answered);
+        let closed = Segment { kind: SegmentKind::Abort, ..answered };
+        host.handle_packet(now + Millis(11), &closed);
+    }
+}
+
 pub(crate) fn flow(number: u32) -> FlowKey {
     let caller_port = 1_024 + (number % 60_000) as u16;
     FlowKey { caller_ip: 0x6440_0000 + number / 60_000, caller_port, service: SERVICE }
--- a/crates/pomelorun/src/direct/event_log.rs
+++ b/crates/pomelorun/src/direct/event_log.rs
@@ -236,6 +236,7 @@
 fn keep_code(reason: KeepReason) -> (Code, &'static str) {
     match reason {
         KeepReason::OpeningsOnly => (Code::UPSTREAM_KEPT, "only openings wait"),
+        KeepReason::NoBaseline => (Code::UPSTREAM_KEPT, "too few answers seen to judge by"),
         KeepReason::TooEarly => (Code::UPSTREAM_KEPT, "a full queue may take longer"),
         KeepReason::AnsweredSince => (Code::UPSTREAM_KEPT, "it has answered meanwhile"),
         KeepReason::PeersPending => (Code::UPSTREAM_KEPT, "other hosts have not replied yet"),
