Count a request as evidence only while its caller sends it here

The request counted as evidence for 2 s after its last transmission, so a silent probe that an opening called for was enough.

Callers double the time between two transmissions. Once the next one is overdue by 150 ms, the request is no evidence here any more; the same holds for requests that show that this host's own path is cut.

The times of core direct::detection_times are unchanged.

--- a/crates/pomelorun-core/src/direct/liveness.rs
+++ b/crates/pomelorun-core/src/direct/liveness.rs
@@ -42,9 +42,10 @@
 pub(crate) const MIN_RETRANSMIT_GAP: Millis = Millis(150);
 /// Maximum number of flows for which an unanswered packet is held.
 const MAX_UNANSWERED: usize = 4;
-/// Age at which an unanswered packet no longer counts: the longest time between two transmissions of a
-/// packet. After a silent probe, a request of an open flow counts for as long since its last one.
+/// Age at which an unanswered packet no longer counts, and longest time between two transmissions of one.
 const UNANSWERED_MAX_AGE: Millis = Millis(2_000);
+/// Time by which a caller's retransmission may be late at this host.
+const RETRANSMIT_SLACK: Millis = Millis(150);
 /// Delay before an unreachable upstream is probed again, doubled after each probe.
 const PROBE_BACKOFF_MIN: Millis = Millis(500);
 /// Minimum time between two probes while callers have no other upstream.
@@ -80,10 +81,26 @@
     sent: Millis,
     /// When it last counted as unanswered.
     last_seen: Millis,
+    /// Time between its last two transmissions.
+    interval: Millis,
     /// `true` if its caller has closed the flow.
     is_given_up: bool,
 }
 
+impl Unanswered {
+    /// Returns when its next transmission is overdue: callers double the time between two of them. A
+    /// later one goes through another host, which alone sees the answer, or there is none any more.
+    fn expected_by(&self) -> Millis {
+        let next = self.interval + self.interval + RETRANSMIT_SLACK;
+        self.last_seen + next.min(UNANSWERED_MAX_AGE)
+    }
+
+    /// Returns `true` if it is a request that its caller still sends through this host.
+    fn is_waiting_request(&self, now: Millis) -> bool {
+        self.established && now < self.expected_by()
+    }
+}
+
 /// Reachability of an upstream from this host.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Reachability {
@@ -245,10 +262,14 @@
     /// packets.
     fn add_unanswered(&mut self, now: Millis, it: UnansweredPacket) {
         let UnansweredPacket { flow, established, sent } = it;
-        let it = Unanswered { flow, established, sent, last_seen: now, is_given_up: false };
+        let interval = now.since(sent);
+        let it =
+            Unanswered { flow, established, sent, last_seen: now, interval, is_given_up: false };
         if let Some(other) = self.unanswered.iter_mut().find(|other| other.flow == flow) {
             let (sent, is_given_up) = (other.sent.min(sent), other.is_given_up);
-            *other = Unanswered { sent, is_given_up, ..it };
+            // Two hosts' copies of one packet may arrive together.
+            let interval = other.interval.max(now.since(other.last_seen));
+            *other = Unanswered { sent, is_given_up, interval, ..it };
         } else if self.unanswered.len() < MAX_UNANSWERED {
             self.unanswered.push(it);
         } else if let Some(other) = self.unanswered.iter_mut().find(|other| !other.established)
@@ -492,7 +513,9 @@
     /// gets new flows again.
     pub(crate) fn expire_unanswered(&mut self, now: Millis) {
         let is_evidence = |it: &Unanswered| it.established && self.silent_probes > 0;
-        let counted_from = |it: &Unanswered| if is_evidence(it) { it.last_seen } else { it.sent };
-        self.unanswered.retain(|it| now.since(counted_from(it)) < UNANSWERED_MAX_AGE);
+        let expires = |it: &Unanswered| {
+            if is_evidence(it) { it.expected_by() } else { it.sent + UNANSWERED_MAX_AGE }
+        };
+        self.unanswered.retain(|it| now < expires(it));
     }
 }
--- a/crates/pomelorun-core/src/direct/liveness/evidence.rs
+++ b/crates/pomelorun-core/src/direct/liveness/evidence.rs
@@ -100,7 +100,8 @@
             return Some(KeepReason::AnsweredSince);
         }
         if self.zone_silent_since.is_none() {
-            let mut requests = self.unanswered.iter().filter(|it| it.established).peekable();
+            let mut requests =
+                self.unanswered.iter().filter(|it| it.is_waiting_request(now)).peekable();
             if requests.peek().is_none() {
                 let is_gone = self.is_silent_long(now, rule) && self.is_heard(now, probe, rule);
                 return (!is_gone).then_some(KeepReason::OpeningsOnly);
@@ -140,7 +141,7 @@
     pub(super) fn is_cut_off(&self, now: Millis, rule: Option<EvidenceRule<'_>>) -> bool {
         let waits_long = |it: &&Unanswered| {
             let usual = rule.and_then(|rule| (rule.usual_wait)(&it.flow));
-            let is_open = it.established && !it.is_given_up;
+            let is_open = it.is_waiting_request(now) && !it.is_given_up;
             is_open && usual.is_some_and(|usual| now.since(it.sent) >= MAX_REQUEST_AGE.max(usual))
         };
         self.silent_probes + 1 >= MIN_CUT_PROBES
--- a/crates/pomelorun-core/tests/core/direct/full_upstreams.rs
+++ b/crates/pomelorun-core/tests/core/direct/full_upstreams.rs
@@ -259,17 +259,17 @@
     assert_eq!(host.take_resets().len(), tokens.len());
 }
 
-/// Has upstream 2 answer twenty requests after 100 ms each, without a queue, within the first second.
-fn record_service_time(host: &mut DirectHost) {
+/// Has upstream 2 answer twenty requests, two at a time and without a queue.
+fn record_service_time(host: &mut DirectHost, service_ms: u64) {
     let token = Token::of(key(2));
     for number in 0..20u32 {
-        let (flow, start) = (flow(1_000 + number), u64::from(number / 2) * 100);
+        let (flow, start) = (flow(1_000 + number), u64::from(number / 2) * service_ms);
         host.handle_packet(Millis(start), &data_segment(flow, token, 1, 100, 0));
         host.handle_packet(Millis(start), &data_segment(flow, token, 1, 100, 50));
         if number % 2 == 1 {
             for it in [number - 1, number] {
                 let answered = data_segment(self::flow(1_000 + it), token, 51, 200, 0);
-                host.handle_packet(Millis(start + 100), &answered);
+                host.handle_packet(Millis(start + service_ms), &answered);
             }
         }
     }
@@ -278,7 +278,7 @@
 #[test]
 fn request_counts_only_once_it_has_waited_longer_than_usual() {
     let mut host = host(&[announcement(1, LOCAL_ZONE), announcement(2, LOCAL_ZONE)]);
-    record_service_time(&mut host);
+    record_service_time(&mut host, 100);
     let token = Token::of(key(1));
     // Answers take 500 ms, since the queue is full.
     for number in 0..40 {
@@ -517,7 +517,7 @@
 /// 2,520 ms.
 fn host_with_postponed_judgement() -> DirectHost {
     let mut host = host(&[announcement(1, LOCAL_ZONE), announcement(2, LOCAL_ZONE)]);
-    record_service_time(&mut host);
+    record_service_time(&mut host, 100);
     let token = Token::of(key(1));
     for (start, seq, ack, len) in [(1_000, 1, 100, 0), (1_000, 1, 100, 50), (1_500, 51, 200, 0)] {
         for number in 0..40 {
@@ -715,6 +715,40 @@
     assert_eq!(resets_after_a_takeover(serving), 0, "it knows the time without a queue");
 }
 
+// Guards against resets of a full upstream's flows by a host that has passed them back to another one.
+#[test]
+fn request_whose_caller_sends_through_another_host_by_now_is_no_evidence() {
+    const START: u64 = 4_000;
+    let mut host = host(&[announcement(1, LOCAL_ZONE), announcement(2, LOCAL_ZONE)]);
+    record_service_time(&mut host, 300);
+    let request = data_segment(flow(900), Token::of(key(1)), 1, 100, 50);
+    host.handle_packet(Millis(START), &Segment { len: 0, ..request });
+    let mut probes = VecDeque::new();
+    for now in (START..START + 5_000).step_by(10) {
+        // The retransmission after 600 ms goes through another host, and so do the answer and what
+        // follows. Only openings come here, which stay in the full accept queue like the probes.
+        if [START, START + 200].contains(&now) {
+            host.handle_packet(Millis(now), &request);
+        }
+        host.handle_packet(Millis(now), &open_segment(flow(now as u32), 0));
+        host.retry_openings(Millis(now + 5));
+        if now % 50 == 0 {
+            host.tick(Millis(now));
+        }
+        for it in host.take_probes() {
+            if it.upstream == key(1) {
+                probes.push_back((now + PROBE_TIMEOUT, it.upstream));
+            } else {
+                host.apply_probe_result(Millis(now), it.upstream, ProbeResult::Answered);
+            }
+        }
+        while let Some((_, it)) = probes.pop_front_if(|it| it.0 <= now) {
+            host.apply_probe_result(Millis(now), it, ProbeResult::NoResponse);
+        }
+        assert_eq!(host.take_resets().len(), 0, "at {now} ms");
+    }
+}
+
 #[test]
 fn lost_result_of_a_repeated_probe_is_replaced_by_another_probe() {
     let mut host = host_with_flows().0;
