Accept fractions for all numbers of the settings of direct return

DirectBounds read flow_lifetime_s, announce_every_ms and memory_mb as whole numbers, and one invalid value makes the whole file invalid.

All six are read as fractions and rounded where they are used.

--- a/crates/pomelorun/src/direct/settings.rs
+++ b/crates/pomelorun/src/direct/settings.rs
@@ -16,13 +16,14 @@
 
 use crate::settings::{LogSettings, SettingsError, parse_json, read_file};
 
-/// Limits and intervals that the platform guarantees or requires.
+/// Limits and intervals that the platform guarantees or requires. The platform may give any of them as a
+/// fraction.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, rename_all = "snake_case")]
 pub struct DirectBounds {
     /// Interval at which an upstream announces itself to the directory, in milliseconds.
     #[serde(rename = "announce_every_ms")]
-    pub announce_interval_ms: u64,
+    pub announce_interval_ms: f64,
     /// Factor by which the rate that a service configures for a cold upstream is multiplied to get
     /// the limit on new flows.
     #[serde(rename = "cold_over")]
@@ -30,11 +31,11 @@
     /// New flows per second that a cold upstream may get on top of the multiplied rate.
     pub cold_slack: f64,
     /// Maximum lifetime of a flow, in seconds.
-    pub flow_lifetime_s: u64,
+    pub flow_lifetime_s: f64,
     /// Time from the signal to stop until the process is killed, in seconds.
     pub grace_s: f64,
     /// Memory limit of the process, in mebibytes.
-    pub memory_mb: u64,
+    pub memory_mb: f64,
 }
 
 /// Contents of the settings file.
@@ -65,9 +66,11 @@
 }
 
 /// The flow table may use the memory limit divided by this.
-const FLOW_MEMORY_DIVISOR: u64 = 4;
+const FLOW_MEMORY_DIVISOR: f64 = 4.0;
 /// Bytes per flow, including the overhead of the table.
-const BYTES_PER_FLOW: u64 = 128;
+const BYTES_PER_FLOW: f64 = 128.0;
+/// Bytes of a mebibyte.
+const MEBIBYTE: f64 = 1_048_576.0;
 /// Interval of the membership probes. The loss of a reader is noticed earlier, by its feed.
 const PROBE_PERIOD: Millis = Millis(500);
 /// Time within which the directory lists an upstream again whose announcement lapsed while the
@@ -110,12 +113,12 @@
         }
         let bounds = &file.bounds;
         let ranges = [
-            ("bounds.announce_every_ms", bounds.announce_interval_ms as f64, 10.0, 600_000.0),
+            ("bounds.announce_every_ms", bounds.announce_interval_ms, 10.0, 600_000.0),
             ("bounds.cold_over", bounds.cold_rate_factor, 0.0, 1_000.0),
             ("bounds.cold_slack", bounds.cold_slack, 0.0, 1_000_000.0),
-            ("bounds.flow_lifetime_s", bounds.flow_lifetime_s as f64, 1.0, 604_800.0),
+            ("bounds.flow_lifetime_s", bounds.flow_lifetime_s, 1.0, 604_800.0),
             ("bounds.grace_s", bounds.grace_s, 0.1, 3_600.0),
-            ("bounds.memory_mb", bounds.memory_mb as f64, 16.0, 1_048_576.0),
+            ("bounds.memory_mb", bounds.memory_mb, 16.0, 1_048_576.0),
         ];
         for (path, value, min, max) in ranges {
             if !(min..=max).contains(&value) {
@@ -178,15 +181,15 @@
     /// Returns the settings of the decision core.
     pub(crate) fn direct_settings(&self) -> DirectSettings {
         let bounds = &self.bounds;
-        let max_flows = bounds.memory_mb * (1 << 20) / FLOW_MEMORY_DIVISOR / BYTES_PER_FLOW;
+        let max_flows = bounds.memory_mb * MEBIBYTE / FLOW_MEMORY_DIVISOR / BYTES_PER_FLOW;
         DirectSettings {
             host: host_at(*self.packets.ip()),
             zone: ZoneId::from_name(&self.zone),
-            max_flows: usize::try_from(max_flows).unwrap_or(usize::MAX),
+            max_flows: max_flows as usize,
             cold: ColdLimit { rate_factor: bounds.cold_rate_factor, slack: bounds.cold_slack },
-            announce_interval: Millis(bounds.announce_interval_ms),
+            announce_interval: Millis(bounds.announce_interval_ms.ceil() as u64),
             lapse_grace: LAPSE_GRACE,
-            flow_lifetime: Millis(bounds.flow_lifetime_s * 1_000),
+            flow_lifetime: Millis((bounds.flow_lifetime_s * 1_000.0) as u64),
             directory_max_age: DIRECTORY_MAX_AGE,
             disabled: Disabled::default(),
         }
--- a/crates/pomelorun/tests/daemon/golden.rs
+++ b/crates/pomelorun/tests/daemon/golden.rs
@@ -275,7 +275,7 @@
 
 #[test]
 fn a_full_settings_file_of_direct_return_keeps_its_fields() {
-    let golden = r#"{"host":"bog-a-1","zone":"bog-a","packets":"127.0.0.1:7000","ready":"127.0.0.1:7001","control":"127.0.0.1:7002","seeds":["127.0.0.1:7003"],"peer_ports":[7100,7199],"directory":"127.0.0.1:7004","bounds":{"announce_every_ms":500,"cold_over":1.5,"cold_slack":2.5,"flow_lifetime_s":3600,"grace_s":10.5,"memory_mb":256},"log":{"level":"debug","format":"text"}}"#;
+    let golden = r#"{"host":"bog-a-1","zone":"bog-a","packets":"127.0.0.1:7000","ready":"127.0.0.1:7001","control":"127.0.0.1:7002","seeds":["127.0.0.1:7003"],"peer_ports":[7100,7199],"directory":"127.0.0.1:7004","bounds":{"announce_every_ms":500.5,"cold_over":1.5,"cold_slack":2.5,"flow_lifetime_s":3600.5,"grace_s":10.5,"memory_mb":256.5},"log":{"level":"debug","format":"text"}}"#;
     let file = DirectSettingsFile::parse("s.json", golden).unwrap();
     check(&file, golden);
     assert_eq!((file.host.as_str(), file.zone.as_str()), ("bog-a-1", "bog-a"));
@@ -283,8 +283,8 @@
     assert_eq!(ports.map(|it| it.port()), [7_000, 7_001, 7_002, 7_003, 7_004]);
     assert_eq!(file.peer_ports, [7_100, 7_199]);
     let bounds = &file.bounds;
-    assert_eq!((bounds.announce_interval_ms, bounds.flow_lifetime_s), (500, 3_600));
+    assert_eq!((bounds.announce_interval_ms, bounds.flow_lifetime_s), (500.5, 3_600.5));
     assert_eq!((bounds.cold_rate_factor, bounds.cold_slack, bounds.grace_s), (1.5, 2.5, 10.5));
-    assert_eq!(bounds.memory_mb, 256);
+    assert_eq!(bounds.memory_mb, 256.5);
     assert_eq!((file.log.level.as_str(), file.log.format), ("debug", LogFormat::Text));
 }
