End no upstream for an announcement of an unknown service

Registry::add ends the older instances at an address whatever service the new one is of, and an ended instance stays ended.

An announcement ends others, by address or identifier, only if the active revision names its service. When a later revision does, the instance takes its address then.

Addresses used again by a named service are still seen at once (address_reuse_by_another_upstream_terminates_the_previous_one, which now names the second service in its revision, and address_belongs_to_the_later_upstream_once_a_revision_names_its_service).

--- a/crates/pomelorun-core/src/direct/event.rs
+++ b/crates/pomelorun-core/src/direct/event.rs
@@ -71,6 +71,8 @@
 pub enum LifecycleChange {
     /// It was announced for the first time.
     Announced,
+    /// It was announced for the first time, for a service that the active revision does not name.
+    Unconfigured,
     /// Its announcement changed, or it was announced again after a lapse.
     Changed,
     /// It started to drain.
--- a/crates/pomelorun-core/src/direct/host/directory.rs
+++ b/crates/pomelorun-core/src/direct/host/directory.rs
@@ -9,7 +9,7 @@
         directory_merge::{ListingState, UpstreamMerge, merge_upstream},
         event::{DirectEvent, LifecycleChange},
         host::{DirectHost, DirectoryState, DirectoryUpdate, ReplicatedUpdate, UpstreamState},
-        registry::{Announcement, RegistryChange, UpstreamIx},
+        registry::{Announcement, RegistryChange, ServiceStatus, UpstreamIx},
         routing::{Routing, RoutingChange},
         token::Token,
     },
@@ -206,7 +206,7 @@
         match it {
             DirectoryUpdate::Upstream(announcement) => self.apply_announcement(now, announcement),
             DirectoryUpdate::UpstreamRemoved(id) => self.apply_removal(now, *id),
-            DirectoryUpdate::Routing(routing) => self.apply_routing(routing),
+            DirectoryUpdate::Routing(routing) => self.apply_routing(now, routing),
             DirectoryUpdate::ZoneWithdrawn(zone) => self.withdraw_zone(*zone),
             DirectoryUpdate::ZoneRestored(zone) => self.restore_zone(now, *zone),
         }
@@ -217,8 +217,12 @@
         let was_draining = previous
             .and_then(|ix| self.registry.get(ix))
             .is_some_and(|it| it.announcement.key == announcement.key && it.announcement.draining);
-        let (ix, change) = match self.registry.announce(now, announcement) {
+        let service = self.service_status(&announcement.service);
+        let (ix, change) = match self.registry.announce(now, announcement, service) {
             RegistryChange::Unchanged => return,
+            RegistryChange::Added(ix) if service == ServiceStatus::Unknown => {
+                (ix, LifecycleChange::Unconfigured)
+            }
             RegistryChange::Added(ix) => (ix, LifecycleChange::Announced),
             RegistryChange::Updated(ix) if announcement.draining && !was_draining => {
                 (ix, LifecycleChange::Draining)
@@ -231,11 +235,20 @@
             change,
             cold_left: announcement.cold_left,
         });
-        if change == LifecycleChange::Announced {
+        if matches!(change, LifecycleChange::Announced | LifecycleChange::Unconfigured) {
             self.reset_upstream_state(now, ix);
         }
     }
 
+    /// Returns whether the active revision names a service.
+    pub(super) fn service_status(&self, service: &str) -> ServiceStatus {
+        if self.routing.names_service(service) {
+            ServiceStatus::Configured
+        } else {
+            ServiceStatus::Unknown
+        }
+    }
+
     /// Clears the state at the position of a new upstream instance, and resets the flows of the
     /// instances that it replaces.
     pub(super) fn reset_upstream_state(&mut self, now: Millis, ix: UpstreamIx) {
@@ -259,11 +272,18 @@
         }
     }
 
-    pub(super) fn apply_routing(&mut self, routing: &Arc<Routing>) {
+    pub(super) fn apply_routing(&mut self, now: Millis, routing: &Arc<Routing>) {
         if routing.revision <= self.routing.revision {
             return;
         }
-        self.routing = Arc::clone(routing);
+        let previous = std::mem::replace(&mut self.routing, Arc::clone(routing));
+        let services = self.registry.service_names();
+        let is_new = |it: &&str| routing.names_service(it) && !previous.names_service(it);
+        let new_services: Vec<String> = services.filter(is_new).map(str::to_owned).collect();
+        for it in &new_services {
+            self.registry.claim_addresses(it);
+        }
+        self.reset_flows_of_ended(now);
         self.outcomes.retain(routing);
         self.answer_times.retain(routing);
         self.answers_by_route.retain(routing);
--- a/crates/pomelorun-core/src/direct/host/token_queries.rs
+++ b/crates/pomelorun-core/src/direct/host/token_queries.rs
@@ -152,7 +152,8 @@
     /// gets no new ones.
     fn add_learned_upstream(&mut self, now: Millis, announcement: &Announcement) {
         let token = Token::of(announcement.key);
-        let RegistryChange::Added(ix) = self.registry.announce(now, announcement) else {
+        let service = self.service_status(&announcement.service);
+        let RegistryChange::Added(ix) = self.registry.announce(now, announcement, service) else {
             // A later instance has its identifier, so this one has ended.
             self.reset_token_flows(now, token);
             return;
--- a/crates/pomelorun-core/src/direct/registry.rs
+++ b/crates/pomelorun-core/src/direct/registry.rs
@@ -113,6 +113,18 @@
     Updated(UpstreamIx),
 }
 
+/// Whether the active revision names the service of an announcement.
+///
+/// The directory may hold entries of others, such as an agent on an upstream's machine. An instance of a
+/// service that is not named gets no flows, and its announcement ends no other instance.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ServiceStatus {
+    /// The revision names the service.
+    Configured,
+    /// It does not, or there is no revision yet.
+    Unknown,
+}
+
 /// Upstream instances, indexed by token, identifier, service and address.
 #[derive(Debug, Default)]
 pub struct Registry {
@@ -188,7 +200,14 @@
     }
 
     /// Applies an announcement.
-    pub(crate) fn announce(&mut self, now: Millis, announcement: &Announcement) -> RegistryChange {
+    ///
+    /// One of an unknown service under the identifier of a registered instance is ignored.
+    pub(crate) fn announce(
+        &mut self,
+        now: Millis,
+        announcement: &Announcement,
+        service: ServiceStatus,
+    ) -> RegistryChange {
         match self.by_id(announcement.key.id) {
             Some(ix) if self.get(ix).is_some_and(|it| it.announcement.key == announcement.key) => {
                 self.update(now, ix, announcement)
@@ -201,15 +220,30 @@
             {
                 RegistryChange::Unchanged
             }
+            Some(_) if service == ServiceStatus::Unknown => RegistryChange::Unchanged,
             Some(ix) => {
                 self.mark_lapsed(now, ix);
                 self.mark_ended(ix);
-                self.add(now, announcement)
+                self.add(now, announcement, service)
             }
-            None => self.add(now, announcement),
+            None => self.add(now, announcement, service),
         }
     }
 
+    /// Gives the instances of a service that has become known the addresses that they announce.
+    pub(crate) fn claim_addresses(&mut self, service: &str) {
+        for ix in self.by_service(service).to_vec() {
+            let Some(it) = self.get(ix).filter(|it| !it.ended) else { continue };
+            let (addr, key) = (it.announcement.addr, it.announcement.key);
+            self.end_older_at(addr, key);
+        }
+    }
+
+    /// Returns the names of the services that instances announce, sorted.
+    pub(crate) fn service_names(&self) -> impl Iterator<Item = &str> {
+        self.services.iter().map(|it| it.0.as_str())
+    }
+
     /// Marks the announcement of an instance as expired. Returns `true` if it was valid until now.
     pub(crate) fn mark_lapsed(&mut self, now: Millis, ix: UpstreamIx) -> bool {
         let Some(it) = self.get_mut(ix) else { return false };
@@ -283,8 +317,15 @@
         if same { RegistryChange::Unchanged } else { RegistryChange::Updated(ix) }
     }
 
-    fn add(&mut self, now: Millis, announcement: &Announcement) -> RegistryChange {
-        self.end_older_at(announcement.addr, announcement.key);
+    fn add(
+        &mut self,
+        now: Millis,
+        announcement: &Announcement,
+        service: ServiceStatus,
+    ) -> RegistryChange {
+        if service == ServiceStatus::Configured {
+            self.end_older_at(announcement.addr, announcement.key);
+        }
         let token = Token::of(announcement.key);
         let cold_until = if announcement.cold_left > Millis(0) {
             now + announcement.cold_left
--- a/crates/pomelorun-core/src/direct/routing.rs
+++ b/crates/pomelorun-core/src/direct/routing.rs
@@ -126,6 +126,13 @@
         Some(&self.limits[at])
     }
 
+    /// Returns `true` if the revision names a service.
+    pub(crate) fn names_service(&self, service: &str) -> bool {
+        let is_target =
+            || self.routes.iter().flat_map(|it| &it.targets).any(|it| it.service == service);
+        self.limits(service).is_some() || is_target()
+    }
+
     /// Returns all routes, sorted by address.
     pub fn routes(&self) -> &[DirectRoute] {
         &self.routes
--- a/crates/pomelorun-core/tests/core/direct/registry.rs
+++ b/crates/pomelorun-core/tests/core/direct/registry.rs
@@ -2,12 +2,13 @@
 
 use pomelorun_core::{
     Millis,
-    direct::{DirectHost, DirectoryUpdate, Token, UpstreamKey, Verdict},
+    direct::{Announcement, DirectHost, DirectoryUpdate, Token, UpstreamKey, Verdict},
 };
+use pomelorun_wire::ServiceAddr;
 
 use crate::direct::fixtures::{
-    LOCAL_ZONE, addr, announcement, data_segment, flow, forwarded_to, host, key, open_flow,
-    open_segment, settings,
+    LOCAL_ZONE, SERVICE, addr, announcement, data_segment, flow, forwarded_to, host, key,
+    open_flow, open_segment, route, routing, settings,
 };
 
 #[test]
@@ -85,6 +86,8 @@
 #[test]
 fn address_reuse_by_another_upstream_terminates_the_previous_one() {
     let mut host = host(&[announcement(1, LOCAL_ZONE)]);
+    let reports = route(ServiceAddr { port: 444, ..SERVICE }, "reports");
+    host.apply_update(Millis(5), &routing(2, vec![route(SERVICE, "feed"), reports]));
     let (_, token) = open_flow(&mut host, Millis(10), flow(1));
     let mut next = announcement(2, LOCAL_ZONE);
     next.service = "reports".to_owned();
@@ -147,3 +150,43 @@
     let verdict = host.handle_packet(Millis(20), &data_segment(flow, unknown_token, 1, 100, 60));
     assert_eq!(verdict, Verdict::Drop);
 }
+
+/// Returns a later announcement of another service at the address of upstream 1.
+fn foreign_announcement(id: u64) -> Announcement {
+    let key = UpstreamKey { id, started_at: 9_000 };
+    Announcement { key, service: "agent".to_owned(), addr: addr(1), ..announcement(id, LOCAL_ZONE) }
+}
+
+// Guards against resets and lost upstreams through an entry of another writer in the directory.
+#[test]
+fn announcement_of_an_unknown_service_ends_no_upstream_at_its_address_or_id() {
+    for id in [1, 77] {
+        let mut host = host(&[announcement(1, LOCAL_ZONE)]);
+        let (_, token) = open_flow(&mut host, Millis(10), flow(1));
+        let foreign = DirectoryUpdate::Upstream(foreign_announcement(id));
+        host.apply_update(Millis(20), &foreign);
+        assert_eq!(host.take_resets(), vec![], "id {id}");
+        let to = host.handle_packet(Millis(30), &data_segment(flow(1), token, 1, 200, 10));
+        assert_eq!(forwarded_to(to), Some((1, token)), "id {id}");
+        assert_eq!(open_flow(&mut host, Millis(40), flow(2)), (1, token), "id {id}");
+    }
+}
+
+#[test]
+fn address_belongs_to_the_later_upstream_once_a_revision_names_its_service() {
+    let mut host = host(&[announcement(1, LOCAL_ZONE)]);
+    open_flow(&mut host, Millis(10), flow(1));
+    host.apply_update(Millis(20), &DirectoryUpdate::Upstream(foreign_announcement(77)));
+    let other = ServiceAddr { port: 444, ..SERVICE };
+    let routes = vec![route(SERVICE, "feed"), route(other, "agent")];
+    host.apply_update(Millis(30), &routing(2, routes));
+    assert_eq!(host.take_resets().len(), 1);
+    let to = host.handle_packet(Millis(40), &open_segment(flow(2), 0));
+    assert_eq!(forwarded_to(to), None, "the upstream at the address is gone");
+    // An announcement of a known service takes the address at once.
+    let mut newest = foreign_announcement(78);
+    newest.key.started_at += 1;
+    newest.service = "feed".to_owned();
+    host.apply_update(Millis(50), &DirectoryUpdate::Upstream(newest));
+    assert_eq!(open_flow(&mut host, Millis(60), flow(3)).0, 78);
+}
--- a/crates/pomelorun/src/direct/event_log.rs
+++ b/crates/pomelorun/src/direct/event_log.rs
@@ -248,6 +248,9 @@
 fn lifecycle_code(change: LifecycleChange) -> (Code, &'static str) {
     match change {
         LifecycleChange::Announced => (Code::UPSTREAM_ANNOUNCED, "announced"),
+        LifecycleChange::Unconfigured => {
+            (Code::UPSTREAM_ANNOUNCED, "announced, but no service of the revision")
+        }
         LifecycleChange::Changed => (Code::UPSTREAM_CHANGED, "changed"),
         LifecycleChange::Draining => (Code::UPSTREAM_DRAINING, "draining"),
         LifecycleChange::Lapsed => (Code::UPSTREAM_LAPSED, "lapsed"),
