Bound what the log says of unreadable directory entries

Other operators report that one odd entry of another writer ended the processes that read the directory, or stopped them following it.

--- a/crates/pomelorun/src/direct/edge.rs
+++ b/crates/pomelorun/src/direct/edge.rs
@@ -61,6 +61,7 @@
     malformed: u64,
     /// Messages of other hosts that could not be decoded.
     unreadable_messages: u64,
+    unreadable_entries: u64,
     /// Bytes of messages about load that were sent.
     load_bytes: u64,
     receive_syscalls: u64,
@@ -142,6 +143,7 @@
     pub(crate) core: DirectStats,
     pub(crate) malformed: u64,
     pub(crate) unreadable_messages: u64,
+    pub(crate) unreadable_entries: u64,
     /// Bytes of messages about load that were sent.
     pub(crate) load_bytes: u64,
     /// Number of hosts whose load is known.
@@ -190,6 +192,7 @@
             core: self.host.stats(),
             malformed: self.malformed,
             unreadable_messages: self.unreadable_messages,
+            unreadable_entries: self.unreadable_entries,
             load_bytes: self.load_bytes,
             load_hosts: self.host.load_hosts(now()),
             unsent: self.out.dropped(),
@@ -343,6 +346,14 @@
         self.load_bytes += bytes as u64;
     }
 
+    /// Counts and logs entries of the directory that cannot be read, each with its key and the reason.
+    pub(crate) fn record_unreadable_entries(&mut self, entries: &[String]) {
+        self.unreadable_entries += entries.len() as u64;
+        for it in entries {
+            self.event_log.log_unreadable_entry(it);
+        }
+    }
+
     /// Counts and logs a message of another host that cannot be decoded.
     pub(crate) fn record_unreadable(&mut self, from: HostId, error: &CodecError) {
         self.unreadable_messages += 1;
@@ -578,6 +589,7 @@
             out: SendQueue::new(),
             malformed: 0,
             unreadable_messages: 0,
+            unreadable_entries: 0,
             load_bytes: 0,
             receive_syscalls: 0,
             leaving: false,
--- a/crates/pomelorun/src/direct/event_log.rs
+++ b/crates/pomelorun/src/direct/event_log.rs
@@ -23,6 +23,9 @@
 /// Maximum lines per second for messages of other hosts that cannot be decoded, which a host of
 /// another version may send all the time.
 const MAX_UNREADABLE_PER_S: u32 = 1;
+/// Maximum lines per second for entries of the directory that cannot be read, which may stand on each page
+/// and change all the time.
+const MAX_UNREADABLE_ENTRIES_PER_S: u32 = 5;
 /// Maximum lines per second for openings that are rejected for lack of room, of which there are
 /// thousands a second while it lasts.
 const MAX_REJECTED_PER_S: u32 = 5;
@@ -35,6 +38,7 @@
     opened: LineLimiter,
     malformed: LineLimiter,
     unreadable: LineLimiter,
+    unreadable_entries: LineLimiter,
     rejected: LineLimiter,
     window_start: Millis,
 }
@@ -83,6 +87,15 @@
         }
     }
 
+    /// Logs an entry of the directory that cannot be read, subject to the rate limit.
+    pub(crate) fn log_unreadable_entry(&mut self, entry: &str) {
+        if self.unreadable_entries.admit(MAX_UNREADABLE_ENTRIES_PER_S) {
+            warn!("directory entry ignored", kv: {
+                code = Code::ENTRY_UNREADABLE.to_string(), entry
+            });
+        }
+    }
+
     /// Logs an event; lines for flows that open at the first attempt are rate-limited.
     pub(crate) fn log_event(&mut self, event: &DirectEvent) {
         match event {
@@ -201,11 +214,12 @@
             let opened = self.opened.start_window();
             let malformed = self.malformed.start_window();
             let unreadable = self.unreadable.start_window();
+            let entries = self.unreadable_entries.start_window();
             let rejected = self.rejected.start_window();
-            if opened + malformed + unreadable + rejected > 0 {
+            if opened + malformed + unreadable + entries + rejected > 0 {
                 info!("log lines suppressed", kv: {
                     code = Code::LOG_LINES_SUPPRESSED.to_string(), opened, malformed,
-                    unreadable, rejected
+                    unreadable, entries, rejected
                 });
             }
         }
--- a/crates/pomelorun/src/direct/metrics.rs
+++ b/crates/pomelorun/src/direct/metrics.rs
@@ -20,7 +20,7 @@
 
 /// Name, help text and value of each counter. `docs/operators/metrics.md` says what to do when one
 /// rises.
-const COUNTERS: [(&str, &str, ReadCount); 27] = [
+const COUNTERS: [(&str, &str, ReadCount); 28] = [
     ("pomelorun_packets_forwarded", "Packets forwarded to upstreams", |it| it.core.forwarded),
     ("pomelorun_flows_opened", "Flows opened, not counting retransmitted opening packets", |it| {
         it.core.opened
@@ -106,6 +106,9 @@
     ("pomelorun_peer_unreadable", "Datagrams of other hosts that cannot be decoded", |it| {
         it.unreadable_messages
     }),
+    ("pomelorun_directory_unreadable", "Entries of the directory that cannot be read", |it| {
+        it.unreadable_entries
+    }),
     ("pomelorun_probes", "Probes sent to upstreams", |it| it.core.probes),
     (
         "pomelorun_log_lines_dropped",
--- a/crates/pomelorun/src/direct/reader.rs
+++ b/crates/pomelorun/src/direct/reader.rs
@@ -168,7 +168,7 @@
         ResponseEra::Older => return Ok(drop_obsolete(sync.known_position(), first.position)),
     }
     cx.edge.borrow_mut().set_directory_state(DirectoryState::Available);
-    log_unreadable(&first.unreadable);
+    cx.edge.borrow_mut().record_unreadable_entries(&first.unreadable);
     let (position, mut next, mut items) = (first.position, first.next, first.items);
     let mut applied = 0;
     while let Some(after) = next {
@@ -178,7 +178,7 @@
         if page.position.era != position.era {
             return Ok(SyncOutcome::HistoryExpired);
         }
-        log_unreadable(&page.unreadable);
+        cx.edge.borrow_mut().record_unreadable_entries(&page.unreadable);
         items.extend(page.items);
         next = page.next;
     }
@@ -202,7 +202,7 @@
         ResponseEra::Newer => return Ok(SyncOutcome::HistoryExpired),
         ResponseEra::Older => return Ok(drop_obsolete(sync.known_position(), it.position)),
     }
-    log_unreadable(&it.unreadable);
+    cx.edge.borrow_mut().record_unreadable_entries(&it.unreadable);
     let events = !it.items.is_empty();
     let replicated = {
         let mut edge = cx.edge.borrow_mut();
@@ -414,14 +414,6 @@
     SyncOutcome::Failed
 }
 
-fn log_unreadable(entries: &[String]) {
-    for it in entries {
-        warn!("directory entry ignored", kv: {
-            code = Code::ENTRY_UNREADABLE.to_string(), entry = it.as_str()
-        });
-    }
-}
-
 fn millis(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
