Ask for as much evidence as answers take, without a bound of a second

A request counted as evidence once it had waited for 1 s, however long the answers of its service take.

The bound is gone: a request must have waited for as long as answers usually take with four deviations, and for five usual times without a queue.

An upstream of such a service that goes dark is found after 1.5 s instead of 1.0 at 300 ms, after 7.5 s at 1.5 s. Up to 200 ms nothing changes.

--- a/crates/pomelorun-core/src/direct/liveness/evidence.rs
+++ b/crates/pomelorun-core/src/direct/liveness/evidence.rs
@@ -11,8 +11,10 @@
 /// Minimum time for which a request must have waited for a silent probe to count: a retransmission
 /// interval of callers and most of a probe.
 const MIN_REQUEST_AGE: Millis = Millis(300);
-/// Maximum time for which a request must have waited, however late upstreams answer.
-const MAX_REQUEST_AGE: Millis = Millis(1_000);
+/// Minimum time for which requests must have waited to show that this host's own path is cut.
+const MIN_CUT_AGE: Millis = Millis(1_000);
+/// Time through a full queue that a silence is measured by if too few answers were observed.
+const UNKNOWN_QUEUE_TIME: Millis = Millis(1_000);
 /// Time before a probe was sent within which another host's response counts: a probe's time-out.
 /// Requests that were answered earlier may have been the last ones before the upstream failed.
 const PEER_RESPONSE_WINDOW: Millis = Millis(150);
@@ -131,7 +133,7 @@
     fn is_silent_long(&self, now: Millis, rule: &EvidenceRule<'_>) -> bool {
         let Some(it) = self.silence.filter(|_| self.is_silent()) else { return false };
         let usual = self.unanswered.first().and_then(|it| (rule.usual_wait)(&it.flow));
-        let usual = usual.unwrap_or(MAX_REQUEST_AGE);
+        let usual = usual.unwrap_or(UNKNOWN_QUEUE_TIME);
         let required = Millis(usual.0 * MIN_SILENCE_ANSWERS).max(MIN_SILENCE);
         rule.peers > 0 && it.hosts_asked >= rule.peers && now.since(it.since) >= required
     }
@@ -142,7 +144,7 @@
         let waits_long = |it: &&Unanswered| {
             let usual = rule.and_then(|rule| (rule.usual_wait)(&it.flow));
             let is_open = it.is_waiting_request(now) && !it.is_given_up;
-            is_open && usual.is_some_and(|usual| now.since(it.sent) >= MAX_REQUEST_AGE.max(usual))
+            is_open && usual.is_some_and(|usual| now.since(it.sent) >= MIN_CUT_AGE.max(usual))
         };
         self.silent_probes + 1 >= MIN_CUT_PROBES
             && self.unanswered.iter().filter(waits_long).count() >= MIN_CUT_REQUESTS
@@ -265,5 +267,5 @@
 /// if this host does not know how long that takes.
 fn ripe_at(it: &Unanswered, rule: &EvidenceRule<'_>) -> Option<Millis> {
     let usual = (rule.usual_wait)(&it.flow)?;
-    Some(it.sent + usual.clamp(MIN_REQUEST_AGE, MAX_REQUEST_AGE))
+    Some(it.sent + usual.max(MIN_REQUEST_AGE))
 }
