Let a verdict on an upstream reset flows only while it is recent

An unreachable upstream stays so until an identifying probe is answered within 500 ms, which a busy one does not do, and every packet of its flows was answered with a reset.

A verdict resets flows for 2 s after the last evidence, the longest time between two transmissions of a packet. Afterwards the upstream gets no new flows, but packets of open ones are forwarded and observed: new evidence renews the verdict, a response ends it, and an accepted connection calls for the identifier at once.

A flow of an upstream that is still gone is reset after one retransmission and one probe (old_verdict_is_renewed_by_new_evidence).

--- a/crates/pomelorun-core/src/direct/host.rs
+++ b/crates/pomelorun-core/src/direct/host.rs
@@ -599,7 +599,7 @@
         let owner = self.packet_owner(now, seg, Some(ix));
         let ended = self.registry.get(ix).is_some_and(|it| it.ended);
         if seg.kind != SegmentKind::Abort
-            && (ended || matches!(self.reachability(ix), Reachability::Unreachable { .. }))
+            && (ended || self.upstream_states[ix.0 as usize].liveness.has_verdict(now))
         {
             let reason = if ended { ResetReason::Ended } else { ResetReason::Unreachable };
             self.remove_broken_flow(&seg.flow, owner);
--- a/crates/pomelorun-core/src/direct/host/failure_detection.rs
+++ b/crates/pomelorun-core/src/direct/host/failure_detection.rs
@@ -104,9 +104,7 @@
             let waited = Millis(u64::from(waited_ms));
             let liveness = &self.upstream_states[ix.0 as usize].liveness;
             let responded_since = now.since(liveness.last_response()) < waited;
-            if !responded_since
-                && !matches!(liveness.reachability(), Reachability::Unreachable { .. })
-            {
+            if !responded_since && !liveness.has_verdict(now) {
                 self.mark_unreachable(now, ix, waited, true);
             }
         }
--- a/crates/pomelorun-core/src/direct/liveness.rs
+++ b/crates/pomelorun-core/src/direct/liveness.rs
@@ -44,6 +44,9 @@
 const MAX_UNANSWERED: usize = 4;
 /// Age at which an unanswered packet no longer counts, and longest time between two transmissions of one.
 const UNANSWERED_MAX_AGE: Millis = Millis(2_000);
+/// Age at which a verdict resets no more flows: packets that still come are not those of callers that were
+/// reset, which send again sooner. They may be of flows that other hosts have served since.
+const VERDICT_MAX_AGE: Millis = UNANSWERED_MAX_AGE;
 /// Time by which a caller's retransmission may be late at this host.
 const RETRANSMIT_SLACK: Millis = Millis(150);
 /// Delay before an unreachable upstream is probed again, doubled after each probe.
@@ -188,6 +191,9 @@
 #[derive(Debug, Clone, Copy)]
 struct ProbeBackoff {
     unreachable_since: Millis,
+    /// When there was evidence that the upstream is gone; `None` once a process at its address accepted a
+    /// connection.
+    confirmed_at: Option<Millis>,
     last_probe: Millis,
     next_probe: Millis,
     delay: Millis,
@@ -205,6 +211,15 @@
         }
     }
 
+    /// Returns `true` if the upstream does not respond, by evidence that is recent. Its flows are reset.
+    ///
+    /// Without recent evidence, an unreachable upstream only gets no new flows: the path to it may be
+    /// there again, and a busy upstream leaves probes unanswered.
+    pub fn has_verdict(&self, now: Millis) -> bool {
+        let confirmed_at = self.unreachable.and_then(|it| it.confirmed_at);
+        confirmed_at.is_some_and(|it| now.since(it) < VERDICT_MAX_AGE)
+    }
+
     /// Returns `true` if packets of callers are unanswered.
     pub(crate) fn has_unanswered(&self) -> bool {
         !self.unanswered.is_empty()
@@ -242,7 +257,7 @@
     pub fn record_unanswered(&mut self, now: Millis, it: UnansweredPacket) -> Option<ProbeKind> {
         // `sent` can equal `last_response`, because one packet can carry a request and acknowledge
         // the previous response. The request is unanswered in that case.
-        if self.unreachable.is_some() || it.sent < self.last_response {
+        if self.has_verdict(now) || it.sent < self.last_response {
             return None;
         }
         self.expire_unanswered(now);
@@ -326,6 +341,10 @@
         self.judge_at = None;
         let is_suspect = self.zone_silent_since.is_some() || !self.unanswered.is_empty();
         match result {
+            ProbeResult::Answered if self.unreachable.is_some() && probe.is_some() => {
+                self.record_path(now);
+                ProbeEffect::Unchanged
+            }
             ProbeResult::Answered => {
                 self.probe_succeeded_at = Some(now);
                 self.silent_probes = 0;
@@ -338,7 +357,7 @@
             }
             ProbeResult::OtherUpstream => ProbeEffect::Ended,
             ProbeResult::NoResponse | ProbeResult::Refused | ProbeResult::Reset
-                if self.unreachable.is_some() =>
+                if self.has_verdict(now) || self.unreachable.is_some() && probe.is_none() =>
             {
                 ProbeEffect::Unchanged
             }
@@ -375,7 +394,7 @@
             Some(at) => at <= now,
             None => self.silent_probes > 0 && self.judge_at.is_none() && is_lost,
         };
-        due && self.unreachable.is_none() && self.start_probe(now)
+        due && !self.has_verdict(now) && self.start_probe(now)
     }
 
     /// Returns what to do about the probe that has timed out. If it is to be repeated, notes that it is
@@ -397,7 +416,7 @@
         let late = self
             .probe
             .is_some_and(|it| it.asked.is_none() && now.since(it.sent) >= ASK_PEERS_AFTER);
-        late && self.unreachable.is_none()
+        late && !self.has_verdict(now)
             && self.probe.is_some_and(|it| self.last_response <= it.sent)
             && (self.zone_silent_since.is_some()
                 || self.silent_probes > 0
@@ -433,6 +452,17 @@
         self.silence = self.silence.filter(|it| it.since >= at);
     }
 
+    /// Records that a process accepts connections at the address of an unreachable upstream. It is asked
+    /// for its identifier at once; until then the upstream gets no new flows.
+    fn record_path(&mut self, now: Millis) {
+        let unreachable = self.unreachable;
+        self.mark_responding(now);
+        self.silent_probes = 0;
+        self.repeat_at = None;
+        self.unreachable =
+            unreachable.map(|it| ProbeBackoff { confirmed_at: None, next_probe: now, ..it });
+    }
+
     /// Records a response of either kind and returns `true` if the upstream was unreachable.
     fn mark_responding(&mut self, now: Millis) -> bool {
         self.last_response = now;
@@ -467,7 +497,8 @@
             self.probe = None;
         }
         self.unreachable = Some(ProbeBackoff {
-            unreachable_since: now,
+            unreachable_since: self.unreachable.map_or(now, |it| it.unreachable_since),
+            confirmed_at: Some(now),
             last_probe: now,
             next_probe: now + PROBE_BACKOFF_MIN,
             delay: PROBE_BACKOFF_MIN,
--- a/crates/pomelorun-core/tests/core/direct/full_upstreams.rs
+++ b/crates/pomelorun-core/tests/core/direct/full_upstreams.rs
@@ -6,8 +6,8 @@
     Millis,
     direct::{
         ConnectAttempt, DirectHost, Disabled, FleetMsg, LivenessMessage, LivenessQuery,
-        LivenessReply, Mechanism, ProbeResult, Reachability, Segment, SegmentKind, Token,
-        UpstreamKey, Verdict, conclude_connect,
+        LivenessReply, Mechanism, ProbeKind, ProbeResult, Reachability, Segment, SegmentKind,
+        Token, UpstreamKey, Verdict, conclude_connect,
     },
 };
 use pomelorun_wire::{HostId, ZoneId, encode};
@@ -763,6 +763,84 @@
     }
 }
 
+/// Returns a host that has found upstream 1 unreachable at 1,350 ms.
+fn host_with_verdict() -> DirectHost {
+    let mut host = host_with_flows().0;
+    for at in [1_000, 1_200] {
+        host.handle_packet(Millis(at), &data_segment(flow(900), Token::of(key(1)), 1, 100, 50));
+    }
+    host.apply_probe_result(Millis(1_350), key(1), ProbeResult::NoResponse);
+    assert!(!host.take_resets().is_empty());
+    host.take_probes().clear();
+    host
+}
+
+fn reachability(host: &DirectHost, id: u64) -> Reachability {
+    host.reachability(host.registry().by_id(id).unwrap())
+}
+
+// Guards against resets of flows that another host has served since the path to their upstream was cut.
+#[test]
+fn old_verdict_resets_no_flow_and_a_response_ends_it() {
+    let mut host = host_with_verdict();
+    let request = data_segment(flow(901), Token::of(key(1)), 1, 100, 50);
+    let verdict = host.handle_packet(Millis(1_400), &request);
+    assert!(matches!(verdict, Verdict::Reset(_)), "{verdict:?}");
+    // Identifying probes are inconclusive, since all slots are taken.
+    for now in (1_400..8_000).step_by(50) {
+        host.tick(Millis(now));
+        for _ in host.take_probes() {
+            host.apply_probe_result(Millis(now), key(1), ProbeResult::Inconclusive);
+        }
+    }
+    let request = data_segment(flow(902), Token::of(key(1)), 1, 100, 50);
+    let verdict = host.handle_packet(Millis(8_000), &request);
+    assert!(matches!(verdict, Verdict::Forward { .. }), "{verdict:?}");
+    assert!(matches!(reachability(&host, 1), Reachability::Unreachable { .. }));
+    for number in 200..260 {
+        assert_ne!(open_flow(&mut host, Millis(8_010), flow(number)).0, 1, "gets no new flows");
+    }
+    host.handle_packet(Millis(8_100), &data_segment(flow(902), Token::of(key(1)), 51, 300, 50));
+    assert_eq!(reachability(&host, 1), Reachability::Answering);
+    assert_eq!(host.take_resets(), vec![]);
+}
+
+#[test]
+fn old_verdict_is_renewed_by_new_evidence() {
+    for result in [ProbeResult::NoResponse, ProbeResult::Refused] {
+        let mut host = host_with_verdict();
+        for at in [8_000, 8_200] {
+            let request = data_segment(flow(902), Token::of(key(1)), 1, 100, 50);
+            let verdict = host.handle_packet(Millis(at), &request);
+            assert!(matches!(verdict, Verdict::Forward { .. }), "{verdict:?}");
+        }
+        assert_eq!(host.take_probes().len(), 1);
+        host.apply_probe_result(Millis(8_350), key(1), result);
+        assert_eq!(host.take_resets().len(), 1);
+        let request = data_segment(flow(903), Token::of(key(1)), 1, 100, 50);
+        let verdict = host.handle_packet(Millis(8_400), &request);
+        assert!(matches!(verdict, Verdict::Reset(_)), "{verdict:?}");
+    }
+}
+
+#[test]
+fn accepted_connection_keeps_flows_and_calls_for_the_identifier() {
+    let mut host = host_with_verdict();
+    for at in [8_000, 8_200] {
+        let request = data_segment(flow(902), Token::of(key(1)), 1, 100, 50);
+        host.handle_packet(Millis(at), &request);
+    }
+    host.take_probes().clear();
+    host.apply_probe_result(Millis(8_210), key(1), ProbeResult::Answered);
+    assert!(matches!(reachability(&host, 1), Reachability::Unreachable { .. }));
+    host.tick(Millis(8_250));
+    let kinds: Vec<_> = host.take_probes().iter().map(|it| it.kind).collect();
+    assert_eq!(kinds, [ProbeKind::Identify]);
+    host.apply_probe_result(Millis(8_260), key(1), ProbeResult::Answered);
+    assert_eq!(reachability(&host, 1), Reachability::Answering);
+    assert_eq!(host.take_resets(), vec![]);
+}
+
 #[test]
 fn lost_result_of_a_repeated_probe_is_replaced_by_another_probe() {
     let mut host = host_with_flows().0;
