Let a listing decide between two instances of one upstream

Of two instances with one identifier, the later start time decided which is the current one, so all announcements of the second start were ignored as late.

An event of an unknown instance that started earlier calls for a listing of the directory, at most one in an announcement interval, and the listing decides.

--- a/crates/pomelorun-core/src/direct/event.rs
+++ b/crates/pomelorun-core/src/direct/event.rs
@@ -73,6 +73,9 @@
     Announced,
     /// It was announced for the first time, for a service that the active revision does not name.
     Unconfigured,
+    /// It was announced with an earlier start than the known instance with its identifier. The directory
+    /// is listed again.
+    Contradictory,
     /// Its announcement changed, or it was announced again after a lapse.
     Changed,
     /// It started to drain.
--- a/crates/pomelorun-core/src/direct/host.rs
+++ b/crates/pomelorun-core/src/direct/host.rs
@@ -279,6 +279,10 @@
     directory_era: DirectoryEra,
     /// `true` once a full listing has been applied.
     has_listing: bool,
+    /// When the last full, authoritative listing was applied.
+    last_listing: Millis,
+    /// `true` if an event since then contradicts what this host knows.
+    is_contradicted: bool,
     /// Live hosts of all zones, including this one, sorted; empty until they are known.
     live_hosts: Vec<HostId>,
     /// Live hosts of this zone, including this one, sorted.
@@ -337,6 +341,8 @@
             directory_recovered_at: None,
             directory_era: DirectoryEra::default(),
             has_listing: false,
+            last_listing: Millis(0),
+            is_contradicted: false,
             zone_hosts: vec![cfg.host],
             live_hosts: Vec::new(),
             outcomes: OutcomesByRoute::default(),
--- a/crates/pomelorun-core/src/direct/host/directory.rs
+++ b/crates/pomelorun-core/src/direct/host/directory.rs
@@ -9,7 +9,7 @@
         directory_merge::{ListingState, UpstreamMerge, merge_upstream},
         event::{DirectEvent, LifecycleChange},
         host::{DirectHost, DirectoryState, DirectoryUpdate, ReplicatedUpdate, UpstreamState},
-        registry::{Announcement, RegistryChange, ServiceStatus, UpstreamIx},
+        registry::{Announcement, Recency, RegistryChange, ServiceStatus, UpstreamIx},
         routing::{Routing, RoutingChange},
         token::Token,
     },
@@ -77,10 +77,12 @@
         self.directory_era.state()
     }
 
-    /// Returns `true` if the directory was restored and has had the time to settle, so that it is
-    /// to be listed again.
+    /// Returns `true` if the directory is to be listed again: it was restored and has had the time to
+    /// settle, or an event contradicts what this host knows.
     pub fn is_listing_due(&self, now: Millis) -> bool {
-        self.directory_era.is_listing_due(now, self.cfg.settle_time())
+        let is_contradicted =
+            self.is_contradicted && now.since(self.last_listing) >= self.cfg.announce_interval;
+        is_contradicted || self.directory_era.is_listing_due(now, self.cfg.settle_time())
     }
 
     fn apply_listing_as(&mut self, now: Millis, state: ListingState, all: &[DirectoryUpdate]) {
@@ -103,10 +105,10 @@
             };
             let known = self.registry.by_key(listed.key).and_then(|ix| self.registry.get(ix));
             match merge_upstream(known, listed) {
-                UpstreamMerge::Apply => self.apply_announcement(now, listed),
+                UpstreamMerge::Apply => self.apply_announcement(now, listed, Recency::Unknown),
                 UpstreamMerge::KeepDraining => {
                     let draining = Announcement { draining: true, ..listed.clone() };
-                    self.apply_announcement(now, &draining);
+                    self.apply_announcement(now, &draining, Recency::Unknown);
                 }
                 UpstreamMerge::Ignore => {}
             }
@@ -119,11 +121,17 @@
     /// restored.
     pub fn apply_listing(&mut self, now: Millis, all: &[DirectoryUpdate]) {
         self.has_listing = true;
+        self.is_contradicted = false;
+        self.last_listing = now;
         let mut zones: Vec<ZoneId> = Vec::new();
         let mut ids: Vec<u64> = Vec::new();
         for it in all {
             match it {
-                DirectoryUpdate::Upstream(it) => ids.push(it.key.id),
+                DirectoryUpdate::Upstream(it) => {
+                    ids.push(it.key.id);
+                    self.apply_announcement(now, it, Recency::Latest);
+                    continue;
+                }
                 DirectoryUpdate::ZoneWithdrawn(zone) => zones.push(*zone),
                 _ => {}
             }
@@ -204,7 +212,7 @@
     /// Applies an update.
     pub fn apply_update(&mut self, now: Millis, it: &DirectoryUpdate) {
         match it {
-            DirectoryUpdate::Upstream(announcement) => self.apply_announcement(now, announcement),
+            DirectoryUpdate::Upstream(it) => self.apply_announcement(now, it, Recency::Unknown),
             DirectoryUpdate::UpstreamRemoved(id) => self.apply_removal(now, *id),
             DirectoryUpdate::Routing(routing) => self.apply_routing(now, routing),
             DirectoryUpdate::ZoneWithdrawn(zone) => self.withdraw_zone(*zone),
@@ -212,14 +220,23 @@
         }
     }
 
-    pub(super) fn apply_announcement(&mut self, now: Millis, announcement: &Announcement) {
+    fn apply_announcement(&mut self, now: Millis, announcement: &Announcement, recency: Recency) {
         let previous = self.registry.by_id(announcement.key.id);
         let was_draining = previous
             .and_then(|ix| self.registry.get(ix))
             .is_some_and(|it| it.announcement.key == announcement.key && it.announcement.draining);
         let service = self.service_status(&announcement.service);
-        let (ix, change) = match self.registry.announce(now, announcement, service) {
+        let (ix, change) = match self.registry.announce(now, announcement, service, recency) {
             RegistryChange::Unchanged => return,
+            RegistryChange::Contradictory => {
+                self.is_contradicted = true;
+                self.emit(DirectEvent::Lifecycle {
+                    upstream: announcement.key,
+                    change: LifecycleChange::Contradictory,
+                    cold_left: announcement.cold_left,
+                });
+                return;
+            }
             RegistryChange::Added(ix) if service == ServiceStatus::Unknown => {
                 (ix, LifecycleChange::Unconfigured)
             }
--- a/crates/pomelorun-core/src/direct/host/token_queries.rs
+++ b/crates/pomelorun-core/src/direct/host/token_queries.rs
@@ -10,7 +10,7 @@
         event::{DirectEvent, DropReason, LifecycleChange, ResetReason},
         host::{DirectHost, Verdict},
         mechanism::Mechanism,
-        registry::{Announcement, RegistryChange},
+        registry::{Announcement, Recency, RegistryChange},
         segment::{Segment, SegmentKind},
         token::Token,
         unknown_tokens::{MAX_TOKENS_PER_QUERY, TokenOwner, TokenStatus},
@@ -154,7 +154,8 @@
     fn add_learned_upstream(&mut self, now: Millis, announcement: &Announcement) {
         let token = Token::of(announcement.key);
         let service = self.service_status(&announcement.service);
-        let RegistryChange::Added(ix) = self.registry.announce(now, announcement, service) else {
+        let change = self.registry.announce(now, announcement, service, Recency::Unknown);
+        let RegistryChange::Added(ix) = change else {
             // A later instance has its identifier, so this one has ended.
             self.reset_token_flows(now, token);
             return;
--- a/crates/pomelorun-core/src/direct/registry.rs
+++ b/crates/pomelorun-core/src/direct/registry.rs
@@ -102,11 +102,24 @@
     }
 }
 
+/// Whether an announcement is known to be the newest one under its identifier.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Recency {
+    /// An event, which may be older than what is known. The start times decide.
+    Unknown,
+    /// Part of a listing that was read after all that is known. The directory's order decides, because an
+    /// upstream's clock may have been ahead at an earlier start.
+    Latest,
+}
+
 /// Effect of an announcement on the registry.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum RegistryChange {
     /// Nothing changed, or the announcement is of an older instance.
     Unchanged,
+    /// The announcement is of an instance that was not known and started before the registered one. Only
+    /// a listing tells which of them is the current one.
+    Contradictory,
     /// An instance was added.
     Added(UpstreamIx),
     /// The announcement of a registered instance changed, or became valid again.
@@ -207,24 +220,33 @@
         now: Millis,
         announcement: &Announcement,
         service: ServiceStatus,
+        recency: Recency,
     ) -> RegistryChange {
         match self.by_id(announcement.key.id) {
             Some(ix) if self.get(ix).is_some_and(|it| it.announcement.key == announcement.key) => {
                 self.update(now, ix, announcement)
             }
-            // A late announcement of an older instance does not concern the newer one.
+            Some(_) if service == ServiceStatus::Unknown => RegistryChange::Unchanged,
             Some(ix)
-                if self.get(ix).is_some_and(|it| {
-                    it.announcement.key.started_at > announcement.key.started_at
-                }) =>
+                if recency == Recency::Unknown
+                    && self.get(ix).is_some_and(|it| {
+                        it.announcement.key.started_at > announcement.key.started_at
+                    }) =>
             {
-                RegistryChange::Unchanged
+                // A late announcement of an instance that was replaced does not concern the newer one.
+                if self.by_key(announcement.key).is_some() {
+                    RegistryChange::Unchanged
+                } else {
+                    RegistryChange::Contradictory
+                }
             }
-            Some(_) if service == ServiceStatus::Unknown => RegistryChange::Unchanged,
             Some(ix) => {
                 self.mark_lapsed(now, ix);
                 self.mark_ended(ix);
-                self.add(now, announcement, service)
+                match self.by_key(announcement.key) {
+                    Some(earlier) => self.restore(now, earlier, announcement),
+                    None => self.add(now, announcement, service),
+                }
             }
             None => self.add(now, announcement, service),
         }
@@ -317,6 +339,23 @@
         if same { RegistryChange::Unchanged } else { RegistryChange::Updated(ix) }
     }
 
+    /// Makes an instance that was taken for replaced the current one of its identifier again.
+    fn restore(
+        &mut self,
+        now: Millis,
+        ix: UpstreamIx,
+        announcement: &Announcement,
+    ) -> RegistryChange {
+        if let Some(it) = self.get_mut(ix) {
+            it.ended = false;
+        }
+        if let Ok(at) = self.ids.binary_search_by_key(&announcement.key.id, |it| it.0) {
+            self.ids[at].1 = ix;
+        }
+        self.update(now, ix, announcement);
+        RegistryChange::Updated(ix)
+    }
+
     fn add(
         &mut self,
         now: Millis,
--- a/crates/pomelorun-core/tests/core/direct/registry.rs
+++ b/crates/pomelorun-core/tests/core/direct/registry.rs
@@ -190,3 +190,60 @@
     host.apply_update(Millis(50), &DirectoryUpdate::Upstream(newest));
     assert_eq!(open_flow(&mut host, Millis(60), flow(3)).0, 78);
 }
+
+/// Returns upstream 1 as it starts again while its clock is behind that of its first start.
+fn earlier_start() -> Announcement {
+    let key = UpstreamKey { started_at: key(1).started_at - 500, ..key(1) };
+    Announcement { key, ..announcement(1, LOCAL_ZONE) }
+}
+
+// Guards against new flows at a draining upstream whose clock was ahead at its earlier start.
+#[test]
+fn instance_with_an_earlier_start_is_taken_from_a_listing() {
+    let mut host = host(&[announcement(1, LOCAL_ZONE)]);
+    open_flow(&mut host, Millis(10), flow(1));
+    let later = earlier_start();
+    host.apply_update(Millis(2_000), &DirectoryUpdate::Upstream(later.clone()));
+    assert_eq!(host.take_resets(), vec![], "an event may be older than what is known");
+    assert!(host.is_listing_due(Millis(2_000)), "only a listing tells");
+    let listing = |it: &Announcement| {
+        let routes = vec![route(SERVICE, "feed")];
+        vec![routing(1, routes), DirectoryUpdate::Upstream(it.clone())]
+    };
+    host.apply_listing(Millis(2_100), &listing(&later));
+    assert!(!host.is_listing_due(Millis(9_000)));
+    assert_eq!(host.take_resets().len(), 1, "the flow of the first instance is reset");
+    assert_eq!(open_flow(&mut host, Millis(2_200), flow(2)), (1, Token::of(later.key)));
+    // The first instance was replaced, whatever its start time says.
+    let draining = Announcement { draining: true, ..later.clone() };
+    host.apply_update(Millis(2_300), &DirectoryUpdate::Upstream(draining));
+    let new = host.handle_packet(Millis(2_400), &open_segment(flow(3), 0));
+    assert_eq!(forwarded_to(new), None, "it drains");
+}
+
+#[test]
+fn instance_that_a_listing_names_is_current_again() {
+    let mut host = host(&[announcement(1, LOCAL_ZONE)]);
+    host.apply_listing(Millis(100), &[DirectoryUpdate::Upstream(earlier_start())]);
+    host.apply_listing(Millis(200), &[DirectoryUpdate::Upstream(announcement(1, LOCAL_ZONE))]);
+    assert_eq!(open_flow(&mut host, Millis(300), flow(1)), (1, Token::of(key(1))));
+}
+
+#[test]
+fn contradictions_call_for_a_listing_once_an_announcement_interval_at_most() {
+    let mut host = host(&[announcement(1, LOCAL_ZONE)]);
+    let mut listings = 0;
+    for now in (2_000..14_000).step_by(50) {
+        let mut other = earlier_start();
+        other.key.started_at -= now % 100;
+        host.apply_update(Millis(now), &DirectoryUpdate::Upstream(other));
+        if host.is_listing_due(Millis(now)) {
+            listings += 1;
+            host.apply_listing(
+                Millis(now),
+                &[DirectoryUpdate::Upstream(announcement(1, LOCAL_ZONE))],
+            );
+        }
+    }
+    assert_eq!(listings, 10, "in twelve seconds");
+}
--- a/crates/pomelorun/src/direct/event_log.rs
+++ b/crates/pomelorun/src/direct/event_log.rs
@@ -265,6 +265,9 @@
         LifecycleChange::Unconfigured => {
             (Code::UPSTREAM_ANNOUNCED, "announced, but no service of the revision")
         }
+        LifecycleChange::Contradictory => {
+            (Code::UPSTREAM_CHANGED, "announced with an earlier start; listing again")
+        }
         LifecycleChange::Changed => (Code::UPSTREAM_CHANGED, "changed"),
         LifecycleChange::Draining => (Code::UPSTREAM_DRAINING, "draining"),
         LifecycleChange::Lapsed => (Code::UPSTREAM_LAPSED, "lapsed"),
