Let no host spend what another may be spending of a cold upstream

Each host chose the owner among the hosts that it knew: alone just after its start or when it has met nobody, itself while it leaves. The next owner began with an empty count at once.

ColdOwners lets a host open flows at a cold upstream only while its view of the hosts is complete, and not within 1.5 s of the departure of the host that would own it.

--- a/crates/pomelorun-core/benches/direct.rs
+++ b/crates/pomelorun-core/benches/direct.rs
@@ -79,7 +79,7 @@
     let hosts: Vec<(ZoneId, HostId)> = (0..HOSTS_PER_ZONE * u64::from(ZONES))
         .map(|at| (ZoneId(1 + (at % u64::from(ZONES)) as u32), HostId(1 + at)))
         .collect();
-    host.set_hosts(hosts.iter().map(|it| it.1).collect());
+    host.set_hosts(Millis(0), hosts.iter().map(|it| it.1).collect());
     host.set_hosts_by_zone(hosts.clone());
     let mut listing = vec![DirectoryUpdate::Routing(Arc::new(routing()))];
     listing.extend((1..=upstreams).map(|id| {
--- a/crates/pomelorun-core/src/direct.rs
+++ b/crates/pomelorun-core/src/direct.rs
@@ -9,6 +9,7 @@
 mod admission;
 mod answer_times;
 mod cold;
+mod cold_owner;
 mod decaying_sum;
 mod directory_merge;
 mod directory_sync;
@@ -44,6 +45,7 @@
 
 pub use crate::direct::{
     cold::{ColdBudget, ColdLimit},
+    cold_owner::{ColdOwners, ViewState},
     directory_merge::ListingState,
     directory_sync::{
         BootstrapHosts, DirectoryPosition, DirectorySync, HasFollowers, Readers, ResponseEra,
--- a/crates/pomelorun-core/src/direct/fleet.rs
+++ b/crates/pomelorun-core/src/direct/fleet.rs
@@ -13,6 +13,7 @@
 
 use crate::{
     direct::{
+        cold_owner::ViewState,
         directory_sync::{BootstrapHosts, Readers},
         load_report::{LoadReport, LoadSummary},
         outlier::FailureReport,
@@ -76,6 +77,10 @@
     revision: u64,
     started_at: Millis,
     synced: bool,
+    /// `true` if other hosts were named as seeds.
+    has_seeds: bool,
+    /// State of the view at the last call of [`Fleet::take_changed`].
+    view_state: ViewState,
 }
 
 /// Returns the identifier of the host at an address.
@@ -105,11 +110,14 @@
             revision: 0,
             started_at: now,
             synced: false,
+            has_seeds: seeds.iter().any(|it| *it != me.host),
+            view_state: ViewState::Incomplete,
         }
     }
 
     /// Adds seeds to discover other hosts through.
     pub fn add_seeds(&mut self, now: Millis, seeds: &[HostId]) {
+        self.has_seeds |= seeds.iter().any(|it| *it != self.members.me().host);
         self.members.add_seeds(now, seeds);
     }
 
@@ -148,7 +156,25 @@
     pub fn take_changed(&mut self, now: Millis) -> bool {
         let synced = self.members.has_joined() && now.since(self.started_at) >= VIEW_SYNC_DELAY;
         let became_synced = synced && !std::mem::replace(&mut self.synced, synced);
-        self.members.take_changed() || became_synced
+        let view_state = self.current_view_state();
+        let view_changed = std::mem::replace(&mut self.view_state, view_state) != view_state;
+        self.members.take_changed() || became_synced || view_changed
+    }
+
+    /// Returns whether the view may be relied on, as of the last call of [`Fleet::take_changed`].
+    pub fn view_state(&self) -> ViewState {
+        self.view_state
+    }
+
+    fn current_view_state(&self) -> ViewState {
+        let is_live = self.members.me().state == MemberState::Live;
+        // A host that meets none of its seeds does not know whether there are others.
+        let has_met = || self.members.others().iter().any(|it| it.incarnation > 0);
+        if is_live && self.synced && self.members.is_synced() && (!self.has_seeds || has_met()) {
+            ViewState::Complete
+        } else {
+            ViewState::Incomplete
+        }
     }
 
     /// Returns all live hosts, including this one.
--- a/crates/pomelorun-core/src/direct/host.rs
+++ b/crates/pomelorun-core/src/direct/host.rs
@@ -24,6 +24,7 @@
     direct::{
         answer_times::AnswerTimes,
         cold::{ColdBudget, ColdLimit},
+        cold_owner::{ColdOwners, ViewState},
         decaying_sum::DecayingSum,
         directory_merge::DirectoryEra,
         event::{DirectEvent, LifecycleChange, ResetReason},
@@ -283,8 +284,8 @@
     last_listing: Millis,
     /// `true` if an event since then contradicts what this host knows.
     is_contradicted: bool,
-    /// Live hosts of all zones, including this one, sorted; empty until they are known.
-    live_hosts: Vec<HostId>,
+    /// Live hosts of all zones, including this one; none until they are known.
+    cold_owners: ColdOwners,
     /// Live hosts of this zone, including this one, sorted.
     zone_hosts: Vec<HostId>,
     outcomes: OutcomesByRoute,
@@ -344,7 +345,7 @@
             last_listing: Millis(0),
             is_contradicted: false,
             zone_hosts: vec![cfg.host],
-            live_hosts: Vec::new(),
+            cold_owners: ColdOwners::default(),
             outcomes: OutcomesByRoute::default(),
             answers_by_route: AnswersByRoute::default(),
             pending_requests: VecDeque::new(),
@@ -452,10 +453,13 @@
     }
 
     /// Sets the live hosts of all zones, including this one.
-    pub fn set_hosts(&mut self, mut hosts: Vec<HostId>) {
-        hosts.sort_unstable();
-        hosts.dedup();
-        self.live_hosts = hosts;
+    pub fn set_hosts(&mut self, now: Millis, hosts: Vec<HostId>) {
+        self.cold_owners.set_live(now, hosts);
+    }
+
+    /// Sets whether the live hosts are all, so that this host may own cold upstreams.
+    pub fn set_view_state(&mut self, view: ViewState) {
+        self.cold_owners.set_view(view);
     }
 
     /// Sets the other live hosts of this zone.
--- a/crates/pomelorun-core/src/direct/host/flow_placement.rs
+++ b/crates/pomelorun-core/src/direct/host/flow_placement.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use pomelorun_wire::{FlowKey, HostId, ZoneId};
+use pomelorun_wire::{FlowKey, ZoneId};
 use smallvec::SmallVec;
 
 use crate::{
@@ -291,7 +291,7 @@
         if it.lapsed_at.is_some() {
             return Err(IneligibleReason::Lapsed);
         }
-        if !self.is_cold_start_owner(it.announcement.key) {
+        if !self.is_cold_start_owner(now, it.announcement.key) {
             return Err(IneligibleReason::ColdElsewhere);
         }
         let per_s = self.routing.limits(&it.announcement.service).map_or(0.0, |it| it.cold_per_s);
@@ -310,15 +310,9 @@
             .is_some_and(|recovered| at.since(recovered) < self.cfg.lapse_grace)
     }
 
-    /// Returns `true` if this host is the cold-start owner of an upstream.
-    ///
-    /// Only the owner, chosen by rendezvous hashing, opens flows at a cold upstream: the
-    /// limit on its new flows holds over all hosts, so one host must count them.
-    pub(super) fn is_cold_start_owner(&self, key: UpstreamKey) -> bool {
-        if !self.is_enabled(Mechanism::ColdStartOwner) {
-            return true;
-        }
-        let score = |it: &HostId| rendezvous_score(it.0, key.id ^ key.started_at);
-        self.live_hosts.iter().max_by_key(|it| score(it)) == Some(&self.cfg.host)
+    /// Returns `true` if this host may open flows at a cold upstream.
+    pub(super) fn is_cold_start_owner(&self, now: Millis, key: UpstreamKey) -> bool {
+        !self.is_enabled(Mechanism::ColdStartOwner)
+            || self.cold_owners.is_owner(now, self.cfg.host, key)
     }
 }
--- a/crates/pomelorun-core/src/direct/host/introspection.rs
+++ b/crates/pomelorun-core/src/direct/host/introspection.rs
@@ -29,7 +29,7 @@
             directory_ago_ms: self.directory_age(now).map(|it| it.0),
             directory_era: self.directory_era.era(),
             flows: self.flows.len(),
-            hosts: self.live_hosts.len(),
+            hosts: self.cold_owners.live().len(),
             zone_hosts: self.zone_hosts.len(),
             shared_load: self.shared_load_view(now),
             zones_out: self.withdrawn_zones.clone(),
--- a/crates/pomelorun-core/src/direct/host/token_queries.rs
+++ b/crates/pomelorun-core/src/direct/host/token_queries.rs
@@ -110,7 +110,7 @@
     /// and only hosts of other zones still know which have ended.
     fn hosts_to_query(&self, token: Token) -> Vec<HostId> {
         let is_same_zone = |it: &HostId| self.zone_hosts.binary_search(it).is_ok();
-        let others = self.live_hosts.iter().chain(&self.zone_hosts).copied();
+        let others = self.cold_owners.live().iter().chain(&self.zone_hosts).copied();
         let mut others: Vec<HostId> = others.filter(|it| *it != self.cfg.host).collect();
         others
             .sort_by_key(|it| std::cmp::Reverse((rendezvous_score(it.0, u64::from(token.0)), *it)));
--- a/crates/pomelorun-core/tests/core/direct.rs
+++ b/crates/pomelorun-core/tests/core/direct.rs
@@ -1,6 +1,7 @@
 //! Direct server return: tokens, registry, upstream selection, outlier detection, directory
 //! synchronization and the fleet.
 
+mod cold_owners;
 mod detection_times;
 mod directory_age;
 mod directory_restore;
--- a/crates/pomelorun-core/tests/core/direct/directory_restore.rs
+++ b/crates/pomelorun-core/tests/core/direct/directory_restore.rs
@@ -27,7 +27,7 @@
 fn host(ids: &[u64]) -> DirectHost {
     let mut host = DirectHost::new(settings(LOCAL_ZONE));
     host.set_directory_state(Millis(0), DirectoryState::Available);
-    host.set_hosts(vec![LOCAL_HOST]);
+    host.set_hosts(Millis(0), vec![LOCAL_HOST]);
     host.apply_directory_listing(Millis(0), 1, &upstreams(ids));
     host
 }
--- a/crates/pomelorun-core/tests/core/direct/fixtures.rs
+++ b/crates/pomelorun-core/tests/core/direct/fixtures.rs
@@ -72,7 +72,7 @@
 pub(crate) fn host(upstreams: &[Announcement]) -> DirectHost {
     let mut host = DirectHost::new(settings(LOCAL_ZONE));
     host.set_directory_state(Millis(0), DirectoryState::Available);
-    host.set_hosts(vec![LOCAL_HOST]);
+    host.set_hosts(Millis(0), vec![LOCAL_HOST]);
     let mut all = vec![routing(1, vec![route(SERVICE, "feed")])];
     all.extend(upstreams.iter().cloned().map(DirectoryUpdate::Upstream));
     host.apply_listing(Millis(0), &all);
--- a/crates/pomelorun-core/tests/core/direct/host.rs
+++ b/crates/pomelorun-core/tests/core/direct/host.rs
@@ -173,7 +173,7 @@
         let mut cfg = crate::direct::fixtures::settings(LOCAL_ZONE);
         cfg.host = *me;
         let mut host = pomelorun_core::direct::DirectHost::new(cfg);
-        host.set_hosts(hosts.clone());
+        host.set_hosts(Millis(0), hosts.clone());
         let all =
             [routing(1, vec![route(SERVICE, "feed")]), DirectoryUpdate::Upstream(cold.clone())];
         host.apply_listing(Millis(0), &all);
@@ -421,9 +421,9 @@
     let mut cold = announcement(1, LOCAL_ZONE);
     cold.cold_left = Millis(5_000);
     let mut host = host(&[cold]);
-    host.set_hosts(Vec::new());
+    host.set_hosts(Millis(0), Vec::new());
     assert_eq!(forwarded_to(host.handle_packet(Millis(10), &open_segment(flow(1), 0))), None);
-    host.set_hosts(vec![LOCAL_HOST]);
+    host.set_hosts(Millis(0), vec![LOCAL_HOST]);
     assert!(forwarded_to(host.handle_packet(Millis(300), &open_segment(flow(1), 1))).is_some());
 }
 
@@ -512,7 +512,7 @@
 fn host_forwards_from_the_first_page_and_refuses_nothing_until_the_listing_is_complete() {
     let mut host = DirectHost::new(settings(LOCAL_ZONE));
     host.set_directory_state(Millis(0), DirectoryState::Available);
-    host.set_hosts(vec![LOCAL_HOST]);
+    host.set_hosts(Millis(0), vec![LOCAL_HOST]);
     let other = ServiceAddr { port: 444, ..SERVICE };
     let routes = vec![route(SERVICE, "feed"), route(other, "desk")];
     let first =
--- a/crates/pomelorun-core/tests/core/direct/introspection.rs
+++ b/crates/pomelorun-core/tests/core/direct/introspection.rs
@@ -65,7 +65,7 @@
     assert_eq!(upstream_view(&view.upstreams, 5).choice, Some(Choice::Good));
     assert_eq!(upstream_view(&view.upstreams, 5).reachability, ReachabilityView::Answering);
     assert_eq!(view.zones_out, vec![REMOTE_ZONE]);
-    host.set_hosts(vec![pomelorun_wire::HostId(2)]);
+    host.set_hosts(Millis(0), vec![pomelorun_wire::HostId(2)]);
     let view = host.view(Millis(5_000));
     assert_eq!(upstream_view(&view.upstreams, 2).ineligible, Some(IneligibleReason::ColdElsewhere));
 }
--- a/crates/pomelorun-core/tests/core/direct/unknown_tokens.rs
+++ b/crates/pomelorun-core/tests/core/direct/unknown_tokens.rs
@@ -66,7 +66,7 @@
     cfg.host = me;
     let mut host = DirectHost::new(cfg);
     host.set_directory_state(Millis(now), DirectoryState::Available);
-    host.set_hosts(peers.to_vec());
+    host.set_hosts(Millis(0), peers.to_vec());
     host.set_zone_peers(peers.to_vec());
     let mut all = vec![routing(1, vec![route(SERVICE, "feed")])];
     all.extend(upstreams.iter().cloned().map(DirectoryUpdate::Upstream));
--- a/crates/pomelorun-standins/src/slopes/points/direct.rs
+++ b/crates/pomelorun-standins/src/slopes/points/direct.rs
@@ -29,7 +29,7 @@
     let before = resident();
     let mut host = DirectHost::new(settings());
     host.set_directory_state(Millis(1), DirectoryState::Available);
-    host.set_hosts(vec![HostId(1)]);
+    host.set_hosts(Millis(0), vec![HostId(1)]);
     let services = upstreams.div_ceil(ENDPOINTS_PER_POOL);
     let all = everything(upstreams, services);
     let (listed, ()) = timed(|| host.apply_listing(Millis(1), &all));
--- a/crates/pomelorun/src/direct/edge.rs
+++ b/crates/pomelorun/src/direct/edge.rs
@@ -12,7 +12,7 @@
         DirectHost, DirectSettings, DirectStats, DirectoryState, DirectoryUpdate, FailureReport,
         ListingState, LivenessMessage, LivenessQuery, LivenessReply, LoadMessage, LoadReport,
         LoadSummary, OpeningRetry, PeerUpdate, Probe, ProbeResult, ReplicatedUpdate, SegmentKind,
-        Token, TokenOwner, UpstreamKey, Verdict,
+        Token, TokenOwner, UpstreamKey, Verdict, ViewState,
     },
 };
 use pomelorun_wire::{CodecError, FlowKey, HostId, ZoneId};
@@ -383,10 +383,12 @@
         hosts_by_zone: Vec<(ZoneId, HostId)>,
         zone_peers: Vec<HostId>,
         is_reader: bool,
+        view: ViewState,
     ) {
         self.live_hosts = hosts_by_zone.len();
         self.is_reader = is_reader;
-        self.host.set_hosts(hosts_by_zone.iter().map(|it| it.1).collect());
+        self.host.set_hosts(now(), hosts_by_zone.iter().map(|it| it.1).collect());
+        self.host.set_view_state(view);
         self.host.set_hosts_by_zone(hosts_by_zone);
         self.host.set_zone_peers(zone_peers);
     }
--- a/crates/pomelorun/src/direct/fleet.rs
+++ b/crates/pomelorun/src/direct/fleet.rs
@@ -139,7 +139,8 @@
         info!("hosts changed", kv: {
             code = Code::HOSTS_CHANGED.to_string(), live = live.len(), reads = readers.is_reader
         });
-        self.edge.borrow_mut().set_hosts(live, self.fleet.zone_peers(), readers.is_reader);
+        let (peers, view) = (self.fleet.zone_peers(), self.fleet.view_state());
+        self.edge.borrow_mut().set_hosts(live, peers, readers.is_reader, view);
         self.readers.send_if_modified(|it| {
             let changed = *it != readers;
             *it = readers;
