Tell hosts that start which zones were restored lately

Only hosts that have seen a zone withdrawn treat its upstreams as cold after the restoration, until they can have announced it.

A host that is asked for its view, as each is by one that starts, also tells which zones were restored within two announcement intervals. Nothing is sent otherwise.

--- a/crates/pomelorun-core/src/direct.rs
+++ b/crates/pomelorun-core/src/direct.rs
@@ -55,7 +55,7 @@
         DirectEvent, DropReason, ImplausibleLoad, LifecycleChange, OpenCause, OpenReason,
         ResetReason,
     },
-    fleet::{Fleet, FleetMsg, OutboundMessages, address_of, host_at},
+    fleet::{Fleet, FleetMsg, OutboundMessages, RestoredZone, address_of, host_at},
     host::{
         DirectHost, DirectSettings, DirectStats, DirectoryState, DirectoryUpdate, LoadMessage,
         OpeningRetry, Probe, ReplicatedUpdate, ResetPacket, Verdict,
--- a/crates/pomelorun-core/src/direct/fleet.rs
+++ b/crates/pomelorun-core/src/direct/fleet.rs
@@ -63,8 +63,14 @@
     LivenessQuery(LivenessQuery),
     /// Reply to a query for last responses.
     LivenessReply(LivenessReply),
+    /// Zones that were restored lately, for a host that has just started.
+    RestoredZones(Vec<RestoredZone>),
 }
 
+/// A zone that was withdrawn and restored, and for how many milliseconds its upstreams may still become
+/// cold without having announced it.
+pub type RestoredZone = (ZoneId, u32);
+
 /// Messages to send, with their recipients.
 pub type OutboundMessages = Vec<(HostId, FleetMsg)>;
 
--- a/crates/pomelorun-core/src/direct/host.rs
+++ b/crates/pomelorun-core/src/direct/host.rs
@@ -270,6 +270,8 @@
     flow_lifetimes: FlowLifetimes,
     /// Sorted.
     withdrawn_zones: Vec<ZoneId>,
+    /// Zones that were restored, and until when their upstreams may be cold unannounced; sorted.
+    restored_zones: Vec<(ZoneId, Millis)>,
     directory_state: DirectoryState,
     /// When the directory last responded.
     directory_last_response: Option<Millis>,
@@ -336,6 +338,7 @@
             unreported_failures: Vec::new(),
             last_expiry: Millis(0),
             withdrawn_zones: Vec::new(),
+            restored_zones: Vec::new(),
             directory_state: DirectoryState::Unavailable,
             directory_last_response: None,
             directory_confirmed_at: None,
--- a/crates/pomelorun-core/src/direct/host/directory.rs
+++ b/crates/pomelorun-core/src/direct/host/directory.rs
@@ -8,6 +8,7 @@
     direct::{
         directory_merge::{ListingState, UpstreamMerge, merge_upstream},
         event::{DirectEvent, LifecycleChange},
+        fleet::RestoredZone,
         host::{DirectHost, DirectoryState, DirectoryUpdate, ReplicatedUpdate, UpstreamState},
         registry::{Announcement, Recency, RegistryChange, ServiceStatus, UpstreamIx},
         routing::{Routing, RoutingChange},
@@ -16,6 +17,9 @@
     time::Millis,
 };
 
+/// Maximum number of restored zones that one message may tell.
+const MAX_RESTORED_ZONES: usize = 64;
+
 impl DirectHost {
     /// Sets the availability of the directory.
     pub fn set_directory_state(&mut self, now: Millis, state: DirectoryState) {
@@ -254,6 +258,7 @@
         });
         if matches!(change, LifecycleChange::Announced | LifecycleChange::Unconfigured) {
             self.reset_upstream_state(now, ix);
+            self.extend_cold_of_restored(now, ix);
         }
     }
 
@@ -325,18 +330,50 @@
         self.withdrawn_zones.remove(at);
         self.emit(DirectEvent::Zone { zone, withdrawn: false });
         let announced_by = now + self.cfg.announce_interval + self.cfg.announce_interval;
-        let cold: Vec<(UpstreamIx, Millis)> = self
-            .registry
-            .iter()
-            .filter(|it| it.1.announcement.zone == zone)
-            .map(|(ix, it)| {
-                let cold =
-                    self.routing.limits(&it.announcement.service).map_or(Millis(0), |it| it.cold);
-                (ix, announced_by + cold)
-            })
-            .collect();
-        for (ix, until) in cold {
-            self.registry.extend_cold(ix, until);
+        self.record_restored(now, zone, announced_by);
+    }
+
+    /// Returns the zones that were restored lately, for a host that has just started.
+    pub fn restored_zones(&self, now: Millis) -> Vec<RestoredZone> {
+        let left = |until: Millis| u32::try_from(until.since(now).0).unwrap_or(u32::MAX);
+        let zones = self.restored_zones.iter().map(|it| (it.0, left(it.1)));
+        zones.filter(|it| it.1 > 0).collect()
+    }
+
+    /// Applies what another host has told of restored zones: a host that has just started has not seen
+    /// them withdrawn.
+    pub fn apply_restored_zones(&mut self, now: Millis, zones: &[RestoredZone]) {
+        let longest = self.cfg.announce_interval + self.cfg.announce_interval;
+        for &(zone, left_ms) in zones.iter().take(MAX_RESTORED_ZONES) {
+            self.record_restored(now, zone, now + longest.min(Millis(u64::from(left_ms))));
+        }
+    }
+
+    /// Treats the upstreams of a zone as cold that may become cold unannounced until `announced_by`.
+    fn record_restored(&mut self, now: Millis, zone: ZoneId, announced_by: Millis) {
+        self.restored_zones.retain(|it| it.1 > now);
+        match self.restored_zones.binary_search_by_key(&zone, |it| it.0) {
+            Ok(at) => self.restored_zones[at].1 = self.restored_zones[at].1.max(announced_by),
+            Err(at) => self.restored_zones.insert(at, (zone, announced_by)),
+        }
+        let in_zone = self.registry.iter().filter(|it| it.1.announcement.zone == zone);
+        let upstreams: Vec<UpstreamIx> = in_zone.map(|it| it.0).collect();
+        for ix in upstreams {
+            self.extend_cold_of_restored(now, ix);
+        }
+    }
+
+    /// Treats an upstream as cold whose zone was restored lately.
+    fn extend_cold_of_restored(&mut self, now: Millis, ix: UpstreamIx) {
+        let Some(it) = self.registry.get(ix) else { return };
+        let zone = it.announcement.zone;
+        let Ok(at) = self.restored_zones.binary_search_by_key(&zone, |it| it.0) else { return };
+        let announced_by = self.restored_zones[at].1;
+        if announced_by <= now {
+            return;
         }
+        let limits = self.routing.limits(&it.announcement.service);
+        let cold = limits.map_or(Millis(0), |it| it.cold);
+        self.registry.extend_cold(ix, announced_by + cold);
     }
 }
--- a/crates/pomelorun-core/tests/core/direct/golden.rs
+++ b/crates/pomelorun-core/tests/core/direct/golden.rs
@@ -194,6 +194,14 @@
     );
 }
 
+#[test]
+fn restored_zones_keep_their_encoding() {
+    check(
+        &FleetMsg::RestoredZones(vec![(ZoneId(7), 2_200)]),
+        "a16e726573746f7265645f7a6f6e6573818207190898",
+    );
+}
+
 #[test]
 fn peer_update_without_ejections_is_decoded() {
     let news = PeerUpdate { unreachable: vec![(1, 2, 3)], ejected: Vec::new() };
--- a/crates/pomelorun-core/tests/core/direct/host.rs
+++ b/crates/pomelorun-core/tests/core/direct/host.rs
@@ -530,3 +530,41 @@
     host.apply_initial_page(Millis(40), &[DirectoryUpdate::ZoneWithdrawn(LOCAL_ZONE)]);
     assert!(host.view(Millis(40)).zones_out.is_empty());
 }
+
+// Guards against flows to cold upstreams of a restored zone by a host that started after that.
+#[test]
+fn host_that_starts_learns_of_restored_zones_from_others() {
+    let zone = announcement(1, LOCAL_ZONE).zone;
+    let mut other = host(&[announcement(1, LOCAL_ZONE)]);
+    assert_eq!(other.restored_zones(Millis(50)), vec![], "in calm there is nothing to tell");
+    other.apply_update(Millis(100), &DirectoryUpdate::ZoneWithdrawn(zone));
+    other.apply_update(Millis(5_000), &DirectoryUpdate::ZoneRestored(zone));
+    let told = other.restored_zones(Millis(5_200));
+    assert_eq!(told, vec![(zone, 2_200)], "two announcement intervals from the restoration");
+    let is_cold = |host: &DirectHost, now: u64| {
+        let ix = host.registry().by_id(1).unwrap();
+        Millis(now) < host.registry().get(ix).unwrap().cold_until
+    };
+    // Before its first listing, and after it.
+    for first_listing in [false, true] {
+        let mut started = DirectHost::new(settings(LOCAL_ZONE));
+        let listing = [
+            routing(1, vec![route(SERVICE, "feed")]),
+            DirectoryUpdate::Upstream(announcement(1, LOCAL_ZONE)),
+        ];
+        if first_listing {
+            started.apply_listing(Millis(1_000), &listing);
+        }
+        started.apply_restored_zones(Millis(1_010), &told);
+        started.apply_listing(Millis(1_020), &listing);
+        let cold_until = 1_010 + 2_200 + COLD_START_S * 1_000;
+        assert!(is_cold(&started, cold_until - 1), "listing first: {first_listing}");
+        assert!(!is_cold(&started, cold_until));
+        assert_eq!(started.restored_zones(Millis(1_100)), vec![(zone, 2_110)], "passes it on");
+    }
+    assert_eq!(other.restored_zones(Millis(7_400)), vec![]);
+    // No message makes upstreams cold for longer than a restoration does.
+    let mut started = host(&[announcement(1, LOCAL_ZONE)]);
+    started.apply_restored_zones(Millis(1_000), &[(zone, u32::MAX)]);
+    assert!(!is_cold(&started, 1_000 + 2_400 + COLD_START_S * 1_000));
+}
--- a/crates/pomelorun/src/direct/edge.rs
+++ b/crates/pomelorun/src/direct/edge.rs
@@ -11,8 +11,8 @@
     direct::{
         DirectHost, DirectSettings, DirectStats, DirectoryState, DirectoryUpdate, FailureReport,
         ListingState, LivenessMessage, LivenessQuery, LivenessReply, LoadMessage, LoadReport,
-        LoadSummary, OpeningRetry, PeerUpdate, Probe, ProbeResult, ReplicatedUpdate, SegmentKind,
-        Token, TokenOwner, UpstreamKey, Verdict, ViewState,
+        LoadSummary, OpeningRetry, PeerUpdate, Probe, ProbeResult, ReplicatedUpdate, RestoredZone,
+        SegmentKind, Token, TokenOwner, UpstreamKey, Verdict, ViewState,
     },
 };
 use pomelorun_wire::{CodecError, FlowKey, HostId, ZoneId};
@@ -393,6 +393,16 @@
         self.host.set_zone_peers(zone_peers);
     }
 
+    /// Returns the zones that were restored lately, for a host that has just started.
+    pub(crate) fn restored_zones(&self) -> Vec<RestoredZone> {
+        self.host.restored_zones(now())
+    }
+
+    /// Applies what another host tells of restored zones.
+    pub(crate) fn apply_restored_zones(&mut self, zones: &[RestoredZone]) {
+        self.host.apply_restored_zones(now(), zones);
+    }
+
     pub(crate) fn set_directory_state(&mut self, state: DirectoryState) {
         self.host.set_directory_state(now(), state);
     }
--- a/crates/pomelorun/src/direct/fleet.rs
+++ b/crates/pomelorun/src/direct/fleet.rs
@@ -15,7 +15,7 @@
         address_of, host_at,
     },
 };
-use pomelorun_wire::{Code, HostId, decode, encode};
+use pomelorun_wire::{Code, HostId, PeerMsg, decode, encode};
 use spdlog::prelude::*;
 use tokio::{
     net::UdpSocket,
@@ -96,6 +96,9 @@
         };
         match msg {
             FleetMsg::Member(msg) => {
+                if matches!(msg, PeerMsg::ViewRequest) {
+                    self.tell_restored_zones(from);
+                }
                 let out = self.fleet.handle_message(now(), from, &msg);
                 self.send(out);
                 self.publish_membership();
@@ -116,6 +119,9 @@
             FleetMsg::LivenessReply(reply) => {
                 self.edge.borrow_mut().apply_liveness_reply(from, &reply);
             }
+            FleetMsg::RestoredZones(zones) => {
+                self.edge.borrow_mut().apply_restored_zones(&zones);
+            }
             FleetMsg::Load(report) => self.edge.borrow_mut().apply_load_report(from, &report),
             FleetMsg::LoadSum(summary) => {
                 self.edge.borrow_mut().apply_load_summary(from, &summary);
@@ -123,6 +129,14 @@
         }
     }
 
+    /// Tells a host that has just started, or was paused, which zones were restored lately.
+    fn tell_restored_zones(&mut self, to: HostId) {
+        let zones = self.edge.borrow().restored_zones();
+        if !zones.is_empty() {
+            self.send(vec![(to, FleetMsg::RestoredZones(zones))]);
+        }
+    }
+
     fn send_peer_update(&mut self, update: &PeerUpdate) {
         let out = self.fleet.zone_peers();
         let out = out.into_iter().map(|to| (to, FleetMsg::PeerUpdate(update.clone()))).collect();
