Keep an old verdict while the upstream is not announced

A verdict that resets flows for 2 s alone costs callers of upstreams that are gone: flows that come to a host later wait for one retransmission and one probe. An upstream that lives announces itself, so a verdict on one that does not is kept as before.

A host that has met others once may be alone later: it goes on owning cold upstreams when the others are gone.

--- a/crates/pomelorun-core/src/direct/cold_owner.rs
+++ b/crates/pomelorun-core/src/direct/cold_owner.rs
@@ -3,8 +3,8 @@
 //! The limit on a cold upstream's new flows holds over all hosts, so one host, its owner, counts them. There
 //! is no agreement on who that is: each host chooses among the hosts that it knows. A host therefore spends
 //! nothing that another one might be spending: not while its view of the hosts may be incomplete, and
-//! not within [`HANDOVER_TIME`] of the departure of the owner before it. A cold upstream is idle in that
-//! time, which is shorter than its cold time.
+//! not within [`HANDOVER_TIME`] of the departure of the owner before it. The upstream gets no new flows
+//! meanwhile.
 
 use pomelorun_wire::HostId;
 
--- a/crates/pomelorun-core/src/direct/fleet.rs
+++ b/crates/pomelorun-core/src/direct/fleet.rs
@@ -83,8 +83,9 @@
     revision: u64,
     started_at: Millis,
     synced: bool,
-    /// `true` if other hosts were named as seeds.
+    /// `true` if other hosts were named as seeds, and once this host has met another one.
     has_seeds: bool,
+    has_met: bool,
     /// State of the view at the last call of [`Fleet::take_changed`].
     view_state: ViewState,
 }
@@ -117,6 +118,7 @@
             started_at: now,
             synced: false,
             has_seeds: seeds.iter().any(|it| *it != me.host),
+            has_met: false,
             view_state: ViewState::Incomplete,
         }
     }
@@ -162,6 +164,8 @@
     pub fn take_changed(&mut self, now: Millis) -> bool {
         let synced = self.members.has_joined() && now.since(self.started_at) >= VIEW_SYNC_DELAY;
         let became_synced = synced && !std::mem::replace(&mut self.synced, synced);
+        // A seed that has not been heard from yet has incarnation 0.
+        self.has_met |= self.members.others().iter().any(|it| it.incarnation > 0);
         let view_state = self.current_view_state();
         let view_changed = std::mem::replace(&mut self.view_state, view_state) != view_state;
         self.members.take_changed() || became_synced || view_changed
@@ -174,9 +178,9 @@
 
     fn current_view_state(&self) -> ViewState {
         let is_live = self.members.me().state == MemberState::Live;
-        // A host that meets none of its seeds does not know whether there are others.
-        let has_met = || self.members.others().iter().any(|it| it.incarnation > 0);
-        if is_live && self.synced && self.members.is_synced() && (!self.has_seeds || has_met()) {
+        // A host that has met none of its seeds does not know whether there are others.
+        let may_be_alone = !self.has_seeds || self.has_met;
+        if is_live && self.synced && self.members.is_synced() && may_be_alone {
             ViewState::Complete
         } else {
             ViewState::Incomplete
--- a/crates/pomelorun-core/src/direct/host.rs
+++ b/crates/pomelorun-core/src/direct/host.rs
@@ -611,9 +611,7 @@
         };
         let owner = self.packet_owner(now, seg, Some(ix));
         let ended = self.registry.get(ix).is_some_and(|it| it.ended);
-        if seg.kind != SegmentKind::Abort
-            && (ended || self.upstream_states[ix.0 as usize].liveness.has_verdict(now))
-        {
+        if seg.kind != SegmentKind::Abort && (ended || self.is_given_up(now, ix)) {
             let reason = if ended { ResetReason::Ended } else { ResetReason::Unreachable };
             self.remove_broken_flow(&seg.flow, owner);
             return Verdict::Reset(self.make_reset(now, Some(ix), seg.flow, seg.ack, reason));
@@ -641,6 +639,15 @@
         self.forward(ix)
     }
 
+    /// Returns `true` if an upstream does not respond and its flows are reset: by recent evidence, or
+    /// because it is not announced any more either.
+    fn is_given_up(&self, now: Millis, ix: UpstreamIx) -> bool {
+        let is_unreachable = matches!(self.reachability(ix), Reachability::Unreachable { .. });
+        let is_lapsed = self.registry.get(ix).is_some_and(|it| it.lapsed_at.is_some());
+        is_unreachable
+            && (is_lapsed || self.upstream_states[ix.0 as usize].liveness.has_verdict(now))
+    }
+
     /// Removes the state of a packet's flow, which is reset, and counts the flow as broken.
     fn remove_broken_flow(&mut self, key: &FlowKey, owner: Option<PacketOwner>) {
         let is_known = owner == Some(PacketOwner::Same);
--- a/crates/pomelorun-core/src/direct/liveness.rs
+++ b/crates/pomelorun-core/src/direct/liveness.rs
@@ -282,7 +282,7 @@
             Unanswered { flow, established, sent, last_seen: now, interval, is_given_up: false };
         if let Some(other) = self.unanswered.iter_mut().find(|other| other.flow == flow) {
             let (sent, is_given_up) = (other.sent.min(sent), other.is_given_up);
-            // Two hosts' copies of one packet may arrive together.
+            // Transmissions that were held up may arrive together.
             let interval = other.interval.max(now.since(other.last_seen));
             *other = Unanswered { sent, is_given_up, interval, ..it };
         } else if self.unanswered.len() < MAX_UNANSWERED {
--- a/crates/pomelorun-core/tests/core/direct/cold_owners.rs
+++ b/crates/pomelorun-core/tests/core/direct/cold_owners.rs
@@ -246,7 +246,13 @@
     assert_eq!(fleet_view(&[], &[]).view_state(), ViewState::Complete, "the only host");
     let mut fleet = fleet_view(&[other], &[other]);
     assert_eq!(fleet.view_state(), ViewState::Complete);
+    for now in (4_000..200_000).step_by(100) {
+        fleet.tick(Millis(now));
+        fleet.take_changed(Millis(now));
+    }
+    assert_eq!(fleet.live_hosts().len(), 1);
+    assert_eq!(fleet.view_state(), ViewState::Complete, "the other one is gone");
     fleet.leave();
-    assert!(fleet.take_changed(Millis(4_100)));
+    assert!(fleet.take_changed(Millis(200_100)));
     assert_eq!(fleet.view_state(), ViewState::Incomplete);
 }
--- a/crates/pomelorun-core/tests/core/direct/full_upstreams.rs
+++ b/crates/pomelorun-core/tests/core/direct/full_upstreams.rs
@@ -5,9 +5,9 @@
 use pomelorun_core::{
     Millis,
     direct::{
-        ConnectAttempt, DirectHost, Disabled, FleetMsg, LivenessMessage, LivenessQuery,
-        LivenessReply, Mechanism, ProbeKind, ProbeResult, Reachability, Segment, SegmentKind,
-        Token, UpstreamKey, Verdict, conclude_connect,
+        ConnectAttempt, DirectHost, DirectoryUpdate, Disabled, FleetMsg, LivenessMessage,
+        LivenessQuery, LivenessReply, Mechanism, ProbeKind, ProbeResult, Reachability, Segment,
+        SegmentKind, Token, UpstreamKey, Verdict, conclude_connect,
     },
 };
 use pomelorun_wire::{HostId, ZoneId, encode};
@@ -805,6 +805,19 @@
     assert_eq!(host.take_resets(), vec![]);
 }
 
+#[test]
+fn old_verdict_holds_while_the_upstream_is_not_announced() {
+    let mut host = host_with_verdict();
+    host.apply_update(Millis(4_000), &DirectoryUpdate::UpstreamRemoved(1));
+    let request = data_segment(flow(902), Token::of(key(1)), 1, 100, 50);
+    let verdict = host.handle_packet(Millis(8_000), &request);
+    assert!(matches!(verdict, Verdict::Reset(_)), "{verdict:?}");
+    host.apply_update(Millis(8_100), &DirectoryUpdate::Upstream(announcement(1, LOCAL_ZONE)));
+    let request = data_segment(flow(903), Token::of(key(1)), 1, 100, 50);
+    let verdict = host.handle_packet(Millis(8_200), &request);
+    assert!(matches!(verdict, Verdict::Forward { .. }), "it announces itself again: {verdict:?}");
+}
+
 #[test]
 fn old_verdict_is_renewed_by_new_evidence() {
     for result in [ProbeResult::NoResponse, ProbeResult::Refused] {
