--- a/crates/pomelorun-core/tests/core/direct.rs
+++ b/crates/pomelorun-core/tests/core/direct.rs
@@ -17,6 +17,7 @@
 mod joining;
 mod load_sharing;
 mod locality;
+mod mangled_messages;
 mod mechanism;
 mod opening_retries;
 mod outliers;
