--- a/crates/pomelorun-core/src/direct/view.rs
+++ b/crates/pomelorun-core/src/direct/view.rs
@@ -21,7 +21,7 @@
     Ended,
     /// Its announcement lapsed, and the grace period is over.
     Lapsed,
-    /// It is cold, and another host is its cold-start owner.
+    /// It is cold, and another host is its cold-start owner, or may have been until a moment ago.
     ColdElsewhere,
     /// It is cold, and its budget of flows for this second is used up.
     ColdFull,
