Let a whole key decide who owns an identifier in datagrams

Cause: the reader gave the digits to the first readable entry that it met, and forgot the owners with each listing; in a listing the first one is the first by name. A host that starts logs PR0401, "servers/i-: its identifier is that of servers/agent-", for each upstream. The registry took an upstream for contradictory that came after such an entry with a later start.

Change: EntryOwners in the core holds the entries by their whole names. One of a service that the configuration names owns its identifier before any other, whatever the order; among equals the one that had it. The registry compares an announced instance with the registered one in one place, and an entry of an unknown service yields.

--- a/crates/pomelorun-core/src/direct.rs
+++ b/crates/pomelorun-core/src/direct.rs
@@ -13,6 +13,7 @@
 mod decaying_sum;
 mod directory_merge;
 mod directory_sync;
+mod entry_owners;
 mod event;
 mod fleet;
 mod flow_lifetimes;
@@ -51,6 +52,7 @@
         BootstrapHosts, DirectoryPosition, DirectorySync, HasFollowers, Readers, ResponseEra,
         SyncOutcome, SyncStep,
     },
+    entry_owners::{EntryEffect, EntryOwners},
     event::{
         DirectEvent, DropReason, ImplausibleLoad, LifecycleChange, OpenCause, OpenReason,
         ResetReason,
--- a/crates/pomelorun-core/src/direct/host/directory.rs
+++ b/crates/pomelorun-core/src/direct/host/directory.rs
@@ -229,8 +229,9 @@
         let was_draining = previous
             .and_then(|ix| self.registry.get(ix))
             .is_some_and(|it| it.announcement.key == announcement.key && it.announcement.draining);
-        let service = self.service_status(&announcement.service);
-        let (ix, change) = match self.registry.announce(now, announcement, service, recency) {
+        let service = ServiceStatus::of(&announcement.service, &self.routing);
+        let change = self.registry.announce(now, announcement, &self.routing, recency);
+        let (ix, change) = match change {
             RegistryChange::Unchanged => return,
             RegistryChange::Contradictory => {
                 self.is_contradicted = true;
@@ -262,15 +263,6 @@
         }
     }
 
-    /// Returns whether the active revision names a service.
-    pub(super) fn service_status(&self, service: &str) -> ServiceStatus {
-        if self.routing.names_service(service) {
-            ServiceStatus::Configured
-        } else {
-            ServiceStatus::Unknown
-        }
-    }
-
     /// Clears the state at the position of a new upstream instance, and resets the flows of the
     /// instances that it replaces.
     pub(super) fn reset_upstream_state(&mut self, now: Millis, ix: UpstreamIx) {
--- a/crates/pomelorun-core/src/direct/host/token_queries.rs
+++ b/crates/pomelorun-core/src/direct/host/token_queries.rs
@@ -153,8 +153,7 @@
     /// gets no new ones.
     fn add_learned_upstream(&mut self, now: Millis, announcement: &Announcement) {
         let token = Token::of(announcement.key);
-        let service = self.service_status(&announcement.service);
-        let change = self.registry.announce(now, announcement, service, Recency::Unknown);
+        let change = self.registry.announce(now, announcement, &self.routing, Recency::Unknown);
         let RegistryChange::Added(ix) = change else {
             // A later instance has its identifier, so this one has ended.
             self.reset_token_flows(now, token);
--- a/crates/pomelorun-core/src/direct/registry.rs
+++ b/crates/pomelorun-core/src/direct/registry.rs
@@ -5,12 +5,15 @@
 //! whose announcement has expired stays in the registry for the maximum lifetime of a flow, so that
 //! packets of its flows are still forwarded.
 
-use std::net::SocketAddrV4;
+use std::{cmp::Ordering, net::SocketAddrV4};
 
 use pomelorun_wire::ZoneId;
 use serde::{Deserialize, Serialize};
 
-use crate::{direct::token::Token, time::Millis};
+use crate::{
+    direct::{routing::Routing, token::Token},
+    time::Millis,
+};
 
 /// Identifies one instance of an upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -129,13 +132,38 @@
 /// Whether the active revision names the service of an announcement.
 ///
 /// The directory may hold entries of others, such as an agent on an upstream's machine. An instance of a
-/// service that is not named gets no flows, and its announcement ends no other instance.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+/// service that is not named gets no flows, and its announcement ends no instance of one that is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum ServiceStatus {
-    /// The revision names the service.
-    Configured,
     /// It does not, or there is no revision yet.
     Unknown,
+    /// The revision names the service.
+    Configured,
+}
+
+impl ServiceStatus {
+    pub(crate) fn of(service: &str, routing: &Routing) -> ServiceStatus {
+        if routing.names_service(service) {
+            ServiceStatus::Configured
+        } else {
+            ServiceStatus::Unknown
+        }
+    }
+}
+
+/// What the registered instance of an identifier is to one that is announced under it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Registered {
+    /// The same instance.
+    Same,
+    /// An earlier start of the same upstream, or by the directory's order the one before.
+    Earlier,
+    /// A later start of the same upstream, if its clock is right.
+    Later,
+    /// An entry of another writer, which yields the identifier.
+    Foreign,
+    /// An upstream, while the announced instance is the entry of another writer.
+    Owner,
 }
 
 /// Upstream instances, indexed by token, identifier, service and address.
@@ -214,41 +242,48 @@
 
     /// Applies an announcement.
     ///
-    /// One of an unknown service under the identifier of a registered instance is ignored.
+    /// One of an unknown service under the identifier of an instance whose service `routing` names is
+    /// ignored, and yields the identifier to such an instance.
     pub(crate) fn announce(
         &mut self,
         now: Millis,
         announcement: &Announcement,
-        service: ServiceStatus,
+        routing: &Routing,
         recency: Recency,
     ) -> RegistryChange {
-        match self.by_id(announcement.key.id) {
-            Some(ix) if self.get(ix).is_some_and(|it| it.announcement.key == announcement.key) => {
-                self.update(now, ix, announcement)
-            }
-            Some(_) if service == ServiceStatus::Unknown => RegistryChange::Unchanged,
-            Some(ix)
-                if recency == Recency::Unknown
-                    && self.get(ix).is_some_and(|it| {
-                        it.announcement.key.started_at > announcement.key.started_at
-                    }) =>
+        let Some(ix) = self.by_id(announcement.key.id) else {
+            return self.add(now, announcement, routing);
+        };
+        match self.compare(ix, announcement, routing) {
+            Registered::Same => self.update(now, ix, announcement),
+            Registered::Owner => RegistryChange::Unchanged,
+            // A late announcement of an instance that was replaced does not concern the newer one.
+            Registered::Later
+                if recency == Recency::Unknown && self.by_key(announcement.key).is_some() =>
             {
-                // A late announcement of an instance that was replaced does not concern the newer one.
-                if self.by_key(announcement.key).is_some() {
-                    RegistryChange::Unchanged
-                } else {
-                    RegistryChange::Contradictory
-                }
+                RegistryChange::Unchanged
             }
-            Some(ix) => {
-                self.mark_lapsed(now, ix);
+            Registered::Later if recency == Recency::Unknown => RegistryChange::Contradictory,
+            Registered::Earlier | Registered::Later => {
                 self.mark_ended(ix);
-                match self.by_key(announcement.key) {
-                    Some(earlier) => self.restore(now, earlier, announcement),
-                    None => self.add(now, announcement, service),
-                }
+                self.succeed(now, ix, announcement, routing)
             }
-            None => self.add(now, announcement, service),
+            Registered::Foreign => self.succeed(now, ix, announcement, routing),
+        }
+    }
+
+    /// Compares the instance that is registered for an identifier with one that is announced under it.
+    fn compare(&self, ix: UpstreamIx, announced: &Announcement, routing: &Routing) -> Registered {
+        let Some(it) = self.get(ix).map(|it| &it.announcement) else { return Registered::Foreign };
+        if it.key == announced.key {
+            return Registered::Same;
+        }
+        let status = |it: &Announcement| ServiceStatus::of(&it.service, routing);
+        match status(it).cmp(&status(announced)) {
+            Ordering::Less => Registered::Foreign,
+            Ordering::Greater => Registered::Owner,
+            Ordering::Equal if it.key.started_at > announced.key.started_at => Registered::Later,
+            Ordering::Equal => Registered::Earlier,
         }
     }
 
@@ -349,22 +384,40 @@
         if let Some(it) = self.get_mut(ix) {
             it.ended = false;
         }
-        if let Ok(at) = self.ids.binary_search_by_key(&announcement.key.id, |it| it.0) {
-            self.ids[at].1 = ix;
-        }
+        self.set_current(announcement.key.id, ix);
         self.update(now, ix, announcement);
         RegistryChange::Updated(ix)
     }
 
+    /// Makes an announced instance the current one of its identifier in place of `previous`.
+    fn succeed(
+        &mut self,
+        now: Millis,
+        previous: UpstreamIx,
+        announcement: &Announcement,
+        routing: &Routing,
+    ) -> RegistryChange {
+        self.mark_lapsed(now, previous);
+        match self.by_key(announcement.key) {
+            Some(it) => self.restore(now, it, announcement),
+            None => self.add(now, announcement, routing),
+        }
+    }
+
     fn add(
         &mut self,
         now: Millis,
         announcement: &Announcement,
-        service: ServiceStatus,
+        routing: &Routing,
     ) -> RegistryChange {
-        if service == ServiceStatus::Configured {
+        if ServiceStatus::of(&announcement.service, routing) == ServiceStatus::Configured {
             self.end_older_at(announcement.addr, announcement.key);
         }
+        RegistryChange::Added(self.insert(now, announcement))
+    }
+
+    /// Inserts an instance as the current one of its identifier.
+    fn insert(&mut self, now: Millis, announcement: &Announcement) -> UpstreamIx {
         let token = Token::of(announcement.key);
         let cold_until = if announcement.cold_left > Millis(0) {
             now + announcement.cold_left
@@ -387,12 +440,16 @@
         self.index_addr(announcement.addr, ix);
         let at = self.tokens.partition_point(|it| *it < (token, ix));
         self.tokens.insert(at, (token, ix));
-        match self.ids.binary_search_by_key(&announcement.key.id, |it| it.0) {
+        self.set_current(announcement.key.id, ix);
+        self.add_to_service(&announcement.service, ix);
+        ix
+    }
+
+    fn set_current(&mut self, id: u64, ix: UpstreamIx) {
+        match self.ids.binary_search_by_key(&id, |it| it.0) {
             Ok(at) => self.ids[at].1 = ix,
-            Err(at) => self.ids.insert(at, (announcement.key.id, ix)),
+            Err(at) => self.ids.insert(at, (id, ix)),
         }
-        self.add_to_service(&announcement.service, ix);
-        RegistryChange::Added(ix)
     }
 
     /// Marks the older instances at an address as ended, because an address belongs to one upstream
--- a/crates/pomelorun-core/tests/core/direct.rs
+++ b/crates/pomelorun-core/tests/core/direct.rs
@@ -6,6 +6,7 @@
 mod directory_age;
 mod directory_restore;
 mod directory_sync;
+mod entry_owners;
 mod failure_scenarios;
 mod fixtures;
 mod fleet;
--- a/crates/pomelorun-core/tests/core/direct/registry.rs
+++ b/crates/pomelorun-core/tests/core/direct/registry.rs
@@ -172,6 +172,34 @@
     }
 }
 
+// Guards against an upstream that stays unknown because another writer's entry was read before its own.
+#[test]
+fn upstream_takes_its_identifier_from_an_entry_of_an_unknown_service() {
+    for started_at in [1, 9_000] {
+        let mut foreign = foreign_announcement(1);
+        foreign.key.started_at = started_at;
+        let mut host = host(&[foreign.clone()]);
+        host.apply_update(Millis(10), &DirectoryUpdate::Upstream(announcement(1, LOCAL_ZONE)));
+        assert_eq!(open_flow(&mut host, Millis(20), flow(1)), (1, Token::of(key(1))));
+        host.apply_update(Millis(30), &DirectoryUpdate::Upstream(foreign));
+        assert_eq!(open_flow(&mut host, Millis(40), flow(2)), (1, Token::of(key(1))));
+        assert_eq!(host.take_resets(), vec![]);
+    }
+}
+
+// Guards against flows at the first instance of an upstream that started again before its service was
+// configured.
+#[test]
+fn restart_before_the_service_is_configured_is_a_new_instance() {
+    let mut host = DirectHost::new(settings(LOCAL_ZONE));
+    host.apply_update(Millis(0), &DirectoryUpdate::Upstream(announcement(1, LOCAL_ZONE)));
+    let mut later = announcement(1, LOCAL_ZONE);
+    later.key.started_at += 500;
+    host.apply_update(Millis(10), &DirectoryUpdate::Upstream(later.clone()));
+    host.apply_update(Millis(20), &routing(1, vec![route(SERVICE, "feed")]));
+    assert_eq!(open_flow(&mut host, Millis(30), flow(1)), (1, Token::of(later.key)));
+}
+
 #[test]
 fn address_belongs_to_the_later_upstream_once_a_revision_names_its_service() {
     let mut host = host(&[announcement(1, LOCAL_ZONE)]);
