Let a peer's word on an upstream end no instance

Cause: the host asked others for the tokens that it did not know, and took each upstream that they named and that could not be added for ended: a later instance had its identifier. Here that was the agent's entry. The registry was asked as if the directory had told, so a peer that named a later start could also end the current instance.

Change: Registry::learn adds what a peer knows beside the current instance of its identifier, and ends none. A host resets flows of an unknown token only if another host says that their upstream has ended. If the learned instance started later, the current one gets no new flows until the directory, which is listed, tells which is current.

Why it works: an instance that has ended answers with a reset from its address if it started again there, or is found unreachable; one that lives is served.

--- a/crates/pomelorun-core/src/direct/host/directory.rs
+++ b/crates/pomelorun-core/src/direct/host/directory.rs
@@ -274,10 +274,15 @@
     }
 
     pub(super) fn apply_removal(&mut self, now: Millis, id: u64) {
-        let Some(ix) = self.registry.by_id(id) else { return };
-        let Some(it) = self.registry.get(ix) else { return };
-        let upstream = it.announcement.key;
-        if self.registry.mark_lapsed(now, ix) {
+        if let Some(ix) = self.registry.by_id(id) {
+            self.lapse(now, ix);
+        }
+    }
+
+    /// Treats the announcement of an upstream as expired since `at`.
+    pub(super) fn lapse(&mut self, at: Millis, ix: UpstreamIx) {
+        let Some(upstream) = self.registry.get(ix).map(|it| it.announcement.key) else { return };
+        if self.registry.mark_lapsed(at, ix) {
             self.emit(DirectEvent::Lifecycle {
                 upstream,
                 change: LifecycleChange::Lapsed,
--- a/crates/pomelorun-core/src/direct/host/token_queries.rs
+++ b/crates/pomelorun-core/src/direct/host/token_queries.rs
@@ -10,7 +10,7 @@
         event::{DirectEvent, DropReason, LifecycleChange, ResetReason},
         host::{DirectHost, Verdict},
         mechanism::Mechanism,
-        registry::{Announcement, Recency, RegistryChange},
+        registry::{Announcement, Learned},
         segment::{Segment, SegmentKind},
         token::Token,
         unknown_tokens::{MAX_TOKENS_PER_QUERY, TokenOwner, TokenStatus},
@@ -151,15 +151,20 @@
 
     /// Adds an upstream that was learned from a peer as lapsed: its flows are forwarded, but it
     /// gets no new ones.
+    ///
+    /// A peer's word ends no instance. If the learned one has started later than the current one of its
+    /// identifier, that one gets no new flows either, until the directory tells which of them is current.
     fn add_learned_upstream(&mut self, now: Millis, announcement: &Announcement) {
-        let token = Token::of(announcement.key);
-        let change = self.registry.announce(now, announcement, &self.routing, Recency::Unknown);
-        let RegistryChange::Added(ix) = change else {
-            // A later instance has its identifier, so this one has ended.
-            self.reset_token_flows(now, token);
-            return;
+        let lapsed_at = now - self.cfg.lapse_grace;
+        let ix = match self.registry.learn(now, lapsed_at, announcement, &self.routing) {
+            Learned::Nothing => return,
+            Learned::Added(ix) => ix,
+            Learned::Later { ix, current } => {
+                self.lapse(lapsed_at, current);
+                self.is_contradicted = true;
+                ix
+            }
         };
-        self.registry.mark_lapsed(now - self.cfg.lapse_grace, ix);
         let cold_left = announcement.cold_left;
         self.emit(DirectEvent::Lifecycle {
             upstream: announcement.key,
@@ -167,7 +172,7 @@
             cold_left,
         });
         self.reset_upstream_state(now, ix);
-        self.unknown_tokens.remove(token);
+        self.unknown_tokens.remove(Token::of(announcement.key));
     }
 
     fn reset_token_flows(&mut self, now: Millis, token: Token) {
--- a/crates/pomelorun-core/src/direct/registry.rs
+++ b/crates/pomelorun-core/src/direct/registry.rs
@@ -166,6 +166,17 @@
     Owner,
 }
 
+/// Effect of an instance that was learned from another host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Learned {
+    /// None: its token identifies a registered instance.
+    Nothing,
+    /// It was added.
+    Added(UpstreamIx),
+    /// It was added and has started later than the current one of its identifier, which may have ended.
+    Later { ix: UpstreamIx, current: UpstreamIx },
+}
+
 /// Upstream instances, indexed by token, identifier, service and address.
 #[derive(Debug, Default)]
 pub struct Registry {
@@ -287,6 +298,33 @@
         }
     }
 
+    /// Adds an instance that another host knows as lapsed since `lapsed_at`, beside the current one of its
+    /// identifier.
+    ///
+    /// Only the directory tells which instance is the current one: either host may be behind it.
+    pub(crate) fn learn(
+        &mut self,
+        now: Millis,
+        lapsed_at: Millis,
+        announcement: &Announcement,
+        routing: &Routing,
+    ) -> Learned {
+        if self.by_token(Token::of(announcement.key)).is_some() {
+            return Learned::Nothing;
+        }
+        let current = self.by_id(announcement.key.id);
+        let relation = current.map(|it| self.compare(it, announcement, routing));
+        let ix = self.insert(now, announcement);
+        self.mark_lapsed(lapsed_at, ix);
+        let Some(current) = current else { return Learned::Added(ix) };
+        self.set_current(announcement.key.id, current);
+        if relation == Some(Registered::Earlier) {
+            Learned::Later { ix, current }
+        } else {
+            Learned::Added(ix)
+        }
+    }
+
     /// Gives the instances of a service that has become known the addresses that they announce.
     pub(crate) fn claim_addresses(&mut self, service: &str) {
         for ix in self.by_service(service).to_vec() {
--- a/crates/pomelorun-core/tests/core/direct/unknown_tokens.rs
+++ b/crates/pomelorun-core/tests/core/direct/unknown_tokens.rs
@@ -4,7 +4,7 @@
     Millis,
     direct::{
         Announcement, DirectHost, DirectoryState, DirectoryUpdate, IneligibleReason, ProbeResult,
-        Segment, Token, Verdict,
+        Segment, Token, UpstreamKey, Verdict,
     },
 };
 use pomelorun_wire::HostId;
@@ -153,6 +153,66 @@
     assert!(matches!(group.send(1, &request(4, old_token)), Verdict::Reset(_)));
 }
 
+/// Returns upstream 1 as it starts again with another start time.
+fn restarted(started_at: u64) -> Announcement {
+    let first = announcement(1, LOCAL_ZONE);
+    Announcement { key: UpstreamKey { started_at, ..first.key }, ..first }
+}
+
+/// Guards against resets of live flows by a host that holds another writer's entry under the identifier of
+/// the flow's upstream.
+#[test]
+fn flow_is_kept_beside_another_writers_entry_with_the_identifier_of_its_upstream() {
+    for started_at in [1, 9_000] {
+        let mut group = HostGroup::new(2, &[announcement(1, LOCAL_ZONE)]);
+        let foreign = Announcement { service: "agent".to_owned(), ..restarted(started_at) };
+        group.restart(1, &[foreign]);
+        let segment = request(4, Token::of(key(1)));
+        assert_eq!(group.send(1, &segment), Verdict::Drop);
+        group.advance(300, DirectoryState::Available);
+        assert_eq!(group.hosts[1].take_resets(), vec![]);
+        assert_eq!(forwarded_to(group.send(1, &segment)).map(|it| it.0), Some(1));
+    }
+}
+
+/// Guards against resets by a host whose peer knows another start of an upstream: the clock of the
+/// upstream may have been ahead at either start, and only the directory tells which is the current one.
+#[test]
+fn peers_word_on_another_start_of_an_upstream_ends_neither() {
+    let kept = restarted(5_000);
+    for learned in [restarted(2_000), restarted(8_000)] {
+        let mut group = HostGroup::new(2, &[learned.clone()]);
+        group.restart(1, &[kept.clone()]);
+        let now = Millis(group.now);
+        let (_, token) = open_flow(&mut group.hosts[1], now, flow(1));
+        assert_eq!(token, Token::of(kept.key));
+        let segment = request(4, Token::of(learned.key));
+        assert_eq!(group.send(1, &segment), Verdict::Drop);
+        group.advance(300, DirectoryState::Available);
+        assert_eq!(group.hosts[1].take_resets(), vec![], "{learned:?}");
+        assert_eq!(forwarded_to(group.send(1, &segment)), Some((1, Token::of(learned.key))));
+        let to = forwarded_to(group.send(1, &request(1, token)));
+        assert_eq!(to, Some((1, token)), "{learned:?}");
+    }
+}
+
+/// Guards against new flows at an upstream that has started again and is cold, as a peer knows.
+#[test]
+fn upstream_whose_later_start_a_peer_knows_gets_no_new_flows_until_the_directory_tells() {
+    let later = restarted(8_000);
+    let mut group = HostGroup::new(2, &[later.clone()]);
+    group.restart(1, &[announcement(1, LOCAL_ZONE)]);
+    group.send(1, &request(4, Token::of(later.key)));
+    group.advance(300, DirectoryState::Available);
+    assert_eq!(forwarded_to(group.send(1, &open_segment(flow(5), 0))), None);
+    let now = Millis(group.now + 1_200);
+    assert!(group.hosts[1].is_listing_due(now));
+    let all = [routing(1, vec![route(SERVICE, "feed")]), DirectoryUpdate::Upstream(later.clone())];
+    group.hosts[1].apply_listing(now, &all);
+    let to = forwarded_to(group.send(1, &open_segment(flow(6), 0)));
+    assert_eq!(to, Some((1, Token::of(later.key))));
+}
+
 /// Returns two hosts of one zone and one host of another zone.
 fn hosts_in_two_zones(upstreams: &[Announcement]) -> HostGroup {
     let mut group = HostGroup::new(3, upstreams);
