--- a/crates/pomelorun-core/tests/core/direct/unknown_tokens.rs
+++ b/crates/pomelorun-core/tests/core/direct/unknown_tokens.rs
@@ -181,8 +181,8 @@
 fn peers_word_on_another_start_of_an_upstream_ends_neither() {
     let kept = restarted(5_000);
     for learned in [restarted(2_000), restarted(8_000)] {
-        let mut group = HostGroup::new(2, &[learned.clone()]);
-        group.restart(1, &[kept.clone()]);
+        let mut group = HostGroup::new(2, std::slice::from_ref(&learned));
+        group.restart(1, std::slice::from_ref(&kept));
         let now = Millis(group.now);
         let (_, token) = open_flow(&mut group.hosts[1], now, flow(1));
         assert_eq!(token, Token::of(kept.key));
@@ -200,7 +200,7 @@
 #[test]
 fn upstream_whose_later_start_a_peer_knows_gets_no_new_flows_until_the_directory_tells() {
     let later = restarted(8_000);
-    let mut group = HostGroup::new(2, &[later.clone()]);
+    let mut group = HostGroup::new(2, std::slice::from_ref(&later));
     group.restart(1, &[announcement(1, LOCAL_ZONE)]);
     group.send(1, &request(4, Token::of(later.key)));
     group.advance(300, DirectoryState::Available);
