Take an upstream that answers after a refusal for restarted, and cold

Cause: it counted as recovered, warm as before, once a process at its address answered with its identifier. The hosts' connections had been refused before: nothing listened there, so that process had just started.

Change: a refusal is held as "gone" until a process responds as the upstream, which is then cold for the service's cold time (PR0441). While an upstream is gone, only the owner of its cold budget opens flows there. After a silence, which may be a cut, it is cold only if the directory cannot tell. Messages get one field that earlier versions ignore.

--- a/crates/pomelorun-core/src/direct.rs
+++ b/crates/pomelorun-core/src/direct.rs
@@ -79,7 +79,7 @@
         Admission, Opening, ServiceLoad, ServiceOverload, ShortageReport, UpstreamRoom, Urgency,
     },
     peer_evidence::{LivenessMessage, LivenessQuery, LivenessReply},
-    peer_update::PeerUpdate,
+    peer_update::{PeerScope, PeerUpdate},
     placement::{Candidate, Choice, choose},
     registry::{Announcement, Registry, Upstream, UpstreamIx, UpstreamKey},
     routing::{DirectRoute, RequestClass, RouteTarget, Routing, RoutingChange, ServiceLimits},
--- a/crates/pomelorun-core/src/direct/event.rs
+++ b/crates/pomelorun-core/src/direct/event.rs
@@ -84,6 +84,8 @@
     Lapsed,
     /// It was learned from a peer, in the reply to a token query.
     Adopted,
+    /// It responds again after its process ended, or may have ended, and counts as cold.
+    Restarted,
     /// It ended.
     Ended,
     /// It was removed from the registry.
--- a/crates/pomelorun-core/src/direct/fleet.rs
+++ b/crates/pomelorun-core/src/direct/fleet.rs
@@ -210,6 +210,13 @@
         self.hosts_in_zone(zone).collect()
     }
 
+    /// Returns the live hosts of all other zones.
+    pub fn other_zones_hosts(&self) -> Vec<HostId> {
+        let zone = self.members.me().zone;
+        let hosts = self.live_hosts_by_zone().into_iter();
+        hosts.filter(|it| it.0 != zone).map(|it| it.1).collect()
+    }
+
     /// Returns the directory readers of this host's zone.
     pub fn readers(&self) -> Readers {
         let me = self.members.me();
--- a/crates/pomelorun-core/src/direct/host.rs
+++ b/crates/pomelorun-core/src/direct/host.rs
@@ -307,6 +307,7 @@
     /// Resets to send.
     resets: Vec<ResetPacket>,
     peer_update: PeerUpdate,
+    other_zones_update: PeerUpdate,
     answer_times: AnswerTimes,
     /// Messages about the liveness of upstreams to send.
     liveness_messages: Vec<(HostId, LivenessMessage)>,
@@ -360,6 +361,7 @@
             zone_responses: Vec::new(),
             resets: Vec::new(),
             peer_update: PeerUpdate::default(),
+            other_zones_update: PeerUpdate::default(),
             answer_times: AnswerTimes::default(),
             liveness_messages: Vec::new(),
             liveness_queries: OpenQueries::default(),
@@ -455,6 +457,11 @@
         std::mem::take(&mut self.peer_update)
     }
 
+    /// Takes the update to send to the hosts of all other zones.
+    pub fn take_other_zones_update(&mut self) -> PeerUpdate {
+        std::mem::take(&mut self.other_zones_update)
+    }
+
     /// Sets the live hosts of all zones, including this one.
     pub fn set_hosts(&mut self, now: Millis, hosts: Vec<HostId>) {
         self.cold_owners.set_live(now, hosts);
--- a/crates/pomelorun-core/src/direct/host/directory.rs
+++ b/crates/pomelorun-core/src/direct/host/directory.rs
@@ -10,7 +10,7 @@
         event::{DirectEvent, LifecycleChange},
         fleet::RestoredZone,
         host::{DirectHost, DirectoryState, DirectoryUpdate, ReplicatedUpdate, UpstreamState},
-        registry::{Announcement, Recency, RegistryChange, ServiceStatus, UpstreamIx},
+        registry::{Announcement, Recency, RegistryChange, ServiceStatus, Upstream, UpstreamIx},
         routing::{Routing, RoutingChange},
         token::Token,
     },
@@ -174,10 +174,26 @@
         }
         all.extend(self.withdrawn_zones.iter().map(|&it| ReplicatedUpdate::ZoneWithdrawn(it)));
         let announced = self.registry.iter().filter(|it| it.1.lapsed_at.is_none());
-        all.extend(announced.map(|(_, it)| ReplicatedUpdate::Upstream(it.announcement_at(now))));
+        let announced = announced.map(|(ix, it)| self.announcement_at(now, ix, it));
+        all.extend(announced.map(ReplicatedUpdate::Upstream));
         all
     }
 
+    /// Returns an upstream's announcement for another host, with the remaining cold time as of `now`. One that
+    /// is gone will be cold when it starts again.
+    pub(super) fn announcement_at(
+        &self,
+        now: Millis,
+        ix: UpstreamIx,
+        it: &Upstream,
+    ) -> Announcement {
+        let mut found = it.announcement_at(now);
+        if self.upstream_states[ix.0 as usize].liveness.is_gone() {
+            found.cold_left = found.cold_left.max(self.cold_time(&found.service));
+        }
+        found
+    }
+
     /// Decodes an update from another host.
     ///
     /// Returns `None` for a difference from a revision that is not the active one here, unless it
@@ -369,8 +385,7 @@
         if announced_by <= now {
             return;
         }
-        let limits = self.routing.limits(&it.announcement.service);
-        let cold = limits.map_or(Millis(0), |it| it.cold);
+        let cold = self.cold_time(&it.announcement.service);
         self.registry.extend_cold(ix, announced_by + cold);
     }
 }
--- a/crates/pomelorun-core/src/direct/host/failure_detection.rs
+++ b/crates/pomelorun-core/src/direct/host/failure_detection.rs
@@ -8,8 +8,8 @@
 
 use crate::{
     direct::{
-        event::{DirectEvent, ResetReason},
-        host::DirectHost,
+        event::{DirectEvent, LifecycleChange, ResetReason},
+        host::{DirectHost, DirectoryState},
         liveness::{
             Judgement, KeepReason, Liveness, MIN_RETRANSMIT_GAP, ProbeEffect, ProbeKind,
             ProbeResult, Reachability, UnansweredPacket,
@@ -48,8 +48,15 @@
             Reachability::Answering | Reachability::Suspect => now,
         };
         let was_silent = liveness.is_silent();
+        let was_gone = liveness.is_gone();
         let effect = liveness.record_probe(now, result, rule);
         let fell_silent = !was_silent && liveness.is_silent();
+        if !was_gone && liveness.is_gone() {
+            self.report_gone(key);
+        }
+        if result == ProbeResult::Answered {
+            self.record_process(now, ix, since);
+        }
         match effect {
             ProbeEffect::Unchanged => {}
             ProbeEffect::Recovered => self.record_recovery(now, key, since),
@@ -83,6 +90,42 @@
         }
     }
 
+    /// Tells other hosts that nothing listens at the address of an upstream. Hosts of other zones may have no
+    /// flow there that shows it, and learn of its next start from the directory, if that is available.
+    fn report_gone(&mut self, key: UpstreamKey) {
+        let gone = (key.id, key.started_at);
+        self.peer_update.gone.push(gone);
+        if self.directory_state == DirectoryState::Unavailable {
+            self.other_zones_update.gone.push(gone);
+        }
+    }
+
+    /// Records that a process responds as the upstream, which was unreachable since `since` if it was at all.
+    /// One that has started since counts as cold until the directory announces it.
+    fn record_process(&mut self, now: Millis, ix: UpstreamIx, since: Millis) {
+        if matches!(self.reachability(ix), Reachability::Unreachable { .. }) {
+            return;
+        }
+        let may_have_restarted = since < now && !self.is_directory_current(now);
+        let has_restarted = self.upstream_states[ix.0 as usize].liveness.take_restart();
+        if !has_restarted && !may_have_restarted {
+            return;
+        }
+        let Some(it) = self.registry.get(ix) else { return };
+        let upstream = it.announcement.key;
+        let cold_left = self.cold_time(&it.announcement.service);
+        self.registry.extend_cold(ix, now + cold_left);
+        let change = LifecycleChange::Restarted;
+        self.emit(DirectEvent::Lifecycle { upstream, change, cold_left });
+    }
+
+    /// Returns `true` if the directory would have told of a later start of an upstream by now.
+    fn is_directory_current(&self, now: Millis) -> bool {
+        let longest = self.cfg.announce_interval + self.cfg.announce_interval;
+        self.directory_state == DirectoryState::Available
+            && self.directory_age(now).is_some_and(|it| it <= longest)
+    }
+
     /// Judges a probe whose judgement was postponed and is due, or repeats it.
     pub(super) fn judge_postponed(&mut self, now: Millis, ix: UpstreamIx) {
         match self.upstream_states[ix.0 as usize].liveness.take_judgement(now) {
@@ -96,7 +139,7 @@
         }
     }
 
-    /// Applies an update from another host of this zone.
+    /// Applies an update from another host.
     pub fn apply_peer_update(&mut self, now: Millis, update: &PeerUpdate) {
         let shared = self.is_enabled(Mechanism::SharedFailures);
         for &(id, started_at, waited_ms) in update.unreachable.iter().filter(|_| shared) {
@@ -108,6 +151,11 @@
                 self.mark_unreachable(now, ix, waited, true);
             }
         }
+        for &(id, started_at) in update.gone.iter().filter(|_| shared) {
+            let Some(ix) = self.registry.by_key(UpstreamKey { id, started_at }) else { continue };
+            self.upstream_states[ix.0 as usize].liveness.record_gone_at_peer(now);
+            self.mark_unhealthy(ix);
+        }
         for &(id, started_at, duration_ms) in &update.ejected {
             let Some(ix) = self.registry.by_key(UpstreamKey { id, started_at }) else { continue };
             let duration = Millis(u64::from(duration_ms));
@@ -211,7 +259,7 @@
             if let Some(it) = self.outcomes.counters(&self.routing, seg.flow.service) {
                 it.opened += 1;
             }
-            self.record_response(now, ix, Liveness::record_accepted);
+            self.record_accepted(now, ix);
         }
         let has_data = seg.len > 0;
         let inserted = self.flows.insert(Flow {
@@ -258,6 +306,16 @@
         }
     }
 
+    /// Records that an upstream has accepted a flow.
+    fn record_accepted(&mut self, now: Millis, ix: UpstreamIx) {
+        let since = match self.reachability(ix) {
+            Reachability::Unreachable { since } => since,
+            Reachability::Answering | Reachability::Suspect => now,
+        };
+        self.record_response(now, ix, Liveness::record_accepted);
+        self.record_process(now, ix, since);
+    }
+
     pub(super) fn record_recovery(&mut self, now: Millis, upstream: UpstreamKey, since: Millis) {
         self.stats.recovered += 1;
         self.emit(DirectEvent::Recovered { upstream, unreachable_for: now - since });
--- a/crates/pomelorun-core/src/direct/host/flow_placement.rs
+++ b/crates/pomelorun-core/src/direct/host/flow_placement.rs
@@ -66,9 +66,10 @@
         candidates: usize,
         cause: OpenCause,
     ) -> Verdict {
+        let is_cold = self.is_cold(now, best.ix);
         let state = &mut self.upstream_states[best.ix.0 as usize];
         state.load.record_open(now);
-        if self.registry.get(best.ix).is_some_and(|it| now < it.cold_until) {
+        if is_cold {
             state.cold.record_open(now);
         }
         let Some(it) = self.registry.get(best.ix) else { return Verdict::Drop };
@@ -259,8 +260,9 @@
             return Err(IneligibleReason::Draining);
         }
         let state = &self.upstream_states[ix.0 as usize];
-        if now < it.cold_until {
-            return self.classify_cold(now, ix, it);
+        if self.is_cold(now, ix) {
+            let choice = self.classify_cold(now, ix, it)?;
+            return Ok(if state.liveness.is_gone() { Choice::Unreachable } else { choice });
         }
         let usable = match it.lapsed_at {
             None => Choice::Good,
@@ -282,6 +284,19 @@
         })
     }
 
+    /// Returns `true` if the upstream is cold, or will be because it is gone: the first flow that it accepts may
+    /// be what shows that it has started again.
+    fn is_cold(&self, now: Millis, ix: UpstreamIx) -> bool {
+        let Some(it) = self.registry.get(ix) else { return false };
+        let is_gone = self.upstream_states[ix.0 as usize].liveness.is_gone();
+        now < it.cold_until || is_gone && self.cold_time(&it.announcement.service) > Millis(0)
+    }
+
+    /// Returns how long upstreams of a service are cold after they start.
+    pub(super) fn cold_time(&self, service: &str) -> Millis {
+        self.routing.limits(service).map_or(Millis(0), |it| it.cold)
+    }
+
     fn classify_cold(
         &self,
         now: Millis,
--- a/crates/pomelorun-core/src/direct/host/token_queries.rs
+++ b/crates/pomelorun-core/src/direct/host/token_queries.rs
@@ -146,7 +146,7 @@
             return Some(TokenOwner::Ended);
         }
         // The other host may reach an upstream that is unreachable from here.
-        Some(TokenOwner::Known(it.announcement_at(now)))
+        Some(TokenOwner::Known(self.announcement_at(now, ix, it)))
     }
 
     /// Adds an upstream that was learned from a peer as lapsed: its flows are forwarded, but it
--- a/crates/pomelorun-core/src/direct/liveness.rs
+++ b/crates/pomelorun-core/src/direct/liveness.rs
@@ -22,6 +22,10 @@
 //! one. A connection does not show which process accepted it. An upstream that accepts connections
 //! but leaves callers without a response, or that was unreachable, is therefore asked for its
 //! identifier.
+//!
+//! The identifier does not show that the process is the same one either, because an upstream may start again
+//! under the identifier that it had. After a refusal it is another one: nothing listened at the address in
+//! between. An upstream that responds again after that is reported as restarted.
 
 mod evidence;
 mod probe;
@@ -149,6 +153,8 @@
     zone_silent_since: Option<Millis>,
     /// When a probe last succeeded; `None` once a caller has got a response since.
     probe_succeeded_at: Option<Millis>,
+    /// `true` once nothing has listened at the upstream's address, until a process does again.
+    is_gone: bool,
 }
 
 /// A probe whose result is awaited.
@@ -220,6 +226,31 @@
         confirmed_at.is_some_and(|it| now.since(it) < VERDICT_MAX_AGE)
     }
 
+    /// Returns `true` if nothing has listened at the upstream's address, and no process has been seen there
+    /// since.
+    pub(crate) fn is_gone(&self) -> bool {
+        self.is_gone
+    }
+
+    /// Records that a process has been seen at the address that responds as the upstream. Returns `true` if
+    /// the upstream was gone, so that the process has started since.
+    pub(crate) fn take_restart(&mut self) -> bool {
+        std::mem::take(&mut self.is_gone)
+    }
+
+    /// Records what another host has found: nothing listens at the upstream's address. The upstream is asked
+    /// for its identifier from now on, and gets no new flows until it tells.
+    pub(crate) fn record_gone_at_peer(&mut self, now: Millis) {
+        self.is_gone = true;
+        self.unreachable.get_or_insert(ProbeBackoff {
+            unreachable_since: now,
+            confirmed_at: None,
+            last_probe: now,
+            next_probe: now + PROBE_BACKOFF_MIN,
+            delay: PROBE_BACKOFF_MIN,
+        });
+    }
+
     /// Returns `true` if packets of callers are unanswered.
     pub(crate) fn has_unanswered(&self) -> bool {
         !self.unanswered.is_empty()
@@ -238,8 +269,12 @@
 
     /// Records a response to a request and returns `true` if the upstream was unreachable.
     ///
-    /// It does not show that the upstream has room for new flows.
+    /// It does not show that the upstream has room for new flows, nor that one that is gone has started
+    /// again: the caller may have got the response before.
     pub fn record_response(&mut self, now: Millis) -> bool {
+        if self.is_gone {
+            return false;
+        }
         self.probe_succeeded_at = None;
         self.mark_responding(now)
     }
@@ -249,7 +284,8 @@
         self.accepted_at = now;
         self.silent_probes = 0;
         self.repeat_at = None;
-        self.record_response(now)
+        self.probe_succeeded_at = None;
+        self.mark_responding(now)
     }
 
     /// Records that a packet has no answer although it is due, and returns the kind of probe to send,
@@ -339,6 +375,7 @@
     ) -> ProbeEffect {
         let probe = self.probe.take();
         self.judge_at = None;
+        self.is_gone |= result == ProbeResult::Refused;
         let is_suspect = self.zone_silent_since.is_some() || !self.unanswered.is_empty();
         match result {
             ProbeResult::Answered if self.unreachable.is_some() && probe.is_some() => {
--- a/crates/pomelorun-core/tests/core/direct.rs
+++ b/crates/pomelorun-core/tests/core/direct.rs
@@ -27,6 +27,7 @@
 mod port_reuse;
 mod probing;
 mod registry;
+mod restarts;
 mod routing;
 mod simulation;
 mod unknown_tokens;
--- a/crates/pomelorun-core/tests/core/direct/fleet.rs
+++ b/crates/pomelorun-core/tests/core/direct/fleet.rs
@@ -202,7 +202,9 @@
 
 #[test]
 fn peer_update_with_sixteen_upstreams_fits_one_datagram() {
-    let update =
-        PeerUpdate { unreachable: vec![(u64::MAX, 1_773_131_158_246, 350); 16], ejected: vec![] };
+    let update = PeerUpdate {
+        unreachable: vec![(u64::MAX, 1_773_131_158_246, 350); 16],
+        ..PeerUpdate::default()
+    };
     assert!(encode(&FleetMsg::PeerUpdate(update)).unwrap().len() < 1_200);
 }
--- a/crates/pomelorun-core/tests/core/direct/golden.rs
+++ b/crates/pomelorun-core/tests/core/direct/golden.rs
@@ -104,7 +104,7 @@
 #[test]
 fn fleet_messages_keep_their_encoding() {
     check(&FleetMsg::Member(PeerMsg::ViewRequest), "a1666d656d6265726772656672657368");
-    let news = PeerUpdate { unreachable: vec![(1, 2, 3)], ejected: vec![(4, 5, 6)] };
+    let news = PeerUpdate { unreachable: vec![(1, 2, 3)], ejected: vec![(4, 5, 6)], gone: vec![] };
     check(
         &FleetMsg::PeerUpdate(news),
         "a1646e657773a26b756e726561636861626c65818301020367656a65637465648183040506",
@@ -204,7 +204,7 @@
 
 #[test]
 fn peer_update_without_ejections_is_decoded() {
-    let news = PeerUpdate { unreachable: vec![(1, 2, 3)], ejected: Vec::new() };
+    let news = PeerUpdate { unreachable: vec![(1, 2, 3)], ..PeerUpdate::default() };
     let old = "a16b756e726561636861626c658183010203";
     assert_eq!(decode::<PeerUpdate>(&unhex(old)).unwrap(), news);
 }
--- a/crates/pomelorun-core/tests/core/direct/host.rs
+++ b/crates/pomelorun-core/tests/core/direct/host.rs
@@ -328,7 +328,8 @@
 #[test]
 fn peer_update_resets_flows_unless_this_host_saw_a_later_response() {
     let (mut host, flows) = host_with_pending_requests();
-    let update = PeerUpdate { unreachable: vec![(1, key(1).started_at, 350)], ejected: vec![] };
+    let update =
+        PeerUpdate { unreachable: vec![(1, key(1).started_at, 350)], ..PeerUpdate::default() };
     let mut answered = self::host_with_pending_requests().0;
     answered.handle_packet(Millis(1_100), &data_segment(flows[0].0, flows[0].1, 51, 300, 0));
     answered.apply_peer_update(Millis(1_350), &update);
--- a/crates/pomelorun-wire/src/code.rs
+++ b/crates/pomelorun-wire/src/code.rs
@@ -136,4 +136,5 @@
     ROOM_REGAINED = 438, "room_regained", "the upstreams of a service have room again, or no recent picture of their load exists", "none";
     UPSTREAM_KEPT = 439, "upstream_kept", "an upstream was kept although its probe timed out or was reset: load alone may explain that", "check whether the upstream is overloaded";
     UPSTREAM_KEPT_BY_PEER = 440, "upstream_kept_by_peer", "another host of the zone has had a response from an upstream whose probe timed out, which is therefore kept", "check whether the upstream is overloaded";
+    UPSTREAM_RESTARTED = 441, "upstream_restarted", "an upstream responds again after its process ended, or may have ended while the directory could not tell; it counts as cold", "check why the upstream ended";
 }
--- a/crates/pomelorun/src/direct/edge.rs
+++ b/crates/pomelorun/src/direct/edge.rs
@@ -11,8 +11,8 @@
     direct::{
         DirectHost, DirectSettings, DirectStats, DirectoryState, DirectoryUpdate, FailureReport,
         ListingState, LivenessMessage, LivenessQuery, LivenessReply, LoadMessage, LoadReport,
-        LoadSummary, OpeningRetry, PeerUpdate, Probe, ProbeResult, ReplicatedUpdate, RestoredZone,
-        SegmentKind, Token, TokenOwner, UpstreamKey, Verdict, ViewState,
+        LoadSummary, OpeningRetry, PeerScope, PeerUpdate, Probe, ProbeResult, ReplicatedUpdate,
+        RestoredZone, SegmentKind, Token, TokenOwner, UpstreamKey, Verdict, ViewState,
     },
 };
 use pomelorun_wire::{CodecError, FlowKey, HostId, ZoneId};
@@ -71,7 +71,7 @@
     /// `true` if this host reads the directory for other hosts of its zone.
     is_reader: bool,
     probes: mpsc::UnboundedSender<Probe>,
-    peer_updates: mpsc::UnboundedSender<PeerUpdate>,
+    peer_updates: mpsc::UnboundedSender<(PeerScope, PeerUpdate)>,
     liveness: mpsc::UnboundedSender<(HostId, LivenessMessage)>,
     event_log: event_log::EventLog,
     status: Arc<Status>,
@@ -542,9 +542,12 @@
             // The receiver is gone only while the process is stopping.
             let _ = self.probes.send(it);
         }
-        let update = self.host.take_peer_update();
-        if !update.is_empty() {
-            let _ = self.peer_updates.send(update);
+        let updates = [
+            (PeerScope::Zone, self.host.take_peer_update()),
+            (PeerScope::OtherZones, self.host.take_other_zones_update()),
+        ];
+        for it in updates.into_iter().filter(|it| !it.1.is_empty()) {
+            let _ = self.peer_updates.send(it);
         }
         for it in self.host.take_liveness_messages() {
             let _ = self.liveness.send(it);
@@ -567,7 +570,7 @@
 pub(crate) struct EdgeLinks {
     pub(crate) status: Arc<Status>,
     pub(crate) probes: mpsc::UnboundedSender<Probe>,
-    pub(crate) peer_updates: mpsc::UnboundedSender<PeerUpdate>,
+    pub(crate) peer_updates: mpsc::UnboundedSender<(PeerScope, PeerUpdate)>,
     pub(crate) liveness: mpsc::UnboundedSender<(HostId, LivenessMessage)>,
     pub(crate) queries: mpsc::UnboundedReceiver<IntrospectionQuery>,
 }
--- a/crates/pomelorun/src/direct/event_log.rs
+++ b/crates/pomelorun/src/direct/event_log.rs
@@ -272,6 +272,7 @@
         LifecycleChange::Draining => (Code::UPSTREAM_DRAINING, "draining"),
         LifecycleChange::Lapsed => (Code::UPSTREAM_LAPSED, "lapsed"),
         LifecycleChange::Adopted => (Code::UPSTREAM_ADOPTED, "adopted"),
+        LifecycleChange::Restarted => (Code::UPSTREAM_RESTARTED, "restarted"),
         LifecycleChange::Ended => (Code::UPSTREAM_ENDED, "ended"),
         LifecycleChange::Forgotten => (Code::UPSTREAM_REMOVED, "forgotten"),
     }
--- a/crates/pomelorun/src/direct/fleet.rs
+++ b/crates/pomelorun/src/direct/fleet.rs
@@ -11,8 +11,8 @@
 use pomelorun_core::{
     Millis,
     direct::{
-        Fleet, FleetMsg, LivenessMessage, LoadMessage, OutboundMessages, PeerUpdate, Readers,
-        address_of, host_at,
+        Fleet, FleetMsg, LivenessMessage, LoadMessage, OutboundMessages, PeerScope, PeerUpdate,
+        Readers, address_of, host_at,
     },
 };
 use pomelorun_wire::{Code, HostId, PeerMsg, decode, encode};
@@ -137,8 +137,11 @@
         }
     }
 
-    fn send_peer_update(&mut self, update: &PeerUpdate) {
-        let out = self.fleet.zone_peers();
+    fn send_peer_update(&mut self, scope: PeerScope, update: &PeerUpdate) {
+        let out = match scope {
+            PeerScope::Zone => self.fleet.zone_peers(),
+            PeerScope::OtherZones => self.fleet.other_zones_hosts(),
+        };
         let out = out.into_iter().map(|to| (to, FleetMsg::PeerUpdate(update.clone()))).collect();
         self.send(out);
     }
@@ -221,8 +224,8 @@
 
 /// Messages of the edge that other hosts are sent at once.
 pub(crate) struct OutboundReceivers {
-    /// For all hosts of the zone.
-    pub(crate) peer_updates: mpsc::UnboundedReceiver<PeerUpdate>,
+    /// Each for all hosts of its scope.
+    pub(crate) peer_updates: mpsc::UnboundedReceiver<(PeerScope, PeerUpdate)>,
     /// Each with its receiver.
     pub(crate) liveness: mpsc::UnboundedReceiver<(HostId, LivenessMessage)>,
 }
@@ -312,8 +315,8 @@
 async fn send_outbound(transport: SharedFleet, mut rx: OutboundReceivers) {
     loop {
         tokio::select! {
-            Some(update) = rx.peer_updates.recv() => {
-                transport.borrow_mut().send_peer_update(&update);
+            Some((scope, update)) = rx.peer_updates.recv() => {
+                transport.borrow_mut().send_peer_update(scope, &update);
             }
             Some((to, it)) = rx.liveness.recv() => {
                 transport.borrow_mut().send(vec![(to, liveness_message(it))]);
