Pass on to followers which listing a copy contains

An upstream that had started while its clock was ahead, and again with the right time, drained ten seconds later.

The store had not changed since, so the follower had the position of the listing through updates, and resumed there without it.

Both messages get one field that earlier versions ignore.

--- a/crates/pomelorun-core/src/direct.rs
+++ b/crates/pomelorun-core/src/direct.rs
@@ -86,7 +86,7 @@
     segment::{Segment, SegmentKind},
     token::Token,
     unknown_tokens::TokenOwner,
-    update_log::UpdateLog,
+    update_log::{ListingNews, UpdateLog},
     upstream_speed::{AnswerSample, ServiceTimes, SpeedEstimate, SpeedSamples},
     view::{
         DirectView, FlowView, IneligibleReason, KnownFrom, ReachabilityView, RouteLoadView,
--- a/crates/pomelorun-core/src/direct/host/directory.rs
+++ b/crates/pomelorun-core/src/direct/host/directory.rs
@@ -81,6 +81,11 @@
         self.directory_era.state()
     }
 
+    /// Returns `true` if an update contradicts what this host knows, and no listing has settled it yet.
+    pub fn is_contradicted(&self) -> bool {
+        self.is_contradicted
+    }
+
     /// Returns `true` if the directory is to be listed again: it was restored and has had the time to
     /// settle, or an event contradicts what this host knows.
     pub fn is_listing_due(&self, now: Millis) -> bool {
--- a/crates/pomelorun-core/src/direct/update_log.rs
+++ b/crates/pomelorun-core/src/direct/update_log.rs
@@ -12,6 +12,17 @@
 /// them would be no smaller than a snapshot.
 const MAX_UPDATES: usize = 512;
 
+/// What a listing told a host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ListingNews {
+    /// No more than the updates up to its position.
+    AsUpdates,
+    /// All that there is, as the host knew nothing.
+    Initial,
+    /// Which of contradictory announcements is the current one.
+    Settled,
+}
+
 /// Updates since a position, oldest first.
 #[derive(Debug, Default)]
 pub struct UpdateLog {
@@ -21,12 +32,49 @@
     batches: VecDeque<(DirectoryPosition, Vec<ReplicatedUpdate>)>,
     /// Number of updates in all batches.
     updates: usize,
+    /// Position of the latest listing in this host's copy that told more than the updates.
+    listed: Option<DirectoryPosition>,
+    /// Position of the latest listing that settled a contradiction.
+    settled: Option<DirectoryPosition>,
 }
 
 impl UpdateLog {
     /// Empties the log and restarts it at a position.
     pub fn restart(&mut self, position: DirectoryPosition) {
-        *self = UpdateLog { start: position, ..UpdateLog::default() };
+        let UpdateLog { listed, settled, .. } = *self;
+        *self = UpdateLog { start: position, listed, settled, ..UpdateLog::default() };
+    }
+
+    /// Records that this host's copy contains a listing that was read at a position.
+    pub fn record_listing(&mut self, position: DirectoryPosition, news: ListingNews) {
+        if news != ListingNews::AsUpdates {
+            self.listed = self.listed.max(Some(position));
+        }
+        if news == ListingNews::Settled {
+            self.settled = self.settled.max(Some(position));
+        }
+    }
+
+    /// Returns the position of the latest listing that told more than the updates.
+    pub fn listed(&self) -> Option<DirectoryPosition> {
+        self.listed
+    }
+
+    /// Returns the updates that a follower lacks, or `None` if it needs a snapshot.
+    ///
+    /// The follower's position tells which updates it has, and `listed` which listing: it may have reached the
+    /// position of a listing through updates alone. A follower of an earlier version does not tell.
+    pub fn updates_for(
+        &self,
+        position: DirectoryPosition,
+        listed: Option<DirectoryPosition>,
+    ) -> Option<Vec<ReplicatedUpdate>> {
+        let has_listing = match (self.listed, listed) {
+            (None, _) => true,
+            (Some(own), Some(its)) => its >= own,
+            (Some(_), None) => self.settled.is_none_or(|it| position > it),
+        };
+        if has_listing { self.updates_after(position) } else { None }
     }
 
     /// Appends the updates that lead to a position.
--- a/crates/pomelorun-core/tests/core/direct/update_log.rs
+++ b/crates/pomelorun-core/tests/core/direct/update_log.rs
@@ -2,7 +2,7 @@
 
 use pomelorun_core::{
     Millis,
-    direct::{DirectoryPosition, ReplicatedUpdate, UpdateLog},
+    direct::{DirectoryPosition, ListingNews, ReplicatedUpdate, UpdateLog},
 };
 use pomelorun_wire::ServiceAddr;
 
@@ -34,6 +34,37 @@
     assert_eq!(log.updates_after(restored), Some(Vec::new()));
 }
 
+// Guards against a follower that keeps an instance that its reader's listing has shown to be replaced: it had
+// reached the position of the listing through updates (review/13).
+#[test]
+fn follower_at_the_position_of_a_listing_gets_it_unless_it_has_it() {
+    let mut log = UpdateLog::default();
+    log.restart(at(20));
+    log.record_listing(at(20), ListingNews::Settled);
+    assert_eq!(log.updates_for(at(20), Some(at(16))), None, "it lacks the listing");
+    assert_eq!(log.updates_for(at(20), None), None, "it does not tell");
+    assert_eq!(log.updates_for(at(20), Some(at(20))), Some(Vec::new()));
+    assert_eq!(log.updates_for(at(20), Some(at(22))), Some(Vec::new()), "it has a later one");
+    log.push(at(23), &removed(0..1));
+    assert_eq!(log.updates_for(at(23), Some(at(16))), None, "no later update contains it");
+    assert_eq!(log.updates_for(at(20), Some(at(20))), Some(removed(0..1)));
+    // The listing stays part of the copy of a host that stops reading and begins again.
+    log.restart(at(25));
+    assert_eq!(log.updates_for(at(25), Some(at(16))), None);
+    assert_eq!(log.updates_for(at(25), None), Some(Vec::new()));
+}
+
+#[test]
+fn initial_listing_is_sent_to_followers_that_tell_of_an_earlier_one_alone() {
+    let mut log = UpdateLog::default();
+    log.record_listing(at(20), ListingNews::Initial);
+    log.restart(at(20));
+    assert_eq!(log.updates_for(at(20), None), Some(Vec::new()));
+    assert_eq!(log.updates_for(at(20), Some(at(16))), None);
+    log.record_listing(at(30), ListingNews::AsUpdates);
+    assert_eq!(log.updates_for(at(30), Some(at(20))), Some(Vec::new()));
+}
+
 #[test]
 fn log_is_bounded_and_forgets_the_oldest_updates_first() {
     let mut log = UpdateLog::default();
--- a/crates/pomelorun/src/direct/edge.rs
+++ b/crates/pomelorun/src/direct/edge.rs
@@ -170,6 +170,11 @@
         self.host.has_listing() && self.host.is_ready()
     }
 
+    /// Returns `true` if an update contradicts what this host knows, and no listing has settled it yet.
+    pub(crate) fn is_contradicted(&self) -> bool {
+        self.host.is_contradicted()
+    }
+
     /// Returns `true` if the fabric may send callers' packets to this host.
     pub(crate) fn is_ready(&self) -> bool {
         !self.leaving && self.host.is_ready()
--- a/crates/pomelorun/src/direct/feed.rs
+++ b/crates/pomelorun/src/direct/feed.rs
@@ -10,7 +10,8 @@
 use pomelorun_core::{
     Millis,
     direct::{
-        DirectoryPosition, DirectoryState, HasFollowers, ListingState, ReplicatedUpdate, UpdateLog,
+        DirectoryPosition, DirectoryState, HasFollowers, ListingNews, ListingState,
+        ReplicatedUpdate, UpdateLog,
     },
 };
 use pomelorun_wire::{decode, encode};
@@ -65,6 +66,9 @@
     /// Position from which the follower can continue, if it has a settled listing.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub(crate) position: Option<DirectoryPosition>,
+    /// Position of the latest listing that its copy contains, as far as known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) listed: Option<DirectoryPosition>,
 }
 
 /// A message to a follower. Each carries the position in the directory's history that it reflects:
@@ -87,6 +91,9 @@
         directory_unavailable: bool,
         #[serde(default, skip_serializing_if = "Option::is_none")]
         age_ms: Option<u64>,
+        /// Position of the latest listing that the sender's copy contains, as far as known.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        listed: Option<DirectoryPosition>,
         items: Vec<ReplicatedUpdate>,
     },
     /// New updates, or at the start of a stream all updates since the follower's position.
@@ -215,12 +222,25 @@
 
     /// Records a listing and disconnects all followers, which reconnect for a new snapshot, because
     /// only changes can be passed on.
-    pub(crate) fn reset_followers(&mut self, position: DirectoryPosition) {
+    ///
+    /// Followers that have reached its position need the snapshot too if it told more than the updates.
+    pub(crate) fn reset_followers(&mut self, position: DirectoryPosition, news: ListingNews) {
         self.set_position(position);
+        self.log.record_listing(position, news);
         self.log.restart(position);
         let _ = self.tx.send(FeedCommand::Close);
     }
 
+    /// Records the latest listing that a followed host's snapshot contains.
+    pub(crate) fn record_listing(&mut self, position: DirectoryPosition) {
+        self.log.record_listing(position, ListingNews::Initial);
+    }
+
+    /// Returns the position of the latest listing that this host's copy contains, as far as known.
+    pub(crate) fn listed(&self) -> Option<DirectoryPosition> {
+        self.log.listed()
+    }
+
     /// Sends new updates to all followers.
     pub(crate) fn publish(&mut self, position: DirectoryPosition, items: Vec<ReplicatedUpdate>) {
         self.position = position;
@@ -239,7 +259,7 @@
             && !self.is_directory_unavailable()
             && edge.listing_state() == ListingState::Settled;
         let missing = hello.position.filter(|_| can_resume);
-        if let Some(items) = missing.and_then(|it| self.log.updates_after(it)) {
+        if let Some(items) = missing.and_then(|it| self.log.updates_for(it, hello.listed)) {
             return FeedMsg::Events { revision, era: Some(era), age_ms, items };
         }
         FeedMsg::Snapshot {
@@ -248,6 +268,7 @@
             unsettled: edge.listing_state() == ListingState::Unsettled,
             directory_unavailable: self.is_directory_unavailable() || !self.serving,
             age_ms,
+            listed: self.log.listed(),
             items: edge.full_listing(hello.active_revision),
         }
     }
--- a/crates/pomelorun/src/direct/reader.rs
+++ b/crates/pomelorun/src/direct/reader.rs
@@ -7,8 +7,8 @@
 use pomelorun_core::{
     Millis,
     direct::{
-        DirectoryPosition, DirectoryState, DirectorySync, ListingState, Readers, ResponseEra,
-        SyncOutcome, SyncStep, address_of,
+        DirectoryPosition, DirectoryState, DirectorySync, ListingNews, ListingState, Readers,
+        ResponseEra, SyncOutcome, SyncStep, address_of,
     },
 };
 use pomelorun_wire::{Code, HostId};
@@ -182,9 +182,18 @@
         items.extend(page.items);
         next = page.next;
     }
-    cx.edge.borrow_mut().apply_listing(position.era, &items);
+    let news = {
+        let mut edge = cx.edge.borrow_mut();
+        let news = match (edge.is_contradicted(), edge.has_initial_listing()) {
+            (true, _) => ListingNews::Settled,
+            (false, false) => ListingNews::Initial,
+            (false, true) => ListingNews::AsUpdates,
+        };
+        edge.apply_listing(position.era, &items);
+        news
+    };
     confirm(cx, sync, requested_at);
-    cx.feed.borrow_mut().reset_followers(position);
+    cx.feed.borrow_mut().reset_followers(position, news);
     Ok(SyncOutcome::Listed(position))
 }
 
@@ -228,8 +237,15 @@
     let position = None;
     let hello = {
         let edge = cx.edge.borrow();
-        let settled = edge.has_initial_listing() && edge.listing_state() == ListingState::Settled;
-        Hello { active_revision: edge.revision(), position: known.filter(|_| settled) }
+        // An update that contradicts this host's copy is settled by a listing, which only a snapshot contains.
+        let is_complete = edge.has_initial_listing()
+            && edge.listing_state() == ListingState::Settled
+            && !edge.is_contradicted();
+        Hello {
+            active_revision: edge.revision(),
+            position: known.filter(|_| is_complete),
+            listed: cx.feed.borrow().listed(),
+        }
     };
     let mut stream = match FeedStream::connect(address, hello).await {
         Ok(it) => it,
@@ -373,8 +389,11 @@
         log_restoration(known, msg_position);
     }
     let applied = match msg {
-        FeedMsg::Snapshot { items, era, unsettled, .. } => {
+        FeedMsg::Snapshot { items, era, unsettled, listed, .. } => {
             let state = if unsettled { ListingState::Unsettled } else { ListingState::Settled };
+            if let Some(it) = listed.filter(|_| !unsettled) {
+                cx.feed.borrow_mut().record_listing(it);
+            }
             edge.apply_peer_listing(era, state, items)
         }
         FeedMsg::Events { items, .. } => edge.apply_peer_events(items),
