Keep the flows that were opened after a restart when it is announced

Flows that callers open between the restart of an upstream and its announcement carry the token of the earlier start.

Change: an instance that was seen to be restarted is not ended by its successor at the same address. Its flows are forwarded; the process resets those that it does not know.

Test: core direct::restarts::flows_opened_after_a_restart_outlive_its_ announcement fails with the condition taken out.

--- a/crates/pomelorun-core/src/direct/host/failure_detection.rs
+++ b/crates/pomelorun-core/src/direct/host/failure_detection.rs
@@ -114,7 +114,7 @@
         let Some(it) = self.registry.get(ix) else { return };
         let upstream = it.announcement.key;
         let cold_left = self.cold_time(&it.announcement.service);
-        self.registry.extend_cold(ix, now + cold_left);
+        self.registry.mark_restarted(ix, now + cold_left);
         let change = LifecycleChange::Restarted;
         self.emit(DirectEvent::Lifecycle { upstream, change, cold_left });
     }
--- a/crates/pomelorun-core/src/direct/registry.rs
+++ b/crates/pomelorun-core/src/direct/registry.rs
@@ -91,6 +91,9 @@
     pub ended: bool,
     /// When the instance was first announced to this host.
     pub first_announced: Millis,
+    /// `true` if a later process has taken the place of the instance before the directory has told of it, so
+    /// that the open flows are of the later one.
+    pub(crate) is_restarted: bool,
 }
 
 impl Upstream {
@@ -276,13 +279,25 @@
             }
             Registered::Later if recency == Recency::Unknown => RegistryChange::Contradictory,
             Registered::Earlier | Registered::Later => {
-                self.mark_ended(ix);
+                if !self.is_succeeded(ix, announcement) {
+                    self.mark_ended(ix);
+                }
                 self.succeed(now, ix, announcement, routing)
             }
             Registered::Foreign => self.succeed(now, ix, announcement, routing),
         }
     }
 
+    /// Returns `true` if the successor of an instance has taken its place before it was announced. The open
+    /// flows are then of the successor, which resets those that it does not know.
+    fn is_succeeded(&self, ix: UpstreamIx, successor: &Announcement) -> bool {
+        let Some(it) = self.get(ix).filter(|it| it.is_restarted) else { return false };
+        let it = &it.announcement;
+        it.key.id == successor.key.id
+            && it.addr == successor.addr
+            && it.service == successor.service
+    }
+
     /// Compares the instance that is registered for an identifier with one that is announced under it.
     fn compare(&self, ix: UpstreamIx, announced: &Announcement, routing: &Routing) -> Registered {
         let Some(it) = self.get(ix).map(|it| &it.announcement) else { return Registered::Foreign };
@@ -329,8 +344,8 @@
     pub(crate) fn claim_addresses(&mut self, service: &str) {
         for ix in self.by_service(service).to_vec() {
             let Some(it) = self.get(ix).filter(|it| !it.ended) else { continue };
-            let (addr, key) = (it.announcement.addr, it.announcement.key);
-            self.end_older_at(addr, key);
+            let announcement = it.announcement.clone();
+            self.end_older_at(&announcement);
         }
     }
 
@@ -376,6 +391,14 @@
         std::mem::take(&mut self.ended)
     }
 
+    /// Records that a later process has taken the place of an instance, which is cold at least until `until`.
+    pub(crate) fn mark_restarted(&mut self, ix: UpstreamIx, until: Millis) {
+        self.extend_cold(ix, until);
+        if let Some(it) = self.get_mut(ix) {
+            it.is_restarted = true;
+        }
+    }
+
     /// Treats an instance as cold at least until `until`.
     pub(crate) fn extend_cold(&mut self, ix: UpstreamIx, until: Millis) {
         if let Some(it) = self.get_mut(ix) {
@@ -449,7 +472,7 @@
         routing: &Routing,
     ) -> RegistryChange {
         if ServiceStatus::of(&announcement.service, routing) == ServiceStatus::Configured {
-            self.end_older_at(announcement.addr, announcement.key);
+            self.end_older_at(announcement);
         }
         RegistryChange::Added(self.insert(now, announcement))
     }
@@ -469,6 +492,7 @@
             lapsed_at: None,
             ended: false,
             first_announced: now,
+            is_restarted: false,
         };
         let ix = self.free_positions.pop().unwrap_or(UpstreamIx(self.entries.len() as u32));
         if ix.0 as usize == self.entries.len() {
@@ -492,12 +516,13 @@
 
     /// Marks the older instances at an address as ended, because an address belongs to one upstream
     /// at a time.
-    fn end_older_at(&mut self, addr: SocketAddrV4, newer: UpstreamKey) {
-        let at = self.addrs.partition_point(|it| it.0 < addr);
+    fn end_older_at(&mut self, newer: &Announcement) {
+        let at = self.addrs.partition_point(|it| it.0 < newer.addr);
         let there: Vec<UpstreamIx> =
-            self.addrs[at..].iter().take_while(|it| it.0 == addr).map(|it| it.1).collect();
+            self.addrs[at..].iter().take_while(|it| it.0 == newer.addr).map(|it| it.1).collect();
+        let is_older = |it: &Upstream| it.announcement.key.started_at < newer.key.started_at;
         for ix in there {
-            if self.get(ix).is_some_and(|it| it.announcement.key.started_at < newer.started_at) {
+            if self.get(ix).is_some_and(is_older) && !self.is_succeeded(ix, newer) {
                 self.mark_ended(ix);
             }
         }
--- a/crates/pomelorun-core/tests/core/direct/restarts.rs
+++ b/crates/pomelorun-core/tests/core/direct/restarts.rs
@@ -244,3 +244,33 @@
     let opened = (0..100).filter(|it| open_flow(&mut started, now, flow(*it)).0 == UPSTREAM);
     assert!(opened.count() <= COLD_LIMIT);
 }
+
+// Guards against resets of flows that were opened after an upstream started again and before the directory told.
+#[test]
+fn flows_opened_after_a_restart_outlive_its_announcement() {
+    for is_moved in [false, true] {
+        let mut group = Group::start(DirectoryState::Unavailable, 1);
+        group.away = Some(Away::Refusing);
+        group.retransmit_request(0);
+        group.away = None;
+        group.advance(6_000, true);
+        let host = &mut group.hosts[0];
+        let number = (1_000..2_000)
+            .find(|it| open_flow(host, Millis(group.now), flow(*it)).0 == UPSTREAM)
+            .expect("a flow at the upstream");
+        let mut later = announcement(UPSTREAM, LOCAL_ZONE);
+        later.key.started_at += 5_000;
+        if is_moved {
+            later.addr.set_port(9_999);
+        }
+        let now = Millis(group.now + 10);
+        host.apply_update(now, &DirectoryUpdate::Upstream(later.clone()));
+        let resets = host.take_resets().len();
+        assert_eq!(resets > 0, is_moved, "{resets} resets");
+        let segment = data_segment(flow(number), Token::of(key(UPSTREAM)), 2, 200, 50);
+        let to = forwarded_to(host.handle_packet(now, &segment));
+        assert_eq!(to.is_none(), is_moved);
+        let new = (2_000..3_000).map(|it| open_flow(host, now, flow(it)));
+        assert!(new.into_iter().any(|it| it == (UPSTREAM, Token::of(later.key))));
+    }
+}
