Give the budget of a cold upstream to a majority of the hosts

One of three hosts was cut off from the others and from the directory, while routers and upstreams reached it.

Cause: the owner of a cold upstream is chosen among the hosts that a host believes live. One that has lost all others at once takes them for dead, and its view counted as complete, so it owned all cold upstreams beside the owner of the others.

--- a/crates/pomelorun-core/src/direct/fleet.rs
+++ b/crates/pomelorun-core/src/direct/fleet.rs
@@ -86,6 +86,8 @@
     /// `true` if other hosts were named as seeds, and once this host has met another one.
     has_seeds: bool,
     has_met: bool,
+    /// When this host last heard from another one.
+    last_heard: Millis,
     /// State of the view at the last call of [`Fleet::take_changed`].
     view_state: ViewState,
 }
@@ -119,6 +121,7 @@
             synced: false,
             has_seeds: seeds.iter().any(|it| *it != me.host),
             has_met: false,
+            last_heard: now,
             view_state: ViewState::Incomplete,
         }
     }
@@ -143,6 +146,7 @@
 
     /// Handles a membership message and returns the messages to send.
     pub fn handle_message(&mut self, now: Millis, from: HostId, msg: &PeerMsg) -> OutboundMessages {
+        self.last_heard = now;
         let out = self.members.handle_message(now, from, msg, self.revision);
         out.into_iter().map(|(to, msg)| (to, FleetMsg::Member(msg))).collect()
     }
@@ -166,7 +170,7 @@
         let became_synced = synced && !std::mem::replace(&mut self.synced, synced);
         // A seed that has not been heard from yet has incarnation 0.
         self.has_met |= self.members.others().iter().any(|it| it.incarnation > 0);
-        let view_state = self.current_view_state();
+        let view_state = self.current_view_state(now);
         let view_changed = std::mem::replace(&mut self.view_state, view_state) != view_state;
         self.members.take_changed() || became_synced || view_changed
     }
@@ -176,11 +180,15 @@
         self.view_state
     }
 
-    fn current_view_state(&self) -> ViewState {
+    fn current_view_state(&self, now: Millis) -> ViewState {
         let is_live = self.members.me().state == MemberState::Live;
         // A host that has met none of its seeds does not know whether there are others.
         let may_be_alone = !self.has_seeds || self.has_met;
-        if is_live && self.synced && self.members.is_synced() && may_be_alone {
+        // A host that is cut off finds the others dead only one after the other.
+        let hears_others = self.live_hosts().len() == 1
+            || now.since(self.last_heard) < self.cfg.suspect_timeout_ms;
+        let is_synced = self.synced && self.members.is_synced();
+        if is_live && is_synced && may_be_alone && hears_others {
             ViewState::Complete
         } else {
             ViewState::Incomplete
--- a/crates/pomelorun-core/src/direct/host/flow_placement.rs
+++ b/crates/pomelorun-core/src/direct/host/flow_placement.rs
@@ -306,14 +306,13 @@
         if it.lapsed_at.is_some() {
             return Err(IneligibleReason::Lapsed);
         }
-        if !self.is_cold_start_owner(now, it.announcement.key) {
+        let per_s = self.routing.limits(&it.announcement.service).map_or(0.0, |it| it.cold_per_s);
+        let limit = self.cfg.cold.opens_per_second(per_s);
+        let budget = self.cold_budget(now, it.announcement.key, limit);
+        if budget == 0 && limit > 0 {
             return Err(IneligibleReason::ColdElsewhere);
         }
-        let per_s = self.routing.limits(&it.announcement.service).map_or(0.0, |it| it.cold_per_s);
-        if !self.upstream_states[ix.0 as usize]
-            .cold
-            .has_room(now, self.cfg.cold.opens_per_second(per_s))
-        {
+        if !self.upstream_states[ix.0 as usize].cold.has_room(now, budget) {
             return Err(IneligibleReason::ColdFull);
         }
         Ok(Choice::Cold)
@@ -325,9 +324,12 @@
             .is_some_and(|recovered| at.since(recovered) < self.cfg.lapse_grace)
     }
 
-    /// Returns `true` if this host may open flows at a cold upstream.
-    pub(super) fn is_cold_start_owner(&self, now: Millis, key: UpstreamKey) -> bool {
-        !self.is_enabled(Mechanism::ColdStartOwner)
-            || self.cold_owners.is_owner(now, self.cfg.host, key)
+    /// Returns how many flows this host may open in the window of a cold upstream's limit.
+    fn cold_budget(&self, now: Millis, key: UpstreamKey, limit: u32) -> u32 {
+        if self.is_enabled(Mechanism::ColdStartOwner) {
+            self.cold_owners.budget(now, self.cfg.host, key, limit)
+        } else {
+            limit
+        }
     }
 }
