--- a/crates/pomelorun-core/src/direct/event.rs
+++ b/crates/pomelorun-core/src/direct/event.rs
@@ -140,8 +140,9 @@
         upstream: Option<UpstreamKey>,
         /// Why it was reset.
         reason: ResetReason,
-        /// Time since the upstream's last response; zero if the upstream is unknown.
-        since_last_response: Millis,
+        /// Time since the upstream's last response; `None` if the upstream is unknown, or has not responded to this
+        /// host.
+        since_last_response: Option<Millis>,
     },
     /// A packet was dropped.
     Dropped {
--- a/crates/pomelorun-core/src/direct/host/flow_resets.rs
+++ b/crates/pomelorun-core/src/direct/host/flow_resets.rs
@@ -80,12 +80,12 @@
         self.stats.resets += 1;
         let upstream = ix.and_then(|it| self.registry.get(it)).map(|it| it.announcement.key);
         let last_response =
-            ix.map_or(now, |it| self.upstream_states[it.0 as usize].liveness.last_response());
+            ix.map(|it| self.upstream_states[it.0 as usize].liveness.last_response());
         self.emit(DirectEvent::Reset {
             flow,
             upstream,
             reason,
-            since_last_response: now - last_response,
+            since_last_response: last_response.filter(|it| *it > Millis(0)).map(|it| now.since(it)),
         });
         ResetPacket { flow, seq }
     }
--- a/crates/pomelorun-core/tests/core/direct/registry.rs
+++ b/crates/pomelorun-core/tests/core/direct/registry.rs
@@ -2,7 +2,7 @@
 
 use pomelorun_core::{
     Millis,
-    direct::{Announcement, DirectHost, DirectoryUpdate, Token, UpstreamKey, Verdict},
+    direct::{Announcement, DirectEvent, DirectHost, DirectoryUpdate, Token, UpstreamKey, Verdict},
 };
 use pomelorun_wire::ServiceAddr;
 
@@ -83,6 +83,26 @@
     assert_eq!(token_after_stale_update, new_token);
 }
 
+// Guards against a reset that is said to follow a silence as long as the host's uptime.
+#[test]
+fn reset_of_an_upstream_that_was_never_heard_has_no_time_since_its_last_response() {
+    let mut host = host(&[announcement(1, LOCAL_ZONE)]);
+    let token = Token::of(key(1));
+    host.handle_packet(Millis(500_000), &data_segment(flow(1), token, 1, 100, 10));
+    let mut later = announcement(1, LOCAL_ZONE);
+    later.key.started_at += 5_000;
+    host.apply_update(Millis(500_100), &DirectoryUpdate::Upstream(later));
+    let silences: Vec<Option<Millis>> = host
+        .take_events()
+        .into_iter()
+        .filter_map(|it| match it {
+            DirectEvent::Reset { since_last_response, .. } => Some(since_last_response),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(silences, vec![None]);
+}
+
 #[test]
 fn address_reuse_by_another_upstream_terminates_the_previous_one() {
     let mut host = host(&[announcement(1, LOCAL_ZONE)]);
--- a/crates/pomelorun/src/direct/event_log.rs
+++ b/crates/pomelorun/src/direct/event_log.rs
@@ -231,7 +231,7 @@
     flow: &FlowKey,
     upstream: Option<&UpstreamKey>,
     reason: ResetReason,
-    since_last_response: Millis,
+    since_last_response: Option<Millis>,
 ) {
     let code = match reason {
         ResetReason::Unreachable => Code::FLOW_RESET_UNREACHABLE,
@@ -241,10 +241,14 @@
         ResetReason::EndedAtPeer => Code::FLOW_RESET_REPORTED_ENDED,
         ResetReason::Overload => Code::FLOW_RESET_OVERLOADED,
     };
-    warn!("flow reset", kv: {
-        code = code.to_string(), flow = flow.to_string(),
-        upstream = upstream.map(id_text).unwrap_or_default(), silent_ms = since_last_response.0
-    });
+    let (code, flow) = (code.to_string(), flow.to_string());
+    let upstream = upstream.map(id_text).unwrap_or_default();
+    match since_last_response {
+        Some(Millis(silent_ms)) => {
+            warn!("flow reset", kv: { code, flow, upstream, silent_ms });
+        }
+        None => warn!("flow reset", kv: { code, flow, upstream, never_heard = true }),
+    }
 }
 
 fn keep_code(reason: KeepReason) -> (Code, &'static str) {
