Tell a refused identity probe from one that failed

An upstream that falls silent is asked for its identifier from then on. While nothing listens at its address, that question is refused, which counted as no result: when a process answered later, the upstream was taken for warm unless the directory could not tell.

--- a/crates/pomelorun-core/src/direct/cold_owner.rs
+++ b/crates/pomelorun-core/src/direct/cold_owner.rs
@@ -22,8 +22,8 @@
 /// Time for which a host that is missing counts as one that may be cut off: the longest cut in which the limit
 /// holds.
 const KNOWN_TIME: Millis = Millis(60_000);
-/// The limit, in times of the flows that are divided into slots.
-const LIMIT_PER_SLOT: u32 = 2;
+/// Number of flows of the limit of which one is a slot.
+const FLOWS_PER_SLOT: u32 = 2;
 
 /// Whether a host's view of the other hosts can be relied on.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -89,15 +89,16 @@
     /// `limit` over all hosts.
     pub fn budget(&self, now: Millis, host: HostId, upstream: UpstreamKey, limit: u32) -> u32 {
         let changed_lately = |at: Millis| now.since(at) < HANDOVER_TIME;
-        let slots = self.slots(now, upstream, limit);
         match self.part(now) {
             _ if self.view == ViewState::Incomplete => 0,
             Part::Minority if self.missing.iter().any(|it| changed_lately(it.1)) => 0,
-            Part::Minority => u32::from(slots.contains(&host)),
+            Part::Minority => u32::from(self.slots(now, upstream, limit).contains(&host)),
             Part::Majority if self.regained_at.is_some_and(changed_lately) => 0,
             Part::Majority if !self.is_owner(now, host, upstream) => 0,
+            Part::Majority if self.missing.is_empty() => limit,
             Part::Majority => {
                 let is_missing = |it: &&HostId| self.live.binary_search(it).is_err();
+                let slots = self.slots(now, upstream, limit);
                 limit - slots.iter().filter(is_missing).count() as u32
             }
         }
@@ -115,7 +116,7 @@
         let mut ranked: Vec<HostId> = self.live.clone();
         ranked.extend(self.missing_hosts(now));
         ranked.sort_by_key(|it| std::cmp::Reverse(score(*it, upstream)));
-        ranked.truncate((limit / LIMIT_PER_SLOT) as usize);
+        ranked.truncate((limit / FLOWS_PER_SLOT) as usize);
         ranked
     }
 
--- a/crates/pomelorun-core/tests/core/direct/restarts.rs
+++ b/crates/pomelorun-core/tests/core/direct/restarts.rs
@@ -210,6 +210,24 @@
     }
 }
 
+// Guards against the same where only the question for the identifier is refused, after a silence.
+#[test]
+fn upstream_whose_identity_probe_was_refused_is_cold() {
+    let mut group = Group::start(DirectoryState::Available, 1);
+    let host = &mut group.hosts[0];
+    let started_at = key(UPSTREAM).started_at;
+    let unreachable = vec![(UPSTREAM, started_at, 500)];
+    host.apply_peer_update(Millis(1_000), &PeerUpdate { unreachable, ..PeerUpdate::default() });
+    host.apply_probe_result(Millis(1_500), key(UPSTREAM), ProbeResult::Refused);
+    assert_eq!(host.take_peer_update().gone, vec![(UPSTREAM, started_at)]);
+    group.now = 2_000;
+    group.hosts[0].confirm_directory(Millis(group.now));
+    group.hosts[0].apply_probe_result(Millis(group.now), key(UPSTREAM), ProbeResult::Answered);
+    group.advance(COLD_START_S * 1_000, true);
+    let most = group.most_opened(2_000);
+    assert!(most <= COLD_LIMIT, "{most} flows in a second");
+}
+
 #[test]
 fn response_from_before_a_refusal_does_not_bring_an_upstream_back() {
     let mut group = Group::start(DirectoryState::Available, 2);
--- a/crates/pomelorun/src/direct/platform.rs
+++ b/crates/pomelorun/src/direct/platform.rs
@@ -45,6 +45,9 @@
     /// The response to a watch began but was not complete in time, or is too long.
     #[error("response not complete in time")]
     Incomplete,
+    /// The connection was refused: nothing listens at the address.
+    #[error("connection refused")]
+    Refused,
     /// The request failed, or the connection did.
     #[error("{0}")]
     Failed(String),
--- a/crates/pomelorun/src/direct/probes.rs
+++ b/crates/pomelorun/src/direct/probes.rs
@@ -169,6 +169,7 @@
     match prober.identify(it.addr, &it.path, IDENTIFY_TIMEOUT).await {
         Ok(id) if id == it.upstream.id => ProbeResult::Answered,
         Ok(_) => ProbeResult::OtherUpstream,
+        Err(DirectoryError::Refused) => ProbeResult::Refused,
         // A busy upstream may take longer than the timeout to respond.
         Err(
             DirectoryError::Timeout
--- a/crates/pomelorun/src/direct/reader.rs
+++ b/crates/pomelorun/src/direct/reader.rs
@@ -117,7 +117,9 @@
     res: Result<SyncOutcome, DirectoryError>,
 ) -> SyncOutcome {
     let state = match &res {
-        Err(DirectoryError::Timeout | DirectoryError::Failed(_)) => DirectoryState::Unavailable,
+        Err(DirectoryError::Timeout | DirectoryError::Refused | DirectoryError::Failed(_)) => {
+            DirectoryState::Unavailable
+        }
         Ok(_)
         | Err(
             DirectoryError::Incomplete
@@ -150,7 +152,9 @@
         }
         Err(DirectoryError::HistoryExpired) => SyncOutcome::HistoryExpired,
         Err(DirectoryError::AddressChanged) => SyncOutcome::DirectoryReplaced,
-        Err(DirectoryError::Timeout | DirectoryError::Failed(_)) => SyncOutcome::Failed,
+        Err(DirectoryError::Timeout | DirectoryError::Refused | DirectoryError::Failed(_)) => {
+            SyncOutcome::Failed
+        }
     }
 }
 
