Ask an upstream for its identifier whenever its connection is refused

A refusal that arrived when nothing was suspected any more, because a response from before had cleared the suspicion, marked the upstream as gone without a probe to follow: hosts that do not own its cold budget opened no flows there until the directory announced it anew. A refused upstream is now asked for its identifier in any case; no flow is reset for it without a verdict.

Test: core direct::restarts::refusal_without_suspicion_calls_for_the_identifier, which fails without the change.

--- a/crates/pomelorun-core/src/direct/host/failure_detection.rs
+++ b/crates/pomelorun-core/src/direct/host/failure_detection.rs
@@ -52,6 +52,8 @@
         let effect = liveness.record_probe(now, result, rule);
         let fell_silent = !was_silent && liveness.is_silent();
         if !was_gone && liveness.is_gone() {
+            liveness.record_gone(now);
+            self.mark_unhealthy(ix);
             self.report_gone(key);
         }
         if result == ProbeResult::Answered {
@@ -153,7 +155,7 @@
         }
         for &(id, started_at) in update.gone.iter().filter(|_| shared) {
             let Some(ix) = self.registry.by_key(UpstreamKey { id, started_at }) else { continue };
-            self.upstream_states[ix.0 as usize].liveness.record_gone_at_peer(now);
+            self.upstream_states[ix.0 as usize].liveness.record_gone(now);
             self.mark_unhealthy(ix);
         }
         for &(id, started_at, duration_ms) in &update.ejected {
--- a/crates/pomelorun-core/src/direct/liveness.rs
+++ b/crates/pomelorun-core/src/direct/liveness.rs
@@ -238,9 +238,9 @@
         std::mem::take(&mut self.is_gone)
     }
 
-    /// Records what another host has found: nothing listens at the upstream's address. The upstream is asked
-    /// for its identifier from now on, and gets no new flows until it tells.
-    pub(crate) fn record_gone_at_peer(&mut self, now: Millis) {
+    /// Records that nothing listens at the upstream's address, as this host or another one has found. The
+    /// upstream is asked for its identifier from now on, and gets no new flows until it tells.
+    pub(crate) fn record_gone(&mut self, now: Millis) {
         self.is_gone = true;
         self.unreachable.get_or_insert(ProbeBackoff {
             unreachable_since: now,
--- a/crates/pomelorun-core/tests/core/direct/restarts.rs
+++ b/crates/pomelorun-core/tests/core/direct/restarts.rs
@@ -228,6 +228,22 @@
     assert!(most <= COLD_LIMIT, "{most} flows in a second");
 }
 
+// Guards against an upstream that gets no flows for good: a response from before cleared the suspicion when a
+// refusal arrived, so that nothing called for another probe.
+#[test]
+fn refusal_without_suspicion_calls_for_the_identifier() {
+    let mut group = Group::start(DirectoryState::Available, 2);
+    let host = &mut group.hosts[0];
+    host.apply_probe_result(Millis(1_000), key(UPSTREAM), ProbeResult::Refused);
+    assert_eq!(host.take_resets(), vec![], "no flow is reset for it");
+    group.advance(COLD_START_S * 1_000, true);
+    assert!(group.most_opened(0) <= COLD_LIMIT);
+    assert_eq!(group.reachability(0), Reachability::Answering);
+    group.advance(2_000, true);
+    let warm = group.most_opened(group.now - 1_000);
+    assert!(warm > COLD_LIMIT, "{warm} flows in a second once it is warm");
+}
+
 #[test]
 fn response_from_before_a_refusal_does_not_bring_an_upstream_back() {
     let mut group = Group::start(DirectoryState::Available, 2);
--- a/crates/pomelorun/src/direct/reader.rs
+++ b/crates/pomelorun/src/direct/reader.rs
@@ -395,10 +395,11 @@
     let applied = match msg {
         FeedMsg::Snapshot { items, era, unsettled, listed, .. } => {
             let state = if unsettled { ListingState::Unsettled } else { ListingState::Settled };
-            if let Some(it) = listed.filter(|_| !unsettled) {
+            let applied = edge.apply_peer_listing(era, state, items);
+            if let Some(it) = listed.filter(|_| applied.is_ok() && !unsettled) {
                 cx.feed.borrow_mut().record_listing(it);
             }
-            edge.apply_peer_listing(era, state, items)
+            applied
         }
         FeedMsg::Events { items, .. } => edge.apply_peer_events(items),
         FeedMsg::Heartbeat { .. } => Ok(()),
