--- a/crates/pomelorun-core/tests/core/direct/restarts.rs
+++ b/crates/pomelorun-core/tests/core/direct/restarts.rs
@@ -232,16 +232,20 @@
 // refusal arrived, so that nothing called for another probe.
 #[test]
 fn refusal_without_suspicion_calls_for_the_identifier() {
-    let mut group = Group::start(DirectoryState::Available, 2);
-    let host = &mut group.hosts[0];
-    host.apply_probe_result(Millis(1_000), key(UPSTREAM), ProbeResult::Refused);
-    assert_eq!(host.take_resets(), vec![], "no flow is reset for it");
-    group.advance(COLD_START_S * 1_000, true);
-    assert!(group.most_opened(0) <= COLD_LIMIT);
-    assert_eq!(group.reachability(0), Reachability::Answering);
-    group.advance(2_000, true);
-    let warm = group.most_opened(group.now - 1_000);
-    assert!(warm > COLD_LIMIT, "{warm} flows in a second once it is warm");
+    // One of the two hosts does not own the cold upstream, so that no flow of its own shows that it is back.
+    for at in 0..2 {
+        let mut group = Group::start(DirectoryState::Available, 2);
+        let host = &mut group.hosts[at];
+        host.apply_probe_result(Millis(1_000), key(UPSTREAM), ProbeResult::Refused);
+        assert_eq!(host.take_resets(), vec![], "no flow is reset for it");
+        group.advance(COLD_START_S * 1_000, true);
+        assert!(group.most_opened(0) <= COLD_LIMIT);
+        assert_eq!(group.reachability(at), Reachability::Answering);
+        group.advance(2_000, false);
+        let now = Millis(group.now);
+        let mut opened = (2_000..2_100).map(|it| open_flow(&mut group.hosts[at], now, flow(it)).0);
+        assert!(opened.any(|it| it == UPSTREAM), "host {at} uses it once it is warm");
+    }
 }
 
 #[test]
