Let a host that is not among the live ones spend no cold budget

A host that does not count itself among the live hosts was taken for missing, so that it could hold a slot. No daemon sets such a view; core direct::introspection ::view_gives_the_reason_why_each_upstream_is_ineligible does, and failed since.

--- a/crates/pomelorun-core/src/direct/cold_owner.rs
+++ b/crates/pomelorun-core/src/direct/cold_owner.rs
@@ -89,8 +89,9 @@
     /// `limit` over all hosts.
     pub fn budget(&self, now: Millis, host: HostId, upstream: UpstreamKey, limit: u32) -> u32 {
         let changed_lately = |at: Millis| now.since(at) < HANDOVER_TIME;
+        let is_live = self.live.binary_search(&host).is_ok();
         match self.part(now) {
-            _ if self.view == ViewState::Incomplete => 0,
+            _ if self.view == ViewState::Incomplete || !is_live => 0,
             Part::Minority if self.missing.iter().any(|it| changed_lately(it.1)) => 0,
             Part::Minority => u32::from(self.slots(now, upstream, limit).contains(&host)),
             Part::Majority if self.regained_at.is_some_and(changed_lately) => 0,
